--- /dev/null
+++ b/src/dragonflycove/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for language-model prompts of very unlike lengths."""
--- /dev/null
+++ b/src/dragonflycove/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Decides the life of a request: attempts, retries, resumption and outcome."""
--- /dev/null
+++ b/src/dragonflycove/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the backend servers: model engines and plain services."""
--- /dev/null
+++ b/src/dragonflycove/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Decides ownership by leases and fencing numbers from the log."""
--- /dev/null
+++ b/src/dragonflycove/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, experiments and the demonstration."""
--- /dev/null
+++ b/src/dragonflycove/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which nodes exist, which answer and which leave."""
--- /dev/null
+++ b/src/dragonflycove/node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: tasks that own sockets and carry out what the decisions say."""
--- /dev/null
+++ b/src/dragonflycove/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP surface for operators."""
--- /dev/null
+++ b/src/dragonflycove/peering/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between nodes: websockets with CBOR."""
--- /dev/null
+++ b/src/dragonflycove/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides models, adapters, versions and memory groups on engines."""
--- /dev/null
+++ b/src/dragonflycove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log service, host list, weight store."""
--- /dev/null
+++ b/src/dragonflycove/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which requests may no longer run because they crash servers."""
--- /dev/null
+++ b/src/dragonflycove/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which backend server runs a request."""
--- /dev/null
+++ b/src/dragonflycove/settings/__init__.py
@@ -0,0 +1,1 @@
+"""A process's own settings: JSON with comments, checked."""
--- /dev/null
+++ b/src/dragonflycove/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Divides limits that all nodes hold together without a message."""
--- /dev/null
+++ b/src/dragonflycove/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/src/dragonflycove/values/__init__.py
@@ -0,0 +1,1 @@
+"""Types that every package shares: identifiers, requests, outcomes."""
