--- a/src/dragonflycove/values/outcomes.py
+++ b/src/dragonflycove/values/outcomes.py
@@ -70,6 +70,8 @@
     """The service's retry budget is used up."""
     SERVER_LEAVING = "server_leaving"
     """The backend server or its zone is leaving, and the request moved."""
+    PREEMPTED = "preempted"
+    """The request gave its place to one that could not wait, and waits for a server again."""
     CANCELLED = "cancelled"
     """The caller went away."""
 
@@ -141,6 +143,7 @@
     Reason.STREAM_GAP: 502,
     Reason.RETRY_BUDGET: 503,
     Reason.SERVER_LEAVING: 503,
+    Reason.PREEMPTED: 503,
     Reason.CANCELLED: 499,
 }
 """HTTP status that tells a caller of each reason."""
