--- a/src/dragonflycove/values/outcomes.py
+++ b/src/dragonflycove/values/outcomes.py
@@ -54,6 +54,8 @@
     """The key was used before for another call."""
     ALREADY_RUNNING = "already_running"
     """A call with this key is under way."""
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    """A call with this key was sent, and nobody can tell what became of it."""
     BACKEND_REFUSED = "backend_refused"
     """The backend server refused the request and said that it did not run."""
     BACKEND_UNREACHABLE = "backend_unreachable"
@@ -135,6 +137,7 @@
     Reason.KEY_FROM_FUTURE: 400,
     Reason.KEY_REUSED: 422,
     Reason.ALREADY_RUNNING: 409,
+    Reason.OUTCOME_UNKNOWN: 504,
     Reason.BACKEND_REFUSED: 503,
     Reason.BACKEND_UNREACHABLE: 502,
     Reason.BACKEND_CRASHED: 502,
