--- /dev/null
+++ b/src/dragonflycove/callers/model_api.py
@@ -0,0 +1,187 @@
+"""The model calls: server-sent tokens or one JSON answer."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+import result
+from starlette import responses
+
+from dragonflycove.callers import answers, parsing, streams
+from dragonflycove.values import outcomes, requests
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from starlette import requests as http_requests
+
+    from dragonflycove.callers import gateway
+
+
+class ModelApi:
+    """Handlers of `/v1/completions`, `/v1/chat/completions` and `/v1/streams`."""
+
+    def __init__(
+        self, node: gateway.Gateway, default_deadline_seconds: float, heartbeat_seconds: float
+    ) -> None:
+        """Create the handlers.
+
+        Args:
+            node: The node behind them.
+            default_deadline_seconds: Time for a request that names none, seconds.
+            heartbeat_seconds: Time between heartbeats, seconds.
+        """
+        self._node = node
+        self._default_deadline_seconds = default_deadline_seconds
+        self._heartbeat_seconds = heartbeat_seconds
+
+    async def completions(self, request: http_requests.Request) -> responses.Response:
+        """Handle `POST /v1/completions`."""
+        return await self._generate(request, is_chat=False)
+
+    async def chat_completions(self, request: http_requests.Request) -> responses.Response:
+        """Handle `POST /v1/chat/completions`."""
+        return await self._generate(request, is_chat=True)
+
+    async def resume(self, request: http_requests.Request) -> responses.Response:
+        """Handle `GET /v1/streams/{token}`, also from a caller of another node."""
+        headers = parsing.read_headers(request.headers, self._default_deadline_seconds)
+        if isinstance(headers, result.Err):
+            return answers.to_response(headers.err_value)
+        last = request.headers.get("last-event-id") or request.query_params.get("last", "-1")
+        if not last.lstrip("-").isdigit():
+            bad = outcomes.Refused(outcomes.Reason.BAD_REQUEST, "Last-Event-ID is not a number")
+            return answers.to_response(bad)
+        deadline = self._node.now() + headers.ok_value.deadline_seconds
+        model = request.query_params.get("model", "")
+        opened = self._node.resume(
+            request.path_params["token"], int(last) + 1, model, "", deadline
+        )
+        if isinstance(opened, result.Err):
+            return answers.to_response(opened.err_value)
+        is_chat = request.query_params.get("format") == "chat"
+        writer = _Writer(opened.ok_value.request_id, model, is_chat)
+        return self._stream(opened.ok_value, writer)
+
+    async def _generate(
+        self, request: http_requests.Request, is_chat: bool
+    ) -> responses.Response:
+        refusal = self._node.refusal()
+        if refusal is not None:
+            return answers.to_response(refusal)
+        headers = parsing.read_headers(request.headers, self._default_deadline_seconds)
+        if isinstance(headers, result.Err):
+            return answers.to_response(headers.err_value)
+        body = await request.body()
+        call = parsing.read_model_call(
+            body, is_chat, headers.ok_value, self._node.configuration, "", self._node.now()
+        )
+        if isinstance(call, result.Err):
+            return answers.to_response(call.err_value)
+        checked = call.ok_value
+        opened = await self._node.submit(checked.request, checked.prompt)
+        if isinstance(opened, result.Err):
+            return answers.to_response(opened.err_value)
+        writer = _Writer(opened.ok_value.request_id, checked.request.model, is_chat)
+        if checked.stream:
+            return self._stream(opened.ok_value, writer)
+        return await self._collect(opened.ok_value, writer, checked.request)
+
+    def _stream(self, opened: gateway.OpenStream, writer: _Writer) -> responses.Response:
+        headers = {"X-Request-Id": opened.request_id, "Cache-Control": "no-store"}
+        return responses.StreamingResponse(
+            self._write_events(opened, writer), media_type="text/event-stream", headers=headers
+        )
+
+    async def _write_events(
+        self, opened: gateway.OpenStream, writer: _Writer
+    ) -> AsyncIterator[bytes]:
+        try:
+            while True:
+                event = await opened.stream.next_event(self._heartbeat_seconds)
+                yield writer.format(event)
+                if isinstance(event, streams.StreamOver | streams.HandedOver):
+                    return
+        finally:
+            self._node.caller_gone(opened)
+
+    async def _collect(
+        self, opened: gateway.OpenStream, writer: _Writer, request: requests.ModelRequest
+    ) -> responses.Response:
+        tokens: list[str] = []
+        finish = "stop"
+        headers = {"X-Request-Id": opened.request_id}
+        try:
+            while True:
+                event = await opened.stream.next_event(self._heartbeat_seconds)
+                if isinstance(event, streams.CallerFrame):
+                    tokens.append(event.token)
+                    finish = event.finish or finish
+                if isinstance(event, streams.StreamOver):
+                    break
+        finally:
+            self._node.caller_gone(opened)
+        if not isinstance(event.outcome, outcomes.Answered):
+            return answers.to_response(event.outcome)
+        body = writer.whole_answer(tokens, finish, request.prompt_tokens)
+        return responses.Response(body, 200, headers, "application/json")
+
+
+class _Writer:
+    """Writes the events of one answer in the form that clients of model servers read."""
+
+    def __init__(self, request_id: str, model: str, is_chat: bool) -> None:
+        self._request_id = request_id
+        self._model = model
+        self._is_chat = is_chat
+
+    def format(self, event: streams.CallerEvent | None) -> bytes:
+        """Return the bytes of one server-sent event; `None` gives a heartbeat."""
+        if event is None:
+            return b": heartbeat\n\n"
+        if isinstance(event, streams.CallerFrame):
+            return b"id: %d\ndata: %s\n\n" % (event.index, self._chunk(event))
+        if isinstance(event, streams.ResumeTokenChanged):
+            return b"event: resume\ndata: %s\n\n" % msgspec.json.encode({"token": event.token})
+        if isinstance(event, streams.HandedOver):
+            return b"event: handover\ndata: %s\n\n" % msgspec.json.encode(event._asdict())
+        if isinstance(event.outcome, outcomes.Answered):
+            return b"data: [DONE]\n\n"
+        body = msgspec.json.encode(answers.describe(event.outcome))
+        return b"data: %s\n\n" % body
+
+    def _chunk(self, frame: streams.CallerFrame) -> bytes:
+        choice: dict[str, object] = {"index": 0, "finish_reason": frame.finish}
+        if self._is_chat:
+            choice["delta"] = {"role": "assistant", "content": frame.token}
+        else:
+            choice["text"] = frame.token
+        kind = "chat.completion.chunk" if self._is_chat else "text_completion"
+        return msgspec.json.encode(self._envelope(kind, choice))
+
+    def whole_answer(self, tokens: list[str], finish: str, prompt_tokens: int) -> bytes:
+        """Return the body of an answer that is not streamed."""
+        text = "".join(tokens)
+        choice: dict[str, object] = {"index": 0, "finish_reason": finish}
+        if self._is_chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        kind = "chat.completion" if self._is_chat else "text_completion"
+        usage = {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": len(tokens),
+            "total_tokens": prompt_tokens + len(tokens),
+        }
+        return msgspec.json.encode({**self._envelope(kind, choice), "usage": usage})
+
+    def _envelope(self, kind: str, choice: dict[str, object]) -> dict[str, object]:
+        return {
+            "id": self._request_id,
+            "object": kind,
+            "created": int(time.time()),
+            "model": self._model,
+            "choices": [choice],
+        }
--- /dev/null
+++ b/src/dragonflycove/node/drain.py
@@ -0,0 +1,64 @@
+"""The graceful stop of a node."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dragonflycove.node import model_request_task
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from dragonflycove.node import services
+
+CHECK_SECONDS = 0.1
+"""Time between two looks at what still runs, seconds."""
+
+
+class Drain:
+    """Takes a node out of service without cutting a request.
+
+    First the node is no longer named to callers, but still takes those who hold its address. After
+    the lookup's time to live it refuses new work, and waits for what runs. What still runs after
+    that is handed over: its caller is told to resume at another node.
+    """
+
+    def __init__(self, context: services.NodeServices) -> None:
+        """Create the drain.
+
+        Args:
+            context: What all tasks of the node share.
+        """
+        self._context = context
+
+    async def run(self) -> None:
+        """Drain the node; returns when nothing runs any more."""
+        settings = self._context.settings
+        self._context.withdrawn = True
+        logs.event("drain_started", running=self._running())
+        await asyncio.sleep(settings.lookup_ttl_seconds)
+        self._context.leaving = True
+        logs.event("drain_refuses_new_work", running=self._running())
+        await self._wait_for_end(settings.drain_seconds)
+        if self._running():
+            self._hand_over()
+            await self._wait_for_end(CHECK_SECONDS * 20)
+        logs.event("drain_ended", running=self._running())
+
+    def _running(self) -> int:
+        return len(self._context.requests_by_id) + self._context.calls_running
+
+    async def _wait_for_end(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while self._running() and loop.time() < ends_at:
+            await asyncio.sleep(CHECK_SECONDS)
+
+    def _hand_over(self) -> None:
+        address = self._context.other_address()
+        if address is None:
+            logs.warning("hand_over_without_address", running=self._running())
+            return
+        for task in list(self._context.requests_by_id.values()):
+            task.mailbox.post(model_request_task.HandOver(address))
+        self._context.metrics.count("stream_handed_over", len(self._context.requests_by_id))
--- /dev/null
+++ b/src/dragonflycove/node/engine_poll_task.py
@@ -0,0 +1,87 @@
+"""The task that reads the load of the model engines."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import result
+
+from dragonflycove.configuration import schema
+from dragonflycove.node import dispatch_task
+from dragonflycove.routing import load_view
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.backends import engine_values
+    from dragonflycove.node import services
+
+REPORT_TIMEOUT_SECONDS = 1.0
+"""Longest time for one reading, seconds."""
+
+
+class EnginePollTask:
+    """Reads each engine's load in turn and hands it to the dispatch task."""
+
+    def __init__(
+        self,
+        context: services.NodeServices,
+        on_report: Callable[[load_view.EngineReport], None],
+    ) -> None:
+        """Create the task.
+
+        Args:
+            context: What all tasks of the node share.
+            on_report: Told of every report, before the dispatch task.
+        """
+        self._context = context
+        self._on_report = on_report
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            readings = [self._read(server) for server in self._engines()]
+            await asyncio.gather(*readings)
+            await asyncio.sleep(self._context.settings.report_seconds)
+
+    def _engines(self) -> list[schema.Server]:
+        configuration = self._context.configuration
+        return [
+            server
+            for server in configuration.servers_by_id.values()
+            if configuration.services_by_name[server.service].kind is schema.ServiceKind.MODEL
+        ]
+
+    async def _read(self, server: schema.Server) -> None:
+        answer = await self._context.engines.load(server.address, REPORT_TIMEOUT_SECONDS)
+        if isinstance(answer, result.Err):
+            self._context.metrics.count("engine_report_missing")
+            return
+        report = _to_report(server.server_id, answer.ok_value)
+        self._on_report(report)
+        self._context.dispatch.post(dispatch_task.Reported(report))
+
+
+def _to_report(server_id: str, load: engine_values.EngineLoad) -> load_view.EngineReport:
+    age = max(0.0, time.time() - load.measured_at)
+    return load_view.EngineReport(
+        server_id,
+        age,
+        load.start_id,
+        load.running,
+        load.waiting,
+        _by_priority(load.waiting_prefill_tokens),
+        _by_priority(load.running_prefill_tokens),
+        load.memory_used_tokens,
+        load.memory_tokens,
+        load.finished_since_start,
+        load.models,
+    )
+
+
+def _by_priority(tokens_by_priority: dict[int, int]) -> tuple[int, int]:
+    first = tokens_by_priority.get(0, 0)
+    rest = sum(tokens for priority, tokens in tokens_by_priority.items() if priority > 0)
+    return first, rest
--- /dev/null
+++ b/src/dragonflycove/node/model_request_task.py
@@ -0,0 +1,424 @@
+"""The task of one model request: carries out what its life decides."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import functools
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.attempts import attempts as attempt_values
+from dragonflycove.attempts import effects as life_effects
+from dragonflycove.attempts import model_life
+from dragonflycove.backends import engine_client, engine_stream
+from dragonflycove.callers import streams
+from dragonflycove.node import dispatch_task, tasks
+from dragonflycove.telemetry import logs
+from dragonflycove.values import outcomes, requests
+
+if TYPE_CHECKING:
+    from dragonflycove.node import services
+
+CONNECT_SECONDS = 1.0
+"""Longest time to connect to an engine, seconds."""
+
+CANCEL_SECONDS = 2.0
+"""Longest time for one try to cancel an attempt, seconds."""
+
+TOKENS_PER_NOTICE = 16
+"""Tokens after which the dispatch task is told of progress."""
+
+
+class EngineEvent(NamedTuple):
+    """Something came on an attempt's connection."""
+
+    attempt: str
+    """The attempt whose connection it is."""
+
+    connection: int
+    """Number of the connection within the attempt."""
+
+    event: engine_stream.StreamEvent
+    """What came."""
+
+
+class CallerGone(NamedTuple):
+    """The caller's connection ended."""
+
+    stream: streams.CallerStream
+    """The connection's stream."""
+
+
+class CallerResumed(NamedTuple):
+    """The caller came back at this node."""
+
+    from_index: int
+    """First frame that it lacks."""
+
+    stream: streams.CallerStream
+    """Its new stream."""
+
+
+class Moved(NamedTuple):
+    """The request is to leave its server."""
+
+    reason: outcomes.Reason
+    """Why."""
+
+
+class HandOver(NamedTuple):
+    """The request's caller is to go on at another node."""
+
+    address: str
+    """That node's address."""
+
+
+_PROMPT_UNKNOWN = outcomes.Failed(
+    outcomes.Reason.STREAM_GAP,
+    "the engine no longer has the stream, and this node never had the prompt: send it again",
+    outcomes.Ran.RAN,
+    0.0,
+)
+
+RequestMessage = (
+    dispatch_task.RequestNotice | EngineEvent | CallerGone | CallerResumed | Moved | HandOver
+)
+"""What a request's task takes."""
+
+
+class ModelRequestTask:
+    """Owns the life of one request and the connections of its attempts."""
+
+    def __init__(
+        self,
+        context: services.NodeServices,
+        request: requests.ModelRequest,
+        prompt: str,
+        stream: streams.CallerStream,
+        life: model_life.ModelLife | None = None,
+    ) -> None:
+        """Create the task.
+
+        Args:
+            context: What all tasks of the node share.
+            request: The request.
+            prompt: Its prompt; empty where the request was taken over without it.
+            stream: Where the caller's events go.
+            life: The life of a request taken over; `None` for a new one.
+        """
+        self.mailbox: tasks.Mailbox[RequestMessage] = tasks.Mailbox()
+        """Messages to this task."""
+        self.request = request
+        """The request."""
+        self.current_server = ""
+        """Engine of the newest attempt; empty before the first."""
+        self._context = context
+        self._prompt = prompt
+        self._stream = stream
+        self._life = life or model_life.ModelLife(request, context.rng)
+        self._readers_by_attempt: dict[str, asyncio.Task[None]] = {}
+        self._accepted_at = asyncio.get_running_loop().time()
+        self._has_first_token = False
+        self._tokens_since_notice = 0
+        self._retries_counted: collections.Counter[outcomes.Reason] = collections.Counter()
+        self._handed_over = False
+
+    async def run(self) -> None:
+        """Work until the request has its outcome."""
+        loop = asyncio.get_running_loop()
+        try:
+            while not self._life.done and not self._handed_over:
+                wait = min(1.0, self.request.deadline - loop.time())
+                message = await self.mailbox.receive(wait)
+                now = loop.time()
+                if message is None:
+                    self._carry_out(self._life.tick(now))
+                else:
+                    self._handle(message, now)
+                self._count_retries()
+        finally:
+            await self._close_readers()
+
+    def take_over(self, point: attempt_values.ResumePoint) -> None:
+        """Go on with a stream that another node started.
+
+        Args:
+            point: Where the stream runs.
+        """
+        now = asyncio.get_running_loop().time()
+        self.current_server = point.server_id
+        self._carry_out(self._life.on_taken_over(point, now))
+
+    def runs_attempt(self, attempt: str) -> bool:
+        """Tell whether an attempt is this request's current one."""
+        point = self._life.resume_point
+        return point is not None and point.attempt == attempt
+
+    async def _close_readers(self) -> None:
+        readers = list(self._readers_by_attempt.values())
+        for reader in readers:
+            reader.cancel()
+        await asyncio.gather(*readers, return_exceptions=True)
+
+    def _count_retries(self) -> None:
+        new = self._life.retries_by_reason - self._retries_counted
+        for reason, count in new.items():
+            self._context.metrics.retried(reason, count)
+        self._retries_counted += new
+
+    @functools.singledispatchmethod
+    def _handle(self, message: object, now: float) -> None:
+        raise TypeError(f"unknown message {message!r}")
+
+    @_handle.register
+    def _on_assigned(self, message: dispatch_task.Assigned, now: float) -> None:
+        effects = self._life.on_dispatched(
+            message.server_id, message.priority, now, message.group
+        )
+        self.current_server = message.server_id
+        self._carry_out(effects)
+
+    @_handle.register
+    def _on_denied(self, message: dispatch_task.Denied, now: float) -> None:
+        outcome = message.outcome
+        if isinstance(outcome, outcomes.Refused):
+            outcome = outcomes.Failed(
+                outcome.reason, outcome.detail, outcomes.Ran.NOT_RUN, outcome.retry_after_seconds
+            )
+        self._carry_out(self._life.on_no_server(outcome, now))
+
+    @_handle.register
+    def _on_preempted(self, message: dispatch_task.Preempted, now: float) -> None:
+        self._carry_out(self._life.on_preempted(now))
+
+    @_handle.register
+    def _on_group_needed(self, message: dispatch_task.GroupNeeded, now: float) -> None:
+        self._context.build_group(self.request, message.candidates)
+
+    @_handle.register
+    def _on_caller_gone(self, message: CallerGone, now: float) -> None:
+        if message.stream is self._stream:
+            self._carry_out(self._life.on_caller_gone(now))
+
+    @_handle.register
+    def _on_caller_resumed(self, message: CallerResumed, now: float) -> None:
+        self._stream = message.stream
+        self._post_resume_token()
+        self._carry_out(self._life.on_caller_resumed(message.from_index, now))
+
+    @_handle.register
+    def _on_moved(self, message: Moved, now: float) -> None:
+        self._carry_out(self._life.on_moved(message.reason, now))
+
+    @_handle.register
+    def _on_hand_over(self, message: HandOver, now: float) -> None:
+        if self._life.resume_point is None:
+            return
+        self._stream.post(streams.HandedOver(message.address))
+        self._handed_over = True
+        self._context.dispatch.post(dispatch_task.Withdrawn(self.request.request_id))
+        self._context.request_over(self.request.request_id)
+
+    @_handle.register
+    def _on_engine_event(self, message: EngineEvent, now: float) -> None:
+        event = message.event
+        if isinstance(event, engine_stream.Frame):
+            effects = self._life.on_frame(
+                event.attempt, event.index, event.token, event.finish, now
+            )
+        elif isinstance(event, engine_stream.Refused):
+            effects = self._on_engine_refused(message, event, now)
+        elif isinstance(event, engine_stream.Broken):
+            kind = life_effects.BreakKind(event.kind.value)
+            logs.event(
+                "attempt_broken", attempt=message.attempt, kind=kind.value, detail=event.detail
+            )
+            effects = self._life.on_broken(message.attempt, kind, now, message.connection)
+        else:
+            return
+        self._carry_out(effects)
+
+    def _on_engine_refused(
+        self, message: EngineEvent, event: engine_stream.Refused, now: float
+    ) -> list[life_effects.Effect]:
+        if message.connection > 0 and event.status == 404:
+            return self._life.on_resume_unknown(message.attempt, now)
+        kind = life_effects.BreakKind.ERROR
+        if event.ran_not_run:
+            kind = life_effects.BreakKind.REFUSED_NOT_RUN
+        return self._life.on_broken(message.attempt, kind, now, message.connection)
+
+    def _carry_out(self, effects: list[life_effects.Effect]) -> None:
+        for effect in effects:
+            self._perform(effect)
+
+    @functools.singledispatchmethod
+    def _perform(self, effect: object) -> None:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_perform.register
+    def _perform_start(self, effect: life_effects.StartAttempt) -> None:
+        address = self._context.server_address(effect.server_id)
+        if address is None:
+            self._post_engine_event(effect.attempt, 0, _unreachable("the server is not listed"))
+            return
+        order = engine_client.Generate(
+            effect.attempt,
+            str(self._context.identity),
+            self.request.model,
+            self._prompt + effect.delivered_text,
+            effect.max_tokens,
+            effect.priority,
+            effect.group,
+        )
+        events = self._context.engines.generate(address, order, self._timeouts())
+        self._context.on_attempt_started(self.request, effect.attempt, effect.server_id)
+        self._read(effect.attempt, 0, events)
+        self._post_resume_token()
+
+    @_perform.register
+    def _perform_resume(self, effect: life_effects.ResumeAttempt) -> None:
+        address = self._context.server_address(effect.server_id)
+        if address is None:
+            unreachable = _unreachable("the server is not listed")
+            self._post_engine_event(effect.attempt, effect.connection, unreachable)
+            return
+        events = self._context.engines.resume(
+            address,
+            effect.attempt,
+            str(self._context.identity),
+            effect.from_index,
+            self._timeouts(),
+        )
+        self._read(effect.attempt, effect.connection, events)
+        self._post_resume_token()
+
+    @_perform.register
+    def _perform_cancel(self, effect: life_effects.CancelAttempt) -> None:
+        reader = self._readers_by_attempt.pop(effect.attempt, None)
+        if reader is not None:
+            reader.cancel()
+        self._context.on_attempt_ended(effect.attempt)
+        self._context.cancel_attempt(effect.attempt, effect.server_id)
+
+    @_perform.register
+    def _perform_ask(self, effect: life_effects.AskServer) -> None:
+        if not self._prompt:
+            self._carry_out(self._life.on_no_server(_PROMPT_UNKNOWN, self._now()))
+            return
+        failed = dispatch_task.AttemptFailed(
+            self.request.request_id, self.current_server, effect.reason
+        )
+        self._context.dispatch.post(failed)
+        self._context.dispatch.post(
+            dispatch_task.Resubmit(self.request, effect.excluded, effect.reason)
+        )
+
+    @_perform.register
+    def _perform_suspect(self, effect: life_effects.SuspectServer) -> None:
+        logs.warning("server_suspect", server=effect.server_id, reason=effect.reason.value)
+        self._context.on_server_suspect(effect.server_id, effect.attempt, effect.reason)
+
+    @_perform.register
+    def _perform_emit(self, effect: life_effects.Emit) -> None:
+        self._stream.post(
+            streams.CallerFrame(effect.frame_index, effect.token, effect.finish)
+        )
+        if not self._has_first_token:
+            self._note_first_token()
+        self._tokens_since_notice += 1
+        if self._tokens_since_notice >= TOKENS_PER_NOTICE:
+            notice = dispatch_task.TokensDelivered(
+                self.request.request_id, self._tokens_since_notice
+            )
+            self._context.dispatch.post(notice)
+            self._tokens_since_notice = 0
+
+    @_perform.register
+    def _perform_finish(self, effect: life_effects.Finish) -> None:
+        request_id = self.request.request_id
+        if isinstance(effect.outcome, outcomes.Answered):
+            self._context.metrics.answered("model")
+            self._context.dispatch.post(dispatch_task.Finished(request_id))
+        else:
+            self._context.metrics.failed(effect.outcome.reason)
+            self._context.dispatch.post(dispatch_task.Withdrawn(request_id))
+            logs.event(
+                "request_failed", request=request_id, reason=effect.outcome.reason.value
+            )
+        for attempt in self._readers_by_attempt:
+            self._context.on_attempt_ended(attempt)
+        self._stream.post(streams.StreamOver(effect.outcome))
+        self._context.request_over(request_id)
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def _note_first_token(self) -> None:
+        self._has_first_token = True
+        seconds = asyncio.get_running_loop().time() - self._accepted_at
+        self._context.metrics.first_token(self.request.length_class, seconds)
+        self._context.dispatch.post(dispatch_task.FirstToken(self.request.request_id))
+
+    def _post_resume_token(self) -> None:
+        point = self._life.resume_point
+        if point is not None:
+            token = format_resume_token(point)
+            self._stream.post(streams.ResumeTokenChanged(token))
+
+    def _timeouts(self) -> engine_stream.StreamTimeouts:
+        remaining = self.request.deadline - asyncio.get_running_loop().time()
+        silence = self._context.settings.silence_seconds
+        return engine_stream.StreamTimeouts(CONNECT_SECONDS, silence, max(0.01, remaining))
+
+    def _read(
+        self, attempt: str, connection: int, events: engine_stream.StreamEvents
+    ) -> None:
+        old = self._readers_by_attempt.pop(attempt, None)
+        if old is not None:
+            old.cancel()
+        reader = asyncio.create_task(self._read_events(attempt, connection, events))
+        self._readers_by_attempt[attempt] = reader
+
+    async def _read_events(
+        self, attempt: str, connection: int, events: engine_stream.StreamEvents
+    ) -> None:
+        async for event in events:
+            self._post_engine_event(attempt, connection, event)
+
+    def _post_engine_event(
+        self, attempt: str, connection: int, event: engine_stream.StreamEvent
+    ) -> None:
+        self.mailbox.post(EngineEvent(attempt, connection, event))
+
+
+def _unreachable(detail: str) -> engine_stream.Broken:
+    return engine_stream.Broken(engine_stream.BrokenKind.UNREACHABLE, False, detail)
+
+
+def format_resume_token(point: attempt_values.ResumePoint) -> str:
+    """Return the token with which a caller resumes at any node.
+
+    Args:
+        point: Where the stream runs.
+
+    Returns:
+        `server~attempt~base`.
+    """
+    return f"{point.server_id}~{point.attempt}~{point.base_index}"
+
+
+def parse_resume_token(token: str) -> attempt_values.ResumePoint | None:
+    """Parse a resume token.
+
+    Args:
+        token: The token.
+
+    Returns:
+        Where the stream runs, or `None` for what is no token.
+    """
+    parts = token.split("~")
+    if len(parts) != 3 or not parts[0] or not parts[1] or not parts[2].isdigit():
+        return None
+    return attempt_values.ResumePoint(parts[0], parts[1], int(parts[2]))
--- /dev/null
+++ b/src/dragonflycove/node/node_gateway.py
@@ -0,0 +1,236 @@
+"""The node as the callers' interface sees it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import result
+
+from dragonflycove.attempts import model_life
+from dragonflycove.callers import gateway, streams
+from dragonflycove.configuration import schema
+from dragonflycove.node import dispatch_task, model_request_task
+from dragonflycove.telemetry import logs
+from dragonflycove.values import identifiers, outcomes, requests
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from dragonflycove.node import plain_calls, services
+
+    RunOnce = Callable[
+        [requests.ServiceCall, tuple[tuple[str, str], ...], bytes],
+        Awaitable[gateway.ServiceAnswer],
+    ]
+
+NOT_READY_RETRY_SECONDS = 1.0
+"""When callers may come back to a node that is not ready, seconds."""
+
+
+class NodeGateway:
+    """Takes callers' requests and starts a task for each."""
+
+    def __init__(
+        self,
+        context: services.NodeServices,
+        calls: plain_calls.PlainCalls,
+        run_once: RunOnce,
+        find_fault: Callable[[], str | None],
+    ) -> None:
+        """Create the gateway.
+
+        Args:
+            context: What all tasks of the node share.
+            calls: Runs idempotent calls to plain services.
+            run_once: Runs calls that may not be repeated.
+            find_fault: Returns why the node can't take work now, `None` if it can.
+        """
+        self._context = context
+        self._calls = calls
+        self._run_once = run_once
+        self._find_fault = find_fault
+
+    @property
+    def configuration(self) -> schema.Configuration:
+        """The configuration in force."""
+        return self._context.configuration
+
+    def now(self) -> float:
+        """Return the time of the loop's clock, seconds."""
+        return asyncio.get_running_loop().time()
+
+    def refusal(self) -> outcomes.Refused | None:
+        """Return why no new work is taken now, `None` if it is."""
+        refused = self._find_refusal()
+        if refused is not None:
+            self._context.metrics.refused(refused.reason)
+        return refused
+
+    def _find_refusal(self) -> outcomes.Refused | None:
+        if self._context.leaving:
+            return outcomes.Refused(
+                outcomes.Reason.LEAVING,
+                "this node is stopping; ask for another address",
+                0.0,
+                self._context.other_address(),
+            )
+        fault = self._find_fault()
+        if fault is None:
+            return None
+        return outcomes.Refused(
+            outcomes.Reason.NOT_READY,
+            fault,
+            NOT_READY_RETRY_SECONDS,
+            self._context.other_address(),
+        )
+
+    async def submit(
+        self, request: requests.ModelRequest, prompt: str
+    ) -> result.Result[gateway.OpenStream, outcomes.Refused]:
+        """Offer a model request; the answer comes at once.
+
+        Args:
+            request: The request; its identifier is set here.
+            prompt: Its prompt.
+
+        Returns:
+            Where its frames come, or the refusal.
+        """
+        request = request._replace(
+            request_id=identifiers.new_id(self._context.rng, "request")
+        )
+        stream = streams.CallerStream()
+        task = model_request_task.ModelRequestTask(self._context, request, prompt, stream)
+        admitted: asyncio.Future[outcomes.Refused | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._context.requests_by_id[request.request_id] = task
+        self._context.dispatch.post(dispatch_task.Submit(request, task.mailbox, admitted))
+        refused = await admitted
+        if refused is not None:
+            self._context.request_over(request.request_id)
+            self._context.metrics.refused(refused.reason)
+            logs.event(
+                "request_refused",
+                request=request.request_id,
+                organisation=request.organisation,
+                reason=refused.reason.value,
+            )
+            return result.Err(refused)
+        self._context.background.start(request.request_id, task.run())
+        return result.Ok(gateway.OpenStream(request.request_id, stream))
+
+    def resume(
+        self, token: str, from_index: int, model: str, prompt: str, deadline: float
+    ) -> result.Result[gateway.OpenStream, outcomes.Refused]:
+        """Go on with a stream that this or another node started.
+
+        Args:
+            token: The resume token.
+            from_index: First frame that the caller lacks.
+            model: Name of the model.
+            prompt: The prompt; empty where the caller did not send it again.
+            deadline: Time of the loop's clock by which it ends, seconds.
+
+        Returns:
+            Where its frames come, or the refusal.
+        """
+        point = model_request_task.parse_resume_token(token)
+        if point is None or self._context.server_address(point.server_id) is None:
+            detail = "the token names no stream of a server in the configuration"
+            return result.Err(outcomes.Refused(outcomes.Reason.BAD_REQUEST, detail))
+        if from_index < 0:
+            detail = "the last event's number is negative"
+            return result.Err(outcomes.Refused(outcomes.Reason.BAD_REQUEST, detail))
+        stream = streams.CallerStream()
+        own = self._find_own(point.attempt)
+        if own is not None:
+            own.mailbox.post(model_request_task.CallerResumed(from_index, stream))
+            return result.Ok(gateway.OpenStream(own.request.request_id, stream))
+        request = requests.ModelRequest(
+            identifiers.new_id(self._context.rng, "request"),
+            "",
+            self._context.configuration.servers_by_id[point.server_id].service,
+            model,
+            0,
+            0,
+            (),
+            requests.Urgency.INTERACTIVE,
+            deadline,
+        )
+        life = model_life.ModelLife(request, self._context.rng, caller_from_index=from_index)
+        task = model_request_task.ModelRequestTask(
+            self._context, request, prompt, stream, life
+        )
+        self._context.requests_by_id[request.request_id] = task
+        self._context.metrics.count("stream_taken_over")
+        task.take_over(point)
+        self._context.background.start(request.request_id, task.run())
+        return result.Ok(gateway.OpenStream(request.request_id, stream))
+
+    def _find_own(self, attempt: str) -> model_request_task.ModelRequestTask | None:
+        for task in self._context.requests_by_id.values():
+            if task.runs_attempt(attempt):
+                return task
+        return None
+
+    def caller_gone(self, opened: gateway.OpenStream) -> None:
+        """Take note that the caller's connection ended.
+
+        Args:
+            opened: The request and the connection's stream.
+        """
+        task = self._context.requests_by_id.get(opened.request_id)
+        if task is not None:
+            task.mailbox.post(model_request_task.CallerGone(opened.stream))
+
+    async def call_service(
+        self,
+        call: requests.ServiceCall,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> gateway.ServiceAnswer:
+        """Run a call to a plain service.
+
+        Args:
+            call: The call; its identifier is set here.
+            headers: Headers to pass on.
+            body: Body to pass on.
+
+        Returns:
+            The service's answer, or what became of the call.
+        """
+        call = call._replace(request_id=identifiers.new_id(self._context.rng, "call"))
+        self._context.calls_running += 1
+        try:
+            if call.idempotent:
+                answer = await self._calls.run_idempotent(call, headers, body)
+            else:
+                answer = await self._run_once(call, headers, body)
+        finally:
+            self._context.calls_running -= 1
+        if isinstance(answer.outcome, outcomes.Refused):
+            self._context.metrics.refused(answer.outcome.reason)
+        elif isinstance(answer.outcome, outcomes.Failed):
+            self._context.metrics.failed(answer.outcome.reason)
+        return answer
+
+    def lookup(self, zone: str) -> gateway.LookupAnswer:
+        """Tell where callers near a zone may go.
+
+        Args:
+            zone: The caller's zone; empty for none.
+
+        Returns:
+            Live hosts in zones that are not out, the caller's zone first, others in random order.
+        """
+        out = self._context.configuration.zones_out
+        entries = [entry for entry in self._context.hosts_by_name.values() if not entry.leaving]
+        if self._context.withdrawn:
+            entries = [entry for entry in entries if entry.name != self._context.identity.host]
+        allowed = [entry for entry in entries if entry.zone not in out] or entries
+        self._context.rng.shuffle(allowed)
+        allowed.sort(key=lambda entry: entry.zone != zone)
+        addresses = tuple(gateway.LookupAddress(entry.address, entry.zone) for entry in allowed)
+        return gateway.LookupAnswer(addresses, self._context.settings.lookup_ttl_seconds)
--- /dev/null
+++ b/src/dragonflycove/node/plain_calls.py
@@ -0,0 +1,142 @@
+"""Runs idempotent calls to plain services, with retries within a budget."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING
+
+import result
+
+from dragonflycove.backends import plain_client
+from dragonflycove.callers import gateway
+from dragonflycove.routing import plain_choice
+from dragonflycove.telemetry import logs
+from dragonflycove.values import outcomes
+
+if TYPE_CHECKING:
+    from dragonflycove.configuration import schema
+    from dragonflycove.node import services
+    from dragonflycove.values import requests
+
+MOST_ATTEMPTS = 3
+"""Attempts at an idempotent call, the first included."""
+
+RETRY_AFTER_SECONDS = 1.0
+"""When callers may come back after no server could take a call, seconds."""
+
+KEY_HEADER = "Idempotency-Key"
+"""Header that carries the caller's key."""
+
+
+class PlainCalls:
+    """Chooses servers for calls to plain services and runs the idempotent ones."""
+
+    def __init__(self, context: services.NodeServices) -> None:
+        """Create the runner.
+
+        Args:
+            context: What all tasks of the node share.
+        """
+        self._context = context
+        self._in_flight_by_server: collections.Counter[str] = collections.Counter()
+
+    def rank(self, service: str, excluded: frozenset[str]) -> list[schema.Server]:
+        """Rank the servers that may get a call to a service now.
+
+        Args:
+            service: Name of the service.
+            excluded: Servers not to use.
+
+        Returns:
+            The servers, the best first.
+        """
+        return plain_choice.rank_plain_servers(
+            self._context.configuration,
+            service,
+            self._context.settings.zone,
+            self._in_flight_by_server,
+            excluded,
+            self._context.rng,
+        )
+
+    async def run_idempotent(
+        self,
+        call: requests.ServiceCall,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> gateway.ServiceAnswer:
+        """Run a call that may be repeated.
+
+        Args:
+            call: The call.
+            headers: Headers to pass on.
+            body: Body to pass on.
+
+        Returns:
+            The service's answer, or what became of the call.
+        """
+        loop = asyncio.get_running_loop()
+        excluded: frozenset[str] = frozenset()
+        failed: outcomes.Refused | outcomes.Failed = outcomes.Refused(
+            outcomes.Reason.NO_SERVER, "no server of the service is free", RETRY_AFTER_SECONDS
+        )
+        for attempt in range(MOST_ATTEMPTS):
+            ranked = self.rank(call.service, excluded)
+            if not ranked or loop.time() >= call.deadline:
+                break
+            server = ranked[0]
+            remaining = call.deadline - loop.time()
+            is_last = attempt == MOST_ATTEMPTS - 1 or len(ranked) == 1
+            timeout = remaining if is_last else remaining / 2
+            answer = await self._send(server, call, headers, body, timeout, attempt > 0)
+            if isinstance(answer, result.Ok):
+                got = answer.ok_value
+                self._context.metrics.answered("plain")
+                return gateway.ServiceAnswer(
+                    outcomes.Answered(got.status), got.status, got.headers, got.body
+                )
+            excluded |= {server.server_id}
+            failed = _judge(answer.err_value, failed)
+            logs.event("call_attempt_failed", server=server.server_id, reason=failed.reason.value)
+            if not is_last:
+                self._context.metrics.retried(failed.reason)
+        return gateway.ServiceAnswer(failed)
+
+    async def _send(
+        self,
+        server: schema.Server,
+        call: requests.ServiceCall,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+        timeout_seconds: float,
+        fresh_connection: bool,
+    ) -> result.Result[plain_client.PlainAnswer, plain_client.PlainError]:
+        self._in_flight_by_server[server.server_id] += 1
+        try:
+            return await self._context.plain.call(
+                server.address,
+                call.method,
+                call.path,
+                headers,
+                body,
+                timeout_seconds,
+                fresh_connection,
+            )
+        finally:
+            self._in_flight_by_server[server.server_id] -= 1
+
+
+def _judge(
+    error: plain_client.PlainError, before: outcomes.Refused | outcomes.Failed
+) -> outcomes.Failed:
+    """Return the outcome of a call whose last attempt had no answer."""
+    if isinstance(error, plain_client.NotSent):
+        reason, ran = outcomes.Reason.BACKEND_UNREACHABLE, outcomes.Ran.NOT_RUN
+    elif error.silent:
+        reason, ran = outcomes.Reason.BACKEND_SILENT, outcomes.Ran.MAY_HAVE_RUN
+    else:
+        reason, ran = outcomes.Reason.BACKEND_CRASHED, outcomes.Ran.MAY_HAVE_RUN
+    if isinstance(before, outcomes.Failed) and before.ran is outcomes.Ran.MAY_HAVE_RUN:
+        ran = before.ran
+    return outcomes.Failed(reason, error.reason, ran, RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/src/dragonflycove/node/services.py
@@ -0,0 +1,149 @@
+"""What the tasks of one node share: clients, mailboxes and the view of the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import result
+
+from dragonflycove.configuration import schema
+from dragonflycove.node import model_request_task, tasks
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    import random
+
+    from dragonflycove.backends import engine_client, plain_client
+    from dragonflycove.node import dispatch_task
+    from dragonflycove.platform import host_list_client
+    from dragonflycove.settings import node as node_settings
+    from dragonflycove.telemetry import metrics as node_metrics
+    from dragonflycove.values import identifiers, outcomes, requests
+
+CANCEL_TRIES = 5
+"""Tries to cancel an attempt before it is left to reclaim."""
+
+CANCEL_RETRY_SECONDS = 0.5
+"""Wait between two tries to cancel an attempt, seconds."""
+
+
+class NodeServices:
+    """The context that a node hands to its tasks."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        identity: identifiers.NodeIdentity,
+        rng: random.Random,
+        metrics: node_metrics.Metrics,
+        engines: engine_client.EngineClient,
+        plain: plain_client.PlainClient,
+        dispatch: tasks.Mailbox[dispatch_task.DispatchMessage],
+        broken: asyncio.Event,
+    ) -> None:
+        """Create the context.
+
+        Args:
+            settings: The node's settings.
+            identity: The node's identity.
+            rng: Generator for identifiers and choices.
+            metrics: The node's metrics.
+            engines: Client of model engines.
+            plain: Client of plain services.
+            dispatch: Mailbox of the dispatch task.
+            broken: Set when an invariant is broken.
+        """
+        self.settings = settings
+        """The node's settings."""
+        self.identity = identity
+        """The node's identity."""
+        self.rng = rng
+        """Generator for identifiers and choices."""
+        self.metrics = metrics
+        """The node's metrics."""
+        self.engines = engines
+        """Client of model engines."""
+        self.plain = plain
+        """Client of plain services."""
+        self.dispatch = dispatch
+        """Mailbox of the dispatch task."""
+        self.configuration: schema.Configuration = schema.EMPTY
+        """The configuration in force."""
+        self.hosts_by_name: dict[str, host_list_client.HostEntry] = {}
+        """Hosts by the newest host list."""
+        self.leaving = False
+        """Whether this node refuses new work because it is stopping."""
+        self.withdrawn = False
+        """Whether lookups no longer name this node."""
+        self.background = tasks.TaskGroup(broken)
+        """Work that no request waits for."""
+        self.requests_by_id: dict[str, model_request_task.ModelRequestTask] = {}
+        """Model requests under way."""
+        self.calls_running = 0
+        """Calls to plain services under way."""
+
+    def server_address(self, server_id: str) -> str | None:
+        """Return a backend server's address, `None` for an unknown one."""
+        server = self.configuration.servers_by_id.get(server_id)
+        return server.address if server is not None else None
+
+    def other_address(self) -> str | None:
+        """Return the caller address of another live host, the same zone first."""
+        others = [
+            entry
+            for name, entry in self.hosts_by_name.items()
+            if name != self.identity.host and not entry.leaving
+        ]
+        allowed = [entry for entry in others if entry.zone not in self.configuration.zones_out]
+        near = [entry for entry in allowed if entry.zone == self.settings.zone]
+        choices = near or allowed or others
+        return self.rng.choice(choices).address if choices else None
+
+    def cancel_attempt(self, attempt: str, server_id: str) -> None:
+        """Free an attempt at its engine, with bounded retries in the background.
+
+        Args:
+            attempt: The attempt.
+            server_id: The engine.
+        """
+        address = self.server_address(server_id)
+        if address is not None:
+            self.background.start(f"cancel-{attempt}", self._cancel(address, attempt))
+
+    async def _cancel(self, address: str, attempt: str) -> None:
+        for _ in range(CANCEL_TRIES):
+            answer = await self.engines.cancel(
+                address, attempt, model_request_task.CANCEL_SECONDS
+            )
+            if isinstance(answer, result.Ok):
+                return
+            await asyncio.sleep(CANCEL_RETRY_SECONDS)
+        self.metrics.count("cancel_left_to_reclaim")
+        logs.warning("cancel_given_up", attempt=attempt, address=address)
+
+    def request_over(self, request_id: str) -> None:
+        """Forget a request that has its outcome.
+
+        Args:
+            request_id: The request.
+        """
+        self.requests_by_id.pop(request_id, None)
+
+    def on_attempt_started(
+        self, request: requests.ModelRequest, attempt: str, server_id: str
+    ) -> None:
+        """Take note that a request runs at a server."""
+
+    def on_attempt_ended(self, attempt: str) -> None:
+        """Take note that an attempt is over."""
+
+    def on_server_suspect(
+        self, server_id: str, attempt: str, reason: outcomes.Reason
+    ) -> None:
+        """Take note that a server seems to be down."""
+
+    def build_group(
+        self, request: requests.ModelRequest, candidates: tuple[str, ...]
+    ) -> None:
+        """Build a memory group for a request."""
