Send each HTTP request at most once

Cause: aiohttp 3.14.5 sends GET, PUT and DELETE again when the connection closes without an answer, on a new connection too: force_close is no guard.

--- /dev/null
+++ b/tests/transport/test_exchange.py
@@ -0,0 +1,146 @@
+"""Tests of exchanges at the socket: what is sent, how often, and what is known of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import pytest
+import result
+
+from dragonflycove.transport import exchange, sessions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
+
+OPENERS = {"pooled": sessions.open_pooled, "fresh": sessions.open_fresh}
+"""Ways to open a session."""
+
+
+class RawServer:
+    """Counts the requests that arrive and answers with fixed bytes, then closes."""
+
+    def __init__(self, answers: list[bytes]) -> None:
+        """Create the server with one answer for each request; no answer after those."""
+        self._answers = answers
+        self.heads: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until a request finds no answer."""
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                if not self._answers:
+                    break
+                writer.write(self._answers.pop(0))
+                await writer.drain()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def raw_server(server: RawServer) -> AsyncIterator[str]:
+    """Run the server; gives its address."""
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    async with listener:
+        yield f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("opener", OPENERS)
+@pytest.mark.parametrize("method", ["GET", "POST", "PUT", "DELETE"])
+async def test_a_request_without_an_answer_is_sent_once(opener: str, method: str) -> None:
+    server = RawServer([])
+    async with raw_server(server) as address, OPENERS[opener]() as session:
+        body = b"{}" if method != "GET" else None
+        request = exchange.Request(method, f"http://{address}/x", body)
+        answer = await exchange.exchange(session, request, timeout_seconds=5)
+        assert isinstance(answer.err(), exchange.Unknown)
+    assert len(server.heads) == 1
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE"])
+async def test_a_request_on_a_reused_connection_is_sent_once(method: str) -> None:
+    server = RawServer([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"])
+    async with raw_server(server) as address, sessions.open_pooled() as session:
+        request = exchange.Request(method, f"http://{address}/x")
+        first = await exchange.exchange(session, request, timeout_seconds=5)
+        assert isinstance(first, result.Ok)
+        second = await exchange.exchange(session, request, timeout_seconds=5)
+        assert isinstance(second.err(), exchange.Unknown)
+    assert len(server.heads) == 2
+
+
+@pytest.mark.asyncio
+async def test_a_redirect_is_not_followed() -> None:
+    server = RawServer([b"HTTP/1.1 307 Go\r\nLocation: /y\r\nContent-Length: 0\r\n\r\n"])
+    async with raw_server(server) as address, sessions.open_fresh() as session:
+        request = exchange.Request("POST", f"http://{address}/x", b"{}")
+        answer = await exchange.exchange(session, request, timeout_seconds=5)
+        assert answer.unwrap().status == 307
+    assert len(server.heads) == 1
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("opener", OPENERS)
+async def test_no_connection_means_not_done(opener: str) -> None:
+    async with raw_server(RawServer([])) as address:
+        pass
+    async with OPENERS[opener]() as session:
+        request = exchange.Request("PUT", f"http://{address}/x", b"{}")
+        answer = await exchange.exchange(session, request, timeout_seconds=5)
+    error = answer.err()
+    assert isinstance(error, exchange.NotDone)
+    assert error.cause is exchange.Cause.UNREACHABLE
+
+
+STATUSES = [
+    (b"200 OK", None),
+    (b"400 No", exchange.NotDone),
+    (b"412 No", exchange.NotDone),
+    (b"429 No", exchange.NotDone),
+    (b"500 No", exchange.Unknown),
+    (b"502 No", exchange.Unknown),
+    (b"503 No", exchange.NotDone),
+    (b"504 No", exchange.Unknown),
+]
+"""Status line of the platform and the kind of the error."""
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("status", "kind"), STATUSES)
+async def test_status_tells_whether_it_took_effect(status: bytes, kind: type | None) -> None:
+    head = b"HTTP/1.1 " + status + b"\r\nRetry-After: 2.5\r\nContent-Length: 2\r\n\r\n{}"
+    async with raw_server(RawServer([head])) as address, sessions.open_fresh() as session:
+        request = exchange.Request("GET", f"http://{address}/x")
+        answer = await exchange.exchange_json(session, request, dict, timeout_seconds=5)
+    error = answer.err()
+    assert (kind is None) == (error is None)
+    assert kind is None or isinstance(error, kind)
+    if isinstance(error, exchange.NotDone):
+        assert error.retry_after_seconds == 2.5
+
+
+async def _hang(session: aiohttp.ClientSession, address: str) -> exchange.ExchangeError | None:
+    request = exchange.Request("GET", f"http://{address}/x")
+    return (await exchange.exchange(session, request, timeout_seconds=0.05)).err()
+
+
+@pytest.mark.asyncio
+async def test_a_silent_answer_is_unknown() -> None:
+    gate = asyncio.Event()
+
+    async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with listener, sessions.open_fresh() as session:
+        port = listener.sockets[0].getsockname()[1]
+        error = await _hang(session, f"127.0.0.1:{port}")
+        gate.set()
+    assert isinstance(error, exchange.Unknown)
+    assert error.cause is exchange.Cause.SILENT
