--- a/src/dragonflycove/configuration/__init__.py
+++ b/src/dragonflycove/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' text: its format, its checks and the rule that accepts it."""
+"""The operators' text: format, checks, acceptance rule and restatement."""
--- /dev/null
+++ b/src/dragonflycove/configuration/records.py
@@ -0,0 +1,213 @@
+"""Records of the log stream that holds the configuration, and their plain form."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+STREAM = "configuration"
+"""Name of the log stream."""
+
+
+class TextProposed(NamedTuple):
+    """An operator proposes a whole text."""
+
+    operation_id: str
+    """Identifier made before the first try; a repeat carries the same."""
+
+    base_version: int
+    """Version that the text was edited from."""
+
+    author: str
+    """Who proposes it."""
+
+    text: str
+    """JSON with comments."""
+
+
+class ZoneChanged(NamedTuple):
+    """An operator takes an availability zone out or brings it back."""
+
+    operation_id: str
+    """Identifier made before the first try; a repeat carries the same."""
+
+    seen_version: int
+    """Version that the operator's client had read; tells a repeat too old to be remembered."""
+
+    author: str
+    """Who changes it."""
+
+    zone: str
+    """Name of the availability zone."""
+
+    out: bool
+    """Whether it is taken out."""
+
+
+class RuleRaised(NamedTuple):
+    """An operator puts the next version of the acceptance rule in force."""
+
+    operation_id: str
+    """Identifier made before the first try; a repeat carries the same."""
+
+    author: str
+    """Who raises it."""
+
+    rule: int
+    """The rule's version, one above the one in force."""
+
+
+class OperationOutcome(NamedTuple):
+    """What became of one operation."""
+
+    operation_id: str
+    """Identifier of the operation."""
+
+    offset: int
+    """Offset of the first record that carried it."""
+
+    author: str
+    """Who sent it."""
+
+    accepted: bool
+    """Whether it was accepted."""
+
+    version: int
+    """Version in force after it."""
+
+    detail: str
+    """What it changed, or why it was rejected."""
+
+
+class Snapshot(NamedTuple):
+    """All that the acceptance rule knows after the records before an offset."""
+
+    rule: int
+    """Version of the acceptance rule in force."""
+
+    next_offset: int
+    """Offset of the first record that is not in it."""
+
+    version: int
+    """Version in force; 0 before the first."""
+
+    text: str
+    """Text in force; empty before the first."""
+
+    zones_out: tuple[str, ...]
+    """Names of the availability zones taken out, sorted."""
+
+    outcomes: tuple[OperationOutcome, ...]
+    """Outcomes of the latest operations, the oldest first."""
+
+    forgotten_version: int
+    """Version in force at the latest operation no longer among the outcomes; -1 for none."""
+
+
+class Restated(NamedTuple):
+    """A node repeats what would expire; it changes nothing."""
+
+    operation_id: str
+    """Identifier of this restatement."""
+
+    snapshot: Snapshot
+    """What is repeated."""
+
+
+Proposal = TextProposed | ZoneChanged | RuleRaised
+"""Records that may change the configuration."""
+
+Record = Proposal | Restated
+"""Records of the stream."""
+
+_KIND_BY_TYPE: dict[type[Record], str] = {
+    TextProposed: "text",
+    ZoneChanged: "zone",
+    RuleRaised: "rule",
+    Restated: "restated",
+}
+
+_TYPE_BY_KIND = {kind: record_type for record_type, kind in _KIND_BY_TYPE.items()}
+
+
+def to_value(record: Record) -> dict[str, Any]:
+    """Return the plain form of a record.
+
+    Args:
+        record: The record.
+
+    Returns:
+        An object for the log.
+    """
+    fields: dict[str, Any] = msgspec.to_builtins(record._asdict())
+    return {"kind": _KIND_BY_TYPE[type(record)], **fields}
+
+
+def from_value(value: object) -> Record | None:
+    """Read the plain form of a record.
+
+    Args:
+        value: An object from the log.
+
+    Returns:
+        The record; `None` if this release does not understand it.
+    """
+    if not isinstance(value, dict):
+        return None
+    record_type = _TYPE_BY_KIND.get(value.get("kind", ""))
+    if record_type is None:
+        return None
+    return _convert({key: inner for key, inner in value.items() if key != "kind"}, record_type)
+
+
+def snapshot_to_value(snapshot: Snapshot) -> dict[str, Any]:
+    """Return the plain form of a snapshot.
+
+    Args:
+        snapshot: The snapshot.
+
+    Returns:
+        An object for a peer frame.
+    """
+    fields: dict[str, Any] = msgspec.to_builtins(snapshot._asdict())
+    return fields
+
+
+def snapshot_from_value(value: object) -> Snapshot | None:
+    """Read the plain form of a snapshot.
+
+    Args:
+        value: An object from a peer frame.
+
+    Returns:
+        The snapshot; `None` if it is malformed.
+    """
+    try:
+        return msgspec.convert(_to_snapshot_fields(value), Snapshot)
+    except (msgspec.ValidationError, TypeError):
+        return None
+
+
+def _convert(fields: dict[str, Any], record_type: type[Record]) -> Record | None:
+    try:
+        if record_type is Restated:
+            snapshot = msgspec.convert(_to_snapshot_fields(fields["snapshot"]), Snapshot)
+            return Restated(msgspec.convert(fields["operation_id"], str), snapshot)
+        return msgspec.convert(_in_order(fields, record_type), record_type)
+    except (msgspec.ValidationError, KeyError, TypeError):
+        return None
+
+
+def _to_snapshot_fields(value: object) -> list[Any]:
+    fields = _in_order(value, Snapshot)
+    at = Snapshot._fields.index("outcomes")
+    fields[at] = [_in_order(outcome, OperationOutcome) for outcome in fields[at]]
+    return fields
+
+
+def _in_order(value: object, record_type: type[Any]) -> list[Any]:
+    """Lay an object out as the list that the library reads a named tuple from."""
+    if not isinstance(value, dict):
+        raise TypeError("not an object")
+    return [value.get(name) for name in record_type._fields]
