--- a/src/dragonflycove/configuration/records.py
+++ b/src/dragonflycove/configuration/records.py
@@ -140,8 +140,11 @@
     Returns:
         An object for the log.
     """
-    fields: dict[str, Any] = msgspec.to_builtins(record._asdict())
-    return {"kind": _KIND_BY_TYPE[type(record)], **fields}
+    kind = _KIND_BY_TYPE[type(record)]
+    if isinstance(record, Restated):
+        snapshot = snapshot_to_value(record.snapshot)
+        return {"kind": kind, "operation_id": record.operation_id, "snapshot": snapshot}
+    return {"kind": kind, **record._asdict()}
 
 
 def from_value(value: object) -> Record | None:
@@ -162,7 +165,7 @@
 
 
 def snapshot_to_value(snapshot: Snapshot) -> dict[str, Any]:
-    """Return the plain form of a snapshot.
+    """Return the plain form of a snapshot, its outcomes as lists of their fields.
 
     Args:
         snapshot: The snapshot.
@@ -184,28 +187,24 @@
         The snapshot; `None` if it is malformed.
     """
     try:
-        return msgspec.convert(_to_snapshot_fields(value), Snapshot)
+        return msgspec.convert(_in_order(value, Snapshot), Snapshot)
     except (msgspec.ValidationError, TypeError):
         return None
 
 
 def _convert(fields: dict[str, Any], record_type: type[Record]) -> Record | None:
+    if record_type is Restated:
+        snapshot = snapshot_from_value(fields.get("snapshot"))
+        operation_id = fields.get("operation_id")
+        if snapshot is None or not isinstance(operation_id, str):
+            return None
+        return Restated(operation_id, snapshot)
     try:
-        if record_type is Restated:
-            snapshot = msgspec.convert(_to_snapshot_fields(fields["snapshot"]), Snapshot)
-            return Restated(msgspec.convert(fields["operation_id"], str), snapshot)
         return msgspec.convert(_in_order(fields, record_type), record_type)
-    except (msgspec.ValidationError, KeyError, TypeError):
+    except (msgspec.ValidationError, TypeError):
         return None
 
 
-def _to_snapshot_fields(value: object) -> list[Any]:
-    fields = _in_order(value, Snapshot)
-    at = Snapshot._fields.index("outcomes")
-    fields[at] = [_in_order(outcome, OperationOutcome) for outcome in fields[at]]
-    return fields
-
-
 def _in_order(value: object, record_type: type[Any]) -> list[Any]:
     """Lay an object out as the list that the library reads a named tuple from."""
     if not isinstance(value, dict):
--- /dev/null
+++ b/tests/configuration/test_acceptance.py
@@ -0,0 +1,179 @@
+"""State machine of the acceptance rule: readers of a log with loss, repeats and expiry agree."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import NamedTuple
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from dragonflycove.configuration import acceptance, records, restatement, schema, verdicts
+
+ZONES = ("cayambe", "riobamba")
+
+
+def make_text(name: str) -> str:
+    """Return a small text; one named `bad` has a fault."""
+    zones = ["cayambe", "cayambe"] if name == "bad" else list(ZONES)
+    return json.dumps({"zones": zones, "organisations": {name: {}}})
+
+
+def propose(operation_id: str, base: int, name: str = "a") -> records.TextProposed:
+    """Return a proposal of a small text."""
+    return records.TextProposed(operation_id, base, f"author-{operation_id}", make_text(name))
+
+
+def apply_all(
+    state: acceptance.AcceptanceState, log: list[records.Record | None], start: int = 0
+) -> acceptance.AcceptanceState:
+    """Apply records from an offset on."""
+    for offset, record in enumerate(log[start:], start):
+        state = acceptance.apply(state, offset, record).state
+    return state
+
+
+class Oracle(NamedTuple):
+    """What the records since offset 0 say, worked out in the plainest way."""
+
+    version: int
+    text: str
+    zones_out: frozenset[str]
+
+    @classmethod
+    def from_log(cls, log: list[records.Record | None]) -> Oracle:
+        """Work out the state after all records ever appended."""
+        version, text, zones_out = 0, "", set[str]()
+        seen: set[str] = set()
+        for record in log:
+            if record is None or isinstance(record, records.Restated):
+                continue
+            if record.operation_id in seen:
+                continue
+            seen.add(record.operation_id)
+            if isinstance(record, records.TextProposed):
+                if record.base_version == version and record.text != make_text("bad"):
+                    version, text = version + 1, record.text
+            elif text and record.zone in ZONES and (record.zone in zones_out) != record.out:
+                version += 1
+                zones_out ^= {record.zone}
+        return cls(version, text, frozenset(zones_out))
+
+
+class Readers(stateful.RuleBasedStateMachine):
+    """A log with expiry, operators who race and repeat, and readers that come and go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log: list[records.Record | None] = []
+        self.first_retained = 0
+        self.sent: list[records.Record] = []
+        self.readers = [acceptance.begin()]
+        self.accepted: dict[int, schema.Configuration] = {}
+
+    def append(self, record: records.Record | None) -> None:
+        """Append a record, as a value that went over the wire."""
+        value = None if record is None else records.to_value(record)
+        self.log.append(records.from_value(json.loads(json.dumps(value))))
+
+    @stateful.rule(behind=st.integers(0, 2), name=st.sampled_from(["a", "b", "c", "bad"]))
+    def publish(self, behind: int, name: str) -> None:
+        """An operator publishes a text edited from this or an older version."""
+        base = max(0, Oracle.from_log(self.log).version - behind)
+        self.sent.append(propose(f"op-{len(self.sent)}", base, name))
+        self.append(self.sent[-1])
+
+    @stateful.rule(zone=st.sampled_from([*ZONES, "unknown"]), out=st.booleans())
+    def change_zone(self, zone: str, out: bool) -> None:
+        """An operator takes a zone out or brings it back."""
+        seen = Oracle.from_log(self.log).version
+        self.sent.append(records.ZoneChanged(f"op-{len(self.sent)}", seen, "ana", zone, out))
+        self.append(self.sent[-1])
+
+    @stateful.precondition(lambda self: self.sent)
+    @stateful.rule(data=st.data())
+    def repeat(self, data: st.DataObject) -> None:
+        """An operation whose answer was lost is appended again, however late."""
+        self.append(data.draw(st.sampled_from(self.sent)))
+
+    @stateful.rule()
+    def append_unknown(self) -> None:
+        """A record of a later release is appended."""
+        self.append(None)
+
+    @stateful.rule(data=st.data(), count=st.integers(1, 6))
+    def read(self, data: st.DataObject, count: int) -> None:
+        """A reader reads a few records; one that fell behind finds them expired."""
+        self.advance(data.draw(st.integers(0, len(self.readers) - 1)), count)
+
+    def advance(self, index: int, count: int) -> None:
+        """Let a reader read."""
+        state = acceptance.skip_expired(self.readers[index], self.first_retained)
+        for offset in range(state.next_offset, min(len(self.log), state.next_offset + count)):
+            version = state.configuration.version
+            state = acceptance.apply(state, offset, self.log[offset]).state
+            assert state.configuration.version >= version
+        self.readers[index] = state
+
+    @stateful.rule()
+    def start_reader(self) -> None:
+        """A fresh reader starts from what the log retains."""
+        self.readers.append(acceptance.begin(self.first_retained))
+
+    @stateful.rule(data=st.data())
+    def restart_from_peer(self, data: st.DataObject) -> None:
+        """A fresh reader, or one that waits, takes over a peer's snapshot."""
+        give = data.draw(st.sampled_from(self.readers))
+        index = data.draw(st.integers(0, len(self.readers) - 1))
+        version = self.readers[index].configuration.version
+        value = json.loads(json.dumps(records.snapshot_to_value(give.snapshot)))
+        snapshot = records.snapshot_from_value(value)
+        assert snapshot == give.snapshot
+        self.readers[index] = acceptance.adopt(self.readers[index], snapshot).state
+        assert self.readers[index].configuration.version >= version
+
+    @stateful.rule(data=st.data())
+    def restate(self, data: st.DataObject) -> None:
+        """A reader restates what it knows, which may lag behind the log."""
+        state = data.draw(st.sampled_from(self.readers))
+        if state.anchored:
+            self.append(restatement.restate(state, f"re-{len(self.log)}"))
+
+    @stateful.rule(data=st.data())
+    def expire(self, data: st.DataObject) -> None:
+        """Old records expire, but not the last restatement and what follows its snapshot."""
+        begins = [
+            record.snapshot.next_offset
+            for record in self.log[self.first_retained :]
+            if isinstance(record, records.Restated)
+            and record.snapshot.next_offset >= self.first_retained
+        ]
+        if begins:
+            self.first_retained = data.draw(st.integers(self.first_retained, max(begins)))
+
+    @stateful.invariant()
+    def versions_agree(self) -> None:
+        """Two readers that have the same version have the same configuration, for ever."""
+        for state in self.readers:
+            known = self.accepted.setdefault(state.configuration.version, state.configuration)
+            assert known == state.configuration
+
+    def teardown(self) -> None:
+        """At the end every reader reads on, and all say what the oracle says."""
+        oracle = Oracle.from_log(self.log)
+        self.readers.append(acceptance.begin(self.first_retained))
+        for index in range(len(self.readers)):
+            self.advance(index, len(self.log))
+            self.advance(index, len(self.log))
+            state = self.readers[index]
+            assert state.anchored
+            assert (state.snapshot.version, state.snapshot.text) == (oracle.version, oracle.text)
+            assert state.configuration.zones_out == oracle.zones_out
+            assert state.configuration.version == oracle.version
+
+
+TestReaders = Readers.TestCase
+TestReaders.settings = hypothesis.settings(max_examples=150, stateful_step_count=40)
