--- a/src/dragonflycove/callers/app.py
+++ b/src/dragonflycove/callers/app.py
@@ -53,7 +53,5 @@
         routing.Route("/v1/completions", models.completions, methods=["POST"]),
         routing.Route("/v1/chat/completions", models.chat_completions, methods=["POST"]),
         routing.Route("/v1/streams/{token}", models.resume, methods=["GET"]),
-        routing.Route(
-            "/v1/services/{service}/{path:path}", services.call, methods=SERVICE_METHODS
-        ),
+        routing.Route("/v1/services/{service}/{path:path}", services.call, methods=SERVICE_METHODS),
     ]
--- a/src/dragonflycove/callers/model_api.py
+++ b/src/dragonflycove/callers/model_api.py
@@ -56,18 +56,14 @@
             return answers.to_response(bad)
         deadline = self._node.now() + headers.ok_value.deadline_seconds
         model = request.query_params.get("model", "")
-        opened = self._node.resume(
-            request.path_params["token"], int(last) + 1, model, "", deadline
-        )
+        opened = self._node.resume(request.path_params["token"], int(last) + 1, model, "", deadline)
         if isinstance(opened, result.Err):
             return answers.to_response(opened.err_value)
         is_chat = request.query_params.get("format") == "chat"
         writer = _Writer(opened.ok_value.request_id, model, is_chat)
         return self._stream(opened.ok_value, writer)
 
-    async def _generate(
-        self, request: http_requests.Request, is_chat: bool
-    ) -> responses.Response:
+    async def _generate(self, request: http_requests.Request, is_chat: bool) -> responses.Response:
         refusal = self._node.refusal()
         if refusal is not None:
             return answers.to_response(refusal)
@@ -142,7 +138,7 @@
         if event is None:
             return b": heartbeat\n\n"
         if isinstance(event, streams.CallerFrame):
-            return b"id: %d\ndata: %s\n\n" % (event.index, self._chunk(event))
+            return b"id: %d\ndata: %s\n\n" % (event.frame_index, self._chunk(event))
         if isinstance(event, streams.ResumeTokenChanged):
             return b"event: resume\ndata: %s\n\n" % msgspec.json.encode({"token": event.token})
         if isinstance(event, streams.HandedOver):
--- a/src/dragonflycove/callers/streams.py
+++ b/src/dragonflycove/callers/streams.py
@@ -12,7 +12,7 @@
 class CallerFrame(NamedTuple):
     """One frame for the caller."""
 
-    index: int
+    frame_index: int
     """Place in the caller's stream, from 0."""
 
     token: str
--- a/src/dragonflycove/node/daemon.py
+++ b/src/dragonflycove/node/daemon.py
@@ -38,7 +38,7 @@
     Returns:
         The exit status.
     """
-    values = flags.FlagValues()
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
     flags.DEFINE_string("settings", None, "Path of the settings file.", flag_values=values)
     try:
         values(["dragonflycove node", *argv])
--- a/src/dragonflycove/node/dispatch_task.py
+++ b/src/dragonflycove/node/dispatch_task.py
@@ -8,14 +8,15 @@
 
 from dragonflycove.admission import dispatcher as dispatching
 from dragonflycove.admission import effects as dispatch_effects
-from dragonflycove.configuration import schema  # noqa: TC001
 from dragonflycove.node import tasks
-from dragonflycove.routing import load_view  # noqa: TC001
-from dragonflycove.values import outcomes, requests
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from dragonflycove.configuration import schema
+    from dragonflycove.routing import load_view
+    from dragonflycove.values import outcomes, requests
+
 
 class Assigned(NamedTuple):
     """Tells a request's task to run it at a backend server."""
@@ -101,7 +102,7 @@
     request_id: str
     """The request."""
 
-    count: int
+    token_count: int
     """Number of tokens."""
 
 
@@ -235,7 +236,7 @@
 
     @_decide.register
     def _on_tokens_delivered(self, message: TokensDelivered, now: float) -> None:
-        self._carry_out(self._dispatcher.on_tokens(message.request_id, message.count, now))
+        self._carry_out(self._dispatcher.on_tokens(message.request_id, message.token_count, now))
 
     @_decide.register
     def _on_attempt_failed(self, message: AttemptFailed, now: float) -> None:
@@ -257,9 +258,7 @@
 
     @_decide.register
     def _on_group_ready(self, message: GroupReady, now: float) -> None:
-        self._carry_out(
-            self._dispatcher.on_group_ready(message.request_id, message.servers, now)
-        )
+        self._carry_out(self._dispatcher.on_group_ready(message.request_id, message.servers, now))
 
     @_decide.register
     def _on_reported(self, message: Reported, now: float) -> None:
--- a/src/dragonflycove/node/drain.py
+++ b/src/dragonflycove/node/drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from dragonflycove.node import model_request_task
@@ -11,8 +12,8 @@
 if TYPE_CHECKING:
     from dragonflycove.node import services
 
-CHECK_SECONDS = 0.1
-"""Time between two looks at what still runs, seconds."""
+HAND_OVER_SECONDS = 2.0
+"""Longest time for callers to be told where to go on, seconds."""
 
 
 class Drain:
@@ -42,7 +43,7 @@
         await self._wait_for_end(settings.drain_seconds)
         if self._running():
             self._hand_over()
-            await self._wait_for_end(CHECK_SECONDS * 20)
+            await self._wait_for_end(HAND_OVER_SECONDS)
         logs.event("drain_ended", running=self._running())
 
     def _running(self) -> int:
@@ -52,7 +53,10 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
         while self._running() and loop.time() < ends_at:
-            await asyncio.sleep(CHECK_SECONDS)
+            self._context.work_ended.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(ends_at):
+                    await self._context.work_ended.wait()
 
     def _hand_over(self) -> None:
         address = self._context.other_address()
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -17,6 +17,8 @@
 from dragonflycove.values import outcomes, requests
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from dragonflycove.node import services
 
 CONNECT_SECONDS = 1.0
@@ -172,9 +174,7 @@
 
     @_handle.register
     def _on_assigned(self, message: dispatch_task.Assigned, now: float) -> None:
-        effects = self._life.on_dispatched(
-            message.server_id, message.priority, now, message.group
-        )
+        effects = self._life.on_dispatched(message.server_id, message.priority, now, message.group)
         self.current_server = message.server_id
         self._carry_out(effects)
 
@@ -321,9 +321,7 @@
 
     @_perform.register
     def _perform_emit(self, effect: life_effects.Emit) -> None:
-        self._stream.post(
-            streams.CallerFrame(effect.frame_index, effect.token, effect.finish)
-        )
+        self._stream.post(streams.CallerFrame(effect.frame_index, effect.token, effect.finish))
         if not self._has_first_token:
             self._note_first_token()
         self._tokens_since_notice += 1
@@ -343,9 +341,7 @@
         else:
             self._context.metrics.failed(effect.outcome.reason)
             self._context.dispatch.post(dispatch_task.Withdrawn(request_id))
-            logs.event(
-                "request_failed", request=request_id, reason=effect.outcome.reason.value
-            )
+            logs.event("request_failed", request=request_id, reason=effect.outcome.reason.value)
         for attempt in self._readers_by_attempt:
             self._context.on_attempt_ended(attempt)
         self._stream.post(streams.StreamOver(effect.outcome))
@@ -373,7 +369,7 @@
         return engine_stream.StreamTimeouts(CONNECT_SECONDS, silence, max(0.01, remaining))
 
     def _read(
-        self, attempt: str, connection: int, events: engine_stream.StreamEvents
+        self, attempt: str, connection: int, events: AsyncIterator[engine_stream.StreamEvent]
     ) -> None:
         old = self._readers_by_attempt.pop(attempt, None)
         if old is not None:
@@ -382,7 +378,7 @@
         self._readers_by_attempt[attempt] = reader
 
     async def _read_events(
-        self, attempt: str, connection: int, events: engine_stream.StreamEvents
+        self, attempt: str, connection: int, events: AsyncIterator[engine_stream.StreamEvent]
     ) -> None:
         async for event in events:
             self._post_engine_event(attempt, connection, event)
--- a/src/dragonflycove/node/node_gateway.py
+++ b/src/dragonflycove/node/node_gateway.py
@@ -9,7 +9,6 @@
 
 from dragonflycove.attempts import model_life
 from dragonflycove.callers import gateway, streams
-from dragonflycove.configuration import schema
 from dragonflycove.node import dispatch_task, model_request_task
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers, outcomes, requests
@@ -17,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from dragonflycove.configuration import schema
     from dragonflycove.node import plain_calls, services
 
     RunOnce = Callable[
@@ -97,9 +97,7 @@
         Returns:
             Where its frames come, or the refusal.
         """
-        request = request._replace(
-            request_id=identifiers.new_id(self._context.rng, "request")
-        )
+        request = request._replace(request_id=identifiers.new_id(self._context.rng, "request"))
         stream = streams.CallerStream()
         task = model_request_task.ModelRequestTask(self._context, request, prompt, stream)
         admitted: asyncio.Future[outcomes.Refused | None] = (
@@ -160,9 +158,7 @@
             deadline,
         )
         life = model_life.ModelLife(request, self._context.rng, caller_from_index=from_index)
-        task = model_request_task.ModelRequestTask(
-            self._context, request, prompt, stream, life
-        )
+        task = model_request_task.ModelRequestTask(self._context, request, prompt, stream, life)
         self._context.requests_by_id[request.request_id] = task
         self._context.metrics.count("stream_taken_over")
         task.take_over(point)
@@ -209,7 +205,7 @@
             else:
                 answer = await self._run_once(call, headers, body)
         finally:
-            self._context.calls_running -= 1
+            self._context.call_over()
         if isinstance(answer.outcome, outcomes.Refused):
             self._context.metrics.refused(answer.outcome.reason)
         elif isinstance(answer.outcome, outcomes.Failed):
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -80,6 +80,8 @@
         """Work that no request waits for."""
         self.requests_by_id: dict[str, model_request_task.ModelRequestTask] = {}
         """Model requests under way."""
+        self.work_ended = asyncio.Event()
+        """Set whenever a request or call ends; cleared by who waits for it."""
         self.calls_running = 0
         """Calls to plain services under way."""
 
@@ -113,9 +115,7 @@
 
     async def _cancel(self, address: str, attempt: str) -> None:
         for _ in range(CANCEL_TRIES):
-            answer = await self.engines.cancel(
-                address, attempt, model_request_task.CANCEL_SECONDS
-            )
+            answer = await self.engines.cancel(address, attempt, model_request_task.CANCEL_SECONDS)
             if isinstance(answer, result.Ok):
                 return
             await asyncio.sleep(CANCEL_RETRY_SECONDS)
@@ -129,6 +129,12 @@
             request_id: The request.
         """
         self.requests_by_id.pop(request_id, None)
+        self.work_ended.set()
+
+    def call_over(self) -> None:
+        """Take note that a call to a plain service ended."""
+        self.calls_running -= 1
+        self.work_ended.set()
 
     def on_attempt_started(
         self, request: requests.ModelRequest, attempt: str, server_id: str
@@ -138,12 +144,8 @@
     def on_attempt_ended(self, attempt: str) -> None:
         """Take note that an attempt is over."""
 
-    def on_server_suspect(
-        self, server_id: str, attempt: str, reason: outcomes.Reason
-    ) -> None:
+    def on_server_suspect(self, server_id: str, attempt: str, reason: outcomes.Reason) -> None:
         """Take note that a server seems to be down."""
 
-    def build_group(
-        self, request: requests.ModelRequest, candidates: tuple[str, ...]
-    ) -> None:
+    def build_group(self, request: requests.ModelRequest, candidates: tuple[str, ...]) -> None:
         """Build a memory group for a request."""
--- a/src/dragonflycove/telemetry/metrics.py
+++ b/src/dragonflycove/telemetry/metrics.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import aioprometheus
+from aioprometheus import collectors, registry, renderer
 
 if TYPE_CHECKING:
     from dragonflycove.values import outcomes, requests
@@ -18,22 +18,22 @@
 
     def __init__(self) -> None:
         """Create the metrics in a registry of their own."""
-        self.registry = aioprometheus.Registry()
+        self.registry = registry.Registry()
         """The registry that `/metrics` shows."""
         self._refusals = self._counter("dragonflycove_refusals", "Requests refused, by reason")
         self._retries = self._counter("dragonflycove_retries", "Attempts repeated, by reason")
         self._failures = self._counter("dragonflycove_failures", "Requests failed, by reason")
         self._events = self._counter("dragonflycove_events", "Other events, by name")
         self._answered = self._counter("dragonflycove_answered", "Requests answered, by kind")
-        self._first_token = aioprometheus.Histogram(
+        self._first_token = collectors.Histogram(
             "dragonflycove_first_token_seconds",
             "Time to first token, by length class",
             registry=self.registry,
             buckets=list(FIRST_TOKEN_BUCKETS_SECONDS),
         )
 
-    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
-        return aioprometheus.Counter(name, doc, registry=self.registry)
+    def _counter(self, name: str, doc: str) -> collectors.Counter:
+        return collectors.Counter(name, doc, registry=self.registry)
 
     def refused(self, reason: outcomes.Reason) -> None:
         """Count a refusal."""
@@ -79,7 +79,7 @@
         Returns:
             The totals by reason, event name or kind.
         """
-        counter: aioprometheus.Counter = getattr(self, f"_{name}")
+        counter: collectors.Counter = getattr(self, f"_{name}")
         return {next(iter(labels.values())): value for labels, value in counter.get_all()}
 
     def render(self, accept: list[str]) -> tuple[bytes, str]:
@@ -91,5 +91,5 @@
         Returns:
             The content and its media type.
         """
-        content, headers = aioprometheus.render(self.registry, accept)
+        content, headers = renderer.render(self.registry, accept)
         return content, headers["Content-Type"]
