--- /dev/null
+++ b/src/dragonflycove/admission/entries.py
@@ -0,0 +1,138 @@
+"""Admitted requests and what has become of them so far."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from sortedcontainers import SortedList
+
+from dragonflycove.routing import router
+from dragonflycove.values import requests
+
+if TYPE_CHECKING:
+    from dragonflycove.routing import policies
+
+
+class State(enum.Enum):
+    """Where an admitted request is."""
+
+    QUEUED = "queued"
+    """It waits in this node."""
+    RUNNING = "running"
+    """It was dispatched."""
+    BROKEN = "broken"
+    """Its attempt failed; the node has yet to say what follows."""
+    AWAITING_GROUP = "awaiting_group"
+    """It waits for a memory group."""
+
+
+class Entry:
+    """One admitted request."""
+
+    __slots__ = (
+        "attempts",
+        "demand",
+        "first_token_at",
+        "group",
+        "preemptions",
+        "request",
+        "sent_at",
+        "server_id",
+        "state",
+        "tokens",
+    )
+
+    def __init__(self, request: requests.ModelRequest, demand: router.Demand) -> None:
+        """Create the entry of a request that waits.
+
+        Args:
+            request: The request.
+            demand: What it needs of a server.
+        """
+        self.request = request
+        self.demand = demand
+        self.state = State.QUEUED
+        self.server_id = ""
+        self.group: tuple[str, ...] = ()
+        self.sent_at = 0.0
+        self.first_token_at: float | None = None
+        self.tokens = 0
+        self.preemptions = 0
+        self.attempts = 0
+
+
+class Book:
+    """The admitted requests of a node, by identifier and by deadline."""
+
+    def __init__(self) -> None:
+        """Create an empty book."""
+        self.by_id: dict[str, Entry] = {}
+        self._deadlines: SortedList[tuple[float, str]] = SortedList()
+
+    def add(self, entry: Entry) -> None:
+        """Add an admitted request.
+
+        Args:
+            entry: The request, not in the book yet.
+        """
+        self.by_id[entry.request.request_id] = entry
+        self._deadlines.add((entry.request.deadline, entry.request.request_id))
+
+    def remove(self, entry: Entry) -> None:
+        """Remove a request that has ended.
+
+        Args:
+            entry: The request.
+        """
+        del self.by_id[entry.request.request_id]
+        self._deadlines.remove((entry.request.deadline, entry.request.request_id))
+
+    def next_deadline(self) -> float:
+        """Return the earliest deadline, infinite in an empty book."""
+        return self._deadlines[0][0] if self._deadlines else float("inf")
+
+    def overdue(self, now: float) -> Entry | None:
+        """Return a request whose deadline has passed, if any.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            The one with the earliest deadline.
+        """
+        if not self._deadlines or self._deadlines[0][0] > now:
+            return None
+        return self.by_id[self._deadlines[0][1]]
+
+    def waiting(self) -> list[Entry]:
+        """Return the requests that wait in the queue."""
+        return [entry for entry in self.by_id.values() if entry.state is State.QUEUED]
+
+
+def demand_of(
+    request: requests.ModelRequest, policy: policies.Policy, excluded: frozenset[str]
+) -> router.Demand:
+    """Return what a request needs of a server.
+
+    Args:
+        request: The request.
+        policy: The policy; a baseline uses one priority only.
+        excluded: Servers that must not be chosen.
+
+    Returns:
+        The demand.
+    """
+    length = request.length_class
+    is_first = length is requests.LengthClass.SHORT and (
+        request.urgency is requests.Urgency.INTERACTIVE
+    )
+    return router.Demand(
+        request.model,
+        request.prompt_tokens,
+        request.prompt_tokens + request.max_tokens,
+        0 if is_first or policy.is_baseline else 1,
+        request.prefix_hashes,
+        length is requests.LengthClass.LONG,
+        excluded,
+    )
--- /dev/null
+++ b/src/dragonflycove/admission/fair_queue.py
@@ -0,0 +1,232 @@
+"""Weighted fair queueing by tokens between organisations, earliest deadline first inside each."""
+
+from __future__ import annotations
+
+import heapq
+from typing import NamedTuple
+
+STALE_ENTRIES_LIMIT = 64
+"""Entries that no longer count and are kept before they are cleared out."""
+
+
+class Item(NamedTuple):
+    """One waiting request."""
+
+    deadline: float
+    """Time by which it ends, seconds."""
+    sequence: int
+    """Order of arrival."""
+    request_id: str
+    """The request."""
+    organisation: str
+    """Its organisation."""
+    cost_tokens: int
+    """Tokens charged to the organisation."""
+    latest_start: float
+    """Last time at which it can start and still end in time, seconds."""
+
+
+class _Organisation:
+    """Waiting requests of one organisation."""
+
+    __slots__ = ("finish", "items", "tokens", "weight")
+
+    def __init__(self, finish: float, weight: float) -> None:
+        self.finish = finish
+        self.weight = weight
+        self.items: list[Item] = []
+        self.tokens = 0
+
+
+class FairQueue:
+    """Start-time fair queueing; holds state only for organisations with requests or recent ones."""
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self._virtual_time = 0.0
+        self._active_by_name: dict[str, _Organisation] = {}
+        self._order: list[tuple[float, str]] = []
+        self._finish_by_name: dict[str, float] = {}
+        self._items_by_id: dict[str, Item] = {}
+        self._urgent: list[tuple[float, int, Item]] = []
+        self._sequence = 0
+        self.tokens = 0
+        self.active_weight = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._items_by_id)
+
+    def __contains__(self, request_id: str) -> bool:
+        """Tell whether a request waits."""
+        return request_id in self._items_by_id
+
+    @property
+    def remembered_organisations(self) -> int:
+        """Number of organisations for which there is any state."""
+        return len(self._active_by_name) + len(self._finish_by_name)
+
+    def push(
+        self,
+        request_id: str,
+        organisation: str,
+        weight: float,
+        cost_tokens: int,
+        deadline: float,
+        latest_start: float,
+    ) -> None:
+        """Add a request.
+
+        Args:
+            request_id: The request, not waiting yet.
+            organisation: Its organisation.
+            weight: The organisation's weight, above 0.
+            cost_tokens: Tokens to charge.
+            deadline: Time by which it ends, seconds.
+            latest_start: Last time at which it can start and still end in time, seconds.
+        """
+        self._sequence += 1
+        item = Item(
+            deadline, self._sequence, request_id, organisation, max(1, cost_tokens), latest_start
+        )
+        state = self._active_by_name.get(organisation)
+        if state is None:
+            finish = max(self._virtual_time, self._finish_by_name.pop(organisation, 0.0))
+            state = _Organisation(finish, weight)
+            self._active_by_name[organisation] = state
+            self.active_weight += weight
+            heapq.heappush(self._order, (finish, organisation))
+        heapq.heappush(state.items, item)
+        heapq.heappush(self._urgent, (latest_start, self._sequence, item))
+        state.tokens += item.cost_tokens
+        self.tokens += item.cost_tokens
+        self._items_by_id[request_id] = item
+
+    def organisation_tokens(self, organisation: str) -> int:
+        """Return the tokens that wait for an organisation.
+
+        Args:
+            organisation: Its name.
+
+        Returns:
+            Tokens.
+        """
+        state = self._active_by_name.get(organisation)
+        return 0 if state is None else state.tokens
+
+    def peek(self, now: float) -> Item | None:
+        """Return the request to serve next.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            The one that has to start by now, if any; else the head of the organisation that is
+            furthest behind its share; `None` where nothing waits.
+        """
+        head = self.head()
+        if head is None:
+            return None
+        latest_start, _, urgent = self._urgent[0]
+        return urgent if latest_start <= now else head
+
+    def has_urgent(self, now: float) -> bool:
+        """Tell whether a request has to start by now to end in time.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            True where there is one.
+        """
+        self._trim()
+        return bool(self._urgent) and self._urgent[0][0] <= now
+
+    def head(self) -> Item | None:
+        """Return the head of the organisation that is furthest behind its share, if any."""
+        self._trim()
+        if not self._items_by_id:
+            return None
+        return self._active_by_name[self._order[0][1]].items[0]
+
+    def take(self, request_id: str) -> Item:
+        """Remove a request because it is served, and charge its organisation.
+
+        Args:
+            request_id: A waiting request.
+
+        Returns:
+            The request.
+        """
+        self._trim()
+        item = self._items_by_id.pop(request_id)
+        state = self._active_by_name[item.organisation]
+        self._virtual_time = max(self._virtual_time, self._order[0][0])
+        state.finish += item.cost_tokens / state.weight
+        self._drop(item, state)
+        if item.organisation in self._active_by_name:
+            heapq.heappush(self._order, (state.finish, item.organisation))
+        self._trim()
+        return item
+
+    def remove(self, request_id: str) -> Item | None:
+        """Remove a request that is not to be served.
+
+        Args:
+            request_id: The request.
+
+        Returns:
+            The request, or `None` where it does not wait.
+        """
+        item = self._items_by_id.pop(request_id, None)
+        if item is not None:
+            self._drop(item, self._active_by_name[item.organisation])
+            self._trim()
+        return item
+
+    def items(self) -> list[Item]:
+        """Return every waiting request."""
+        return list(self._items_by_id.values())
+
+    def _drop(self, item: Item, state: _Organisation) -> None:
+        state.tokens -= item.cost_tokens
+        self.tokens -= item.cost_tokens
+        while state.items and not self._waits(state.items[0]):
+            heapq.heappop(state.items)
+        if not state.items:
+            del self._active_by_name[item.organisation]
+            self.active_weight -= state.weight
+            if state.finish > self._virtual_time:
+                self._finish_by_name[item.organisation] = state.finish
+
+    def _waits(self, item: Item) -> bool:
+        return self._items_by_id.get(item.request_id) is item
+
+    def _trim(self) -> None:
+        """Discard entries that no longer count."""
+        if len(self._urgent) > 2 * len(self._items_by_id) + STALE_ENTRIES_LIMIT:
+            self._urgent = [entry for entry in self._urgent if self._waits(entry[2])]
+            heapq.heapify(self._urgent)
+        while self._urgent and not self._waits(self._urgent[0][2]):
+            heapq.heappop(self._urgent)
+        while self._order:
+            finish, name = self._order[0]
+            state = self._active_by_name.get(name)
+            if state is not None and state.finish == finish:
+                break
+            heapq.heappop(self._order)
+        if not self._items_by_id:
+            self._active_by_name.clear()
+            self._finish_by_name.clear()
+            self._order.clear()
+            self.active_weight = 0.0
+        elif len(self._finish_by_name) > 2 * len(self._active_by_name) + STALE_ENTRIES_LIMIT:
+            self._forget_finished()
+
+    def _forget_finished(self) -> None:
+        """Forget idle organisations whose share the others have caught up with."""
+        self._finish_by_name = {
+            name: finish
+            for name, finish in self._finish_by_name.items()
+            if finish > self._virtual_time
+        }
--- /dev/null
+++ b/src/dragonflycove/admission/lanes.py
@@ -0,0 +1,120 @@
+"""The waiting requests of one model, by length class and urgency."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.admission import fair_queue
+from dragonflycove.values import requests
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+BATCH_SHARE = 0.15
+"""Share of the dispatched tokens that waiting batch requests get at least."""
+
+BATCH_CREDIT_LIMIT_TOKENS = 2_000_000
+"""Most credit that waiting batch requests collect, tokens."""
+
+
+class LaneKey(NamedTuple):
+    """Identity of a lane."""
+
+    urgency: requests.Urgency
+    """Priority of its requests."""
+    length: requests.LengthClass
+    """Length class of its requests."""
+
+
+LANE_ORDER = tuple(
+    LaneKey(urgency, length)
+    for urgency in (requests.Urgency.INTERACTIVE, requests.Urgency.BATCH)
+    for length in requests.LengthClass
+)
+"""Lanes in the order in which they are served."""
+
+BATCH_FIRST_ORDER = LANE_ORDER[3:] + LANE_ORDER[:3]
+"""The order while batch requests are owed their share."""
+
+
+def lane_of(request: requests.ModelRequest) -> LaneKey:
+    """Return the lane of a request.
+
+    Args:
+        request: The request.
+
+    Returns:
+        The lane.
+    """
+    return LaneKey(request.urgency, request.length_class)
+
+
+class Lanes:
+    """A fair queue for each lane, and the share that is guaranteed to batch requests."""
+
+    def __init__(self) -> None:
+        """Create empty lanes."""
+        self.queues_by_lane = {key: fair_queue.FairQueue() for key in LANE_ORDER}
+        self._batch_credit = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(queue) for queue in self.queues_by_lane.values())
+
+    def next_lane(self, now: float, blocked: Collection[LaneKey]) -> LaneKey | None:
+        """Return the lane to serve next.
+
+        Args:
+            now: Time, seconds.
+            blocked: Lanes that cannot be served now.
+
+        Returns:
+            A lane with a request that has to start by now; else a batch lane that is owed its
+            share; else the first in order; `None` where nothing waits that can be served.
+        """
+        order = BATCH_FIRST_ORDER if self._batch_is_owed() else LANE_ORDER
+        waiting = [key for key in order if self.queues_by_lane[key] and key not in blocked]
+        for key in waiting:
+            if self.queues_by_lane[key].has_urgent(now):
+                return key
+        return waiting[0] if waiting else None
+
+    def charge(self, lane: LaneKey, tokens: int) -> None:
+        """Account for tokens that were dispatched.
+
+        Args:
+            lane: Lane that they came from.
+            tokens: Tokens.
+        """
+        if lane.urgency is requests.Urgency.BATCH:
+            self._batch_credit = max(0.0, self._batch_credit - tokens)
+        elif self._batch_waits():
+            credit = self._batch_credit + tokens * BATCH_SHARE / (1 - BATCH_SHARE)
+            self._batch_credit = min(credit, BATCH_CREDIT_LIMIT_TOKENS)
+
+    def tokens_ahead(self, lane: LaneKey) -> int:
+        """Return the waiting tokens that are served before a new request of a lane.
+
+        Args:
+            lane: The lane.
+
+        Returns:
+            Tokens.
+        """
+        total = 0
+        for key in LANE_ORDER:
+            total += self.queues_by_lane[key].tokens
+            if key == lane:
+                break
+        return total
+
+    def _batch_waits(self) -> bool:
+        return any(self.queues_by_lane[key] for key in LANE_ORDER[3:])
+
+    def _batch_is_owed(self) -> bool:
+        if self._batch_credit <= 0.0:
+            return False
+        return any(
+            item is not None and item.cost_tokens <= self._batch_credit
+            for item in (self.queues_by_lane[key].head() for key in LANE_ORDER[3:])
+        )
--- /dev/null
+++ b/src/dragonflycove/routing/digests.py
@@ -0,0 +1,145 @@
+"""What nodes tell each other about the work that they have sent and that waits in them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.routing import load_view
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+WORKS_LIMIT = 48
+"""Most engines in one digest."""
+
+PEERS_LIMIT = 512
+"""Most peers remembered."""
+
+LIFETIME_SECONDS = 5.0
+"""Time after which a digest counts no longer."""
+
+
+class ServerWork(NamedTuple):
+    """Work that a node has sent to an engine and that no report has shown to it."""
+
+    server_id: str
+    """The engine."""
+    prefill_tokens: tuple[int, int]
+    """Prompt tokens to read, by priority."""
+    memory_tokens: int
+    """KV memory that it takes."""
+    requests: int
+    """Number of requests."""
+
+
+class PeerDigest(NamedTuple):
+    """One node's work, as it tells its peers."""
+
+    node: str
+    """Name of the node's host."""
+    age_seconds: float
+    """Time since it was made; 0 as it leaves its node."""
+    works: tuple[ServerWork, ...]
+    """Work sent, the largest of it where there is too much."""
+    queued_tokens: tuple[int, int]
+    """Tokens that wait in the node, by urgency."""
+    queued_requests: int
+    """Requests that wait in the node."""
+
+
+class _Kept(NamedTuple):
+    made_at: float
+    digest: PeerDigest
+
+
+class Peers:
+    """The last digest of each peer."""
+
+    def __init__(self) -> None:
+        """Create a view of no peers."""
+        self._kept_by_node: dict[str, _Kept] = {}
+
+    def on_digest(self, digest: PeerDigest, view: load_view.LoadView, now: float) -> None:
+        """Take in a digest; one older than the last changes nothing.
+
+        Args:
+            digest: The digest.
+            view: The load view to which its work is added.
+            now: Time, seconds.
+        """
+        made_at = now - digest.age_seconds
+        previous = self._kept_by_node.pop(digest.node, None)
+        if previous is not None:
+            if previous.made_at > made_at:
+                self._kept_by_node[digest.node] = previous
+                return
+            self._clear(previous.digest, view)
+        while len(self._kept_by_node) >= PEERS_LIMIT:
+            oldest = self._kept_by_node.pop(next(iter(self._kept_by_node)))
+            self._clear(oldest.digest, view)
+        self._kept_by_node[digest.node] = _Kept(made_at, digest)
+        for work in digest.works[:WORKS_LIMIT]:
+            load = view.loads_by_id.get(work.server_id)
+            if load is not None:
+                load.set_peer(
+                    digest.node,
+                    load_view.Pending(
+                        made_at, "", work.prefill_tokens, work.memory_tokens, work.requests
+                    ),
+                )
+
+    def expire(self, view: load_view.LoadView, now: float) -> None:
+        """Forget digests that are too old.
+
+        Args:
+            view: The load view to which their work was added.
+            now: Time, seconds.
+        """
+        for node, kept in list(self._kept_by_node.items()):
+            if kept.made_at + LIFETIME_SECONDS < now:
+                self._clear(kept.digest, view)
+                del self._kept_by_node[node]
+
+    def queued_tokens(self, urgency: int) -> int:
+        """Return the tokens that wait in the peers at an urgency or above.
+
+        Args:
+            urgency: Value of the urgency.
+
+        Returns:
+            Tokens.
+        """
+        kept = self._kept_by_node.values()
+        return sum(sum(item.digest.queued_tokens[: urgency + 1]) for item in kept)
+
+    def _clear(self, digest: PeerDigest, view: load_view.LoadView) -> None:
+        for work in digest.works:
+            load = view.loads_by_id.get(work.server_id)
+            if load is not None:
+                load.set_peer(digest.node, None)
+
+
+def collect_works(loads: Iterable[load_view.EngineLoad]) -> tuple[ServerWork, ...]:
+    """Collect the work of this node that no report has shown.
+
+    Args:
+        loads: Beliefs about the engines.
+
+    Returns:
+        The work, that of the largest sums where there is too much.
+    """
+    works = []
+    for load in loads:
+        if not load.pending:
+            continue
+        by_priority = [sum(w.prefill_tokens[p] for w in load.pending) for p in (0, 1)]
+        works.append(
+            ServerWork(
+                load.server.server_id,
+                (by_priority[0], by_priority[1]),
+                sum(work.memory_tokens for work in load.pending),
+                sum(work.requests for work in load.pending),
+            )
+        )
+    works.sort(key=lambda work: sum(work.prefill_tokens), reverse=True)
+    return tuple(works[:WORKS_LIMIT])
--- /dev/null
+++ b/src/dragonflycove/routing/open_set.py
@@ -0,0 +1,65 @@
+"""Backend servers with a free slot, for sampling in constant time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+
+class OpenSet:
+    """A set of server identifiers that can be sampled without a scan."""
+
+    def __init__(self) -> None:
+        """Create an empty set."""
+        self.items: list[str] = []
+        self._index_by_id: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of members."""
+        return len(self.items)
+
+    def __contains__(self, server_id: str) -> bool:
+        """Tell whether a server is a member."""
+        return server_id in self._index_by_id
+
+    def add(self, server_id: str) -> None:
+        """Add a member; adding it twice changes nothing.
+
+        Args:
+            server_id: The server.
+        """
+        if server_id not in self._index_by_id:
+            self._index_by_id[server_id] = len(self.items)
+            self.items.append(server_id)
+
+    def discard(self, server_id: str) -> None:
+        """Remove a member, if it is one.
+
+        Args:
+            server_id: The server.
+        """
+        index = self._index_by_id.pop(server_id, None)
+        if index is None:
+            return
+        last = self.items.pop()
+        if last != server_id:
+            self.items[index] = last
+            self._index_by_id[last] = index
+
+    def sample(self, count: int, rng: random.Random) -> list[str]:
+        """Draw members at random.
+
+        Args:
+            count: Most members to draw.
+            rng: The generator to draw from.
+
+        Returns:
+            Every member where there are no more than `count`; otherwise some, perhaps fewer.
+        """
+        size = len(self.items)
+        if size <= count:
+            return list(self.items)
+        drawn = {int(rng.random() * size) for _ in range(count)}
+        return [self.items[index] for index in sorted(drawn)]
--- /dev/null
+++ b/tests/admission/test_dispatcher.py
@@ -0,0 +1,116 @@
+"""The dispatcher: one end for each request, refusals at once, limits kept."""
+
+from __future__ import annotations
+
+import random
+
+import fleet
+import pytest
+
+from dragonflycove.admission import dispatcher, effects
+from dragonflycove.routing import policies
+from dragonflycove.values import outcomes
+
+
+def make(*servers, policy=policies.Policy.BORROWING, **changes):
+    configuration = fleet.make_configuration(*(servers or (fleet.make_server("s1"),)), **changes)
+    return dispatcher.Dispatcher.from_config(configuration, "z1", policy, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("request_changes", "configuration_changes", "reason"),
+    [
+        ({"deadline": 0.5}, {}, outcomes.Reason.DEADLINE),
+        ({"organisation": "nobody"}, {}, outcomes.Reason.UNKNOWN_ORGANISATION),
+        ({"model": "other"}, {}, outcomes.Reason.NO_SERVER),
+        ({}, {"zones_out": frozenset({"z1"})}, outcomes.Reason.NO_SERVER),
+        ({"prompt_tokens": 90_000, "deadline": 8.0}, {}, outcomes.Reason.OVERLOADED),
+        ({"max_tokens": 9_000, "deadline": 8.0}, {}, outcomes.Reason.OVERLOADED),
+    ],
+)
+def test_refuses_at_once(request_changes, configuration_changes, reason):
+    subject = make(**configuration_changes)
+    [effect] = subject.submit(fleet.make_request("r", **request_changes), 1.0)
+    assert isinstance(effect, effects.Refuse)
+    assert effect.outcome.reason is reason
+    assert subject.snapshot().counts_by_reason == {reason: 1}
+
+
+def test_second_submission_of_a_running_request_is_refused():
+    subject = make()
+    subject.submit(fleet.make_request("r"), 0.0)
+    [effect] = subject.submit(fleet.make_request("r"), 1.0)
+    assert effect.outcome.reason is outcomes.Reason.ALREADY_RUNNING
+
+
+@pytest.mark.parametrize("policy", list(policies.Policy))
+def test_limit_is_kept_and_a_free_slot_is_used(policy):
+    subject = make(policy=policy)
+    subject.set_limits({"s1": 2}, 0.0)
+    sent = [e for i in range(4) for e in subject.submit(fleet.make_request(f"r{i}"), 0.0)]
+    assert [e.request.request_id for e in sent] == ["r0", "r1"]
+    [third] = subject.on_finished("r0", 1.0)
+    assert third.request.request_id == "r2"
+    assert subject.withdraw("r3", 1.0) == []
+    assert subject.on_finished("r1", 2.0) == []
+    assert subject.snapshot().queued == 0
+
+
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_deadline_ends_a_request(is_sent):
+    subject = make()
+    subject.set_limits({"s1": int(is_sent)}, 0.0) if is_sent else None
+    subject.submit(fleet.make_request("r", deadline=9.0), 0.0)
+    if not is_sent:
+        subject.on_attempt_failed("r", "s1", outcomes.Reason.BACKEND_CRASHED, 1.0)
+    assert subject.next_tick(1.0) == 9.0
+    [failed] = subject.tick(9.0)
+    assert failed.outcome.reason is outcomes.Reason.DEADLINE
+    assert failed.outcome.ran is outcomes.Ran.MAY_HAVE_RUN
+    assert subject.tick(10.0) == []
+
+
+def test_broken_attempt_moves_to_another_server_and_never_back():
+    subject = make(fleet.make_server("s1"), fleet.make_server("s2"))
+    [first] = subject.submit(fleet.make_request("r"), 0.0)
+    reason = outcomes.Reason.BACKEND_CRASHED
+    subject.on_attempt_failed("r", first.server_id, reason, 1.0)
+    [second] = subject.resubmit(first.request, 1.0, frozenset({first.server_id}), reason)
+    assert second.server_id != first.server_id
+    subject.on_attempt_failed("r", second.server_id, reason, 2.0)
+    [failed] = subject.resubmit(first.request, 2.0, frozenset({"s1", "s2"}), reason)
+    assert failed.outcome.reason is outcomes.Reason.NO_SERVER
+
+
+def test_retry_budget_ends_a_storm_of_retries():
+    subject = make(fleet.make_server("s1"), fleet.make_server("s2"))
+    subject.submit(fleet.make_request("r", deadline=1e6), 0.0)
+    ends = []
+    for _ in range(30):
+        ends += subject.resubmit(
+            fleet.make_request("r", deadline=1e6), 0.0, frozenset(), outcomes.Reason.STREAM_GAP
+        )
+    assert [e.outcome.reason for e in ends if isinstance(e, effects.Fail)] == [
+        outcomes.Reason.RETRY_BUDGET
+    ]
+
+
+def test_request_larger_than_any_engine_gets_a_group():
+    subject = make(fleet.make_server("s1"), fleet.make_server("s2"))
+    request = fleet.make_request("r", 150_000, deadline=600.0)
+    assert subject.submit(request, 0.0) == [effects.NeedsGroup(request, ("s1", "s2"))]
+    [sent] = subject.on_group_ready("r", ("s2", "s1"), 1.0)
+    assert (sent.server_id, sent.group) == ("s2", ("s2", "s1"))
+    assert subject.on_group_ready("r", ("s2", "s1"), 2.0) == []
+
+
+def test_zone_taken_out_ends_what_waits_and_sends_nothing_there():
+    subject = make()
+    subject.set_limits({"s1": 0}, 0.0)
+    subject.set_limits({"s1": 1}, 0.0)
+    for name in ("r0", "r1"):
+        subject.submit(fleet.make_request(name), 0.0)
+    out = fleet.make_configuration(fleet.make_server("s1"), zones_out=frozenset({"z1"}))
+    [failed] = subject.set_configuration(out, 1.0)
+    assert (failed.request_id, failed.outcome.ran) == ("r1", outcomes.Ran.NOT_RUN)
+    assert subject.on_finished("r0", 2.0) == []
