--- /dev/null
+++ b/src/dragonflycove/measure/load_caller.py
@@ -0,0 +1,349 @@
+"""One caller: looks up addresses, sends requests, resumes streams and checks the answers."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+import aiohttp
+
+from dragonflycove.measure import answer_check, load_plan
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MOST_TRIES = 12
+"""Tries of one request before the caller gives up."""
+
+PAUSE_SECONDS = 0.4
+"""Wait before the next try where the answer names none, seconds."""
+
+SILENCE_SECONDS = 6.0
+"""Time without a byte after which the caller resumes on a new connection, seconds."""
+
+GRACE_SECONDS = 3.0
+"""Time after the deadline in which the node's last word must come, seconds."""
+
+
+class CallRecord(NamedTuple):
+    """What became of one planned request."""
+
+    kind: str
+    """`prompt`, `posting` or `stock`."""
+
+    organisation: str
+    """Organisation that sent it."""
+
+    tokens: int
+    """Length of the prompt, tokens; 0 for a call."""
+
+    outcome: str
+    """`answered`, or the last reason."""
+
+    ran: str
+    """What the last answer said of whether it ran; empty when answered."""
+
+    first_token_seconds: float | None
+    """Time to first token."""
+
+    total_seconds: float
+    """Time until the outcome."""
+
+    tries: int
+    """How often it was sent."""
+
+    resumes: int
+    """How often its stream was resumed."""
+
+    refusals: tuple[str, ...]
+    """Reasons of refusals and failures on the way."""
+
+    faults: tuple[str, ...]
+    """What was wrong with the answer."""
+
+    key: str
+    """Idempotency key; empty for none."""
+
+    late: bool
+    """Whether the outcome came after the deadline."""
+
+
+class _Progress:
+    """What is known about one request while it runs."""
+
+    def __init__(self) -> None:
+        self.started_at = asyncio.get_running_loop().time()
+        self.first_token_seconds: float | None = None
+        self.tries = 0
+        self.resumes = 0
+        self.refusals: list[str] = []
+        self.ran = ""
+        self.token = ""
+        self.address = ""
+
+
+class Caller:
+    """Sends requests as the callers' side of the interface prescribes."""
+
+    def __init__(self, session: aiohttp.ClientSession, nodes: tuple[str, ...]) -> None:
+        """Create a caller.
+
+        Args:
+            session: Where connections come from.
+            nodes: Addresses to ask first.
+        """
+        self._session = session
+        self._nodes = list(nodes)
+        self._addresses: list[str] = list(nodes)
+        self._good_until = 0.0
+        self._next = 0
+
+    async def run(self, planned: load_plan.PlannedRequest, started_at: float) -> CallRecord:
+        """Send one planned request at its time and see it to its outcome.
+
+        Args:
+            planned: The request.
+            started_at: Time of the loop's clock at which the plan began, seconds.
+
+        Returns:
+            What became of it.
+        """
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, started_at + planned.at_seconds - loop.time()))
+        return await self._run(planned)
+
+    @functools.singledispatchmethod
+    async def _run(self, planned: object) -> CallRecord:
+        raise TypeError(f"unknown plan entry {planned!r}")
+
+    @_run.register
+    async def _run_prompt(self, planned: load_plan.PlannedPrompt) -> CallRecord:
+        progress = _Progress()
+        prompt = load_plan.prompt_text(planned)
+        check = answer_check.AnswerCheck(prompt, planned.max_tokens)
+        outcome = "gave_up"
+        ends_at = progress.started_at + planned.deadline_seconds
+        while progress.tries + progress.resumes < MOST_TRIES:
+            remaining = ends_at - asyncio.get_running_loop().time()
+            if remaining <= 0:
+                break
+            if not progress.token:
+                check.restart()
+            ended = await self._follow(planned, prompt, check, progress, remaining)
+            if ended == "answered":
+                outcome = ended
+                break
+            outcome = ended
+            await asyncio.sleep(PAUSE_SECONDS)
+        faults = check.faults(outcome == "answered")
+        return self._record(
+            "prompt", planned.organisation, planned.tokens, outcome, progress, ends_at, faults, ""
+        )
+
+    async def _follow(
+        self,
+        planned: load_plan.PlannedPrompt,
+        prompt: str,
+        check: answer_check.AnswerCheck,
+        progress: _Progress,
+        remaining_seconds: float,
+    ) -> str:
+        """Send or resume once; return `answered`, a reason, or `cut` for a lost connection."""
+        headers = {
+            "X-Organisation": planned.organisation,
+            "X-Deadline-Seconds": f"{remaining_seconds:.3f}",
+            "X-Urgency": "batch" if planned.batch else "interactive",
+        }
+        address = progress.address or await self._address()
+        progress.address = ""
+        try:
+            if progress.token:
+                progress.resumes += 1
+                headers["Last-Event-ID"] = str(check.received - 1)
+                url = f"http://{address}/v1/streams/{progress.token}"
+                request = self._session.get(url, headers=headers)
+            else:
+                progress.tries += 1
+                body = {
+                    "model": planned.model,
+                    "prompt": prompt,
+                    "max_tokens": planned.max_tokens,
+                    "stream": True,
+                }
+                url = f"http://{address}/v1/completions"
+                request = self._session.post(url, json=body, headers=headers)
+            async with request as response:
+                if response.status != 200:
+                    return await self._note_refusal(response, progress)
+                return await self._read(response, check, progress)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            self._good_until = 0.0
+            progress.refusals.append("cut")
+            return "cut"
+
+    async def _read(
+        self,
+        response: aiohttp.ClientResponse,
+        check: answer_check.AnswerCheck,
+        progress: _Progress,
+    ) -> str:
+        async for name, number, data in _events(response):
+            if name == "resume":
+                progress.token = json.loads(data)["token"]
+            elif name == "handover":
+                progress.address = json.loads(data)["address"]
+                return "handover"
+            elif data == "[DONE]":
+                return "answered"
+            else:
+                content = json.loads(data)
+                if "error" in content:
+                    return self._note_error(content["error"], progress)
+                if progress.first_token_seconds is None:
+                    now = asyncio.get_running_loop().time()
+                    progress.first_token_seconds = now - progress.started_at
+                choice = content["choices"][0]
+                check.take(number, choice["text"], choice["finish_reason"])
+        progress.refusals.append("cut")
+        return "cut"
+
+    async def _note_refusal(self, response: aiohttp.ClientResponse, progress: _Progress) -> str:
+        content = await response.json()
+        other = response.headers.get("X-Other-Address")
+        if other:
+            progress.address = other
+        return self._note_error(content["error"], progress)
+
+    def _note_error(self, error: dict[str, object], progress: _Progress) -> str:
+        reason = str(error["code"])
+        progress.refusals.append(reason)
+        progress.ran = str(error["ran"])
+        progress.token = ""
+        self._good_until = 0.0
+        return reason
+
+    @_run.register
+    async def _run_call(self, planned: load_plan.PlannedCall) -> CallRecord:
+        progress = _Progress()
+        key = f"{int(time.time())}-{planned.seed:08x}" if planned.posting else ""
+        outcome = "gave_up"
+        ends_at = progress.started_at + load_plan.SHORT_DEADLINE_SECONDS
+        while progress.tries < MOST_TRIES:
+            remaining = ends_at - asyncio.get_running_loop().time()
+            if remaining <= 0:
+                break
+            progress.tries += 1
+            outcome = await self._call(planned, key, progress, remaining)
+            if outcome in ("answered", "may_have_run"):
+                break
+            await asyncio.sleep(PAUSE_SECONDS)
+        kind = "posting" if planned.posting else "stock"
+        return self._record(kind, planned.organisation, 0, outcome, progress, ends_at, (), key)
+
+    async def _call(
+        self,
+        planned: load_plan.PlannedCall,
+        key: str,
+        progress: _Progress,
+        remaining_seconds: float,
+    ) -> str:
+        address = progress.address or await self._address()
+        progress.address = ""
+        headers = {
+            "X-Organisation": planned.organisation,
+            "X-Deadline-Seconds": f"{remaining_seconds:.3f}",
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        method = "POST" if planned.posting else "GET"
+        path = "postings" if planned.posting else f"stock/{planned.seed % 100}"
+        url = f"http://{address}/v1/services/{planned.service}/{path}"
+        body = f"amount={planned.seed % 1000}".encode() if planned.posting else None
+        try:
+            async with self._session.request(method, url, headers=headers, data=body) as response:
+                if response.status == 200:
+                    await response.read()
+                    return "answered"
+                return await self._note_refusal(response, progress)
+        except (aiohttp.ClientError, OSError, TimeoutError, json.JSONDecodeError):
+            self._good_until = 0.0
+            progress.refusals.append("cut")
+            return "cut"
+
+    async def _address(self) -> str:
+        """Return the address to use now, by turns; ask again when the answer is too old."""
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._good_until:
+            await self._look_up()
+        self._next += 1
+        return self._addresses[self._next % len(self._addresses)]
+
+    async def _look_up(self) -> None:
+        loop = asyncio.get_running_loop()
+        for node in [*self._addresses, *self._nodes]:
+            try:
+                async with (
+                    asyncio.timeout(1.0),
+                    self._session.get(f"http://{node}/v1/where") as response,
+                ):
+                    content = await response.json()
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                continue
+            addresses = [entry["address"] for entry in content["addresses"]]
+            if addresses:
+                self._addresses = addresses
+                self._good_until = loop.time() + content["ttl_seconds"]
+                return
+
+    def _record(
+        self,
+        kind: str,
+        organisation: str,
+        tokens: int,
+        outcome: str,
+        progress: _Progress,
+        ends_at: float,
+        faults: tuple[str, ...],
+        key: str,
+    ) -> CallRecord:
+        now = asyncio.get_running_loop().time()
+        return CallRecord(
+            kind,
+            organisation,
+            tokens,
+            outcome,
+            "" if outcome == "answered" else progress.ran,
+            progress.first_token_seconds,
+            now - progress.started_at,
+            progress.tries,
+            progress.resumes,
+            tuple(progress.refusals),
+            faults,
+            key,
+            now > ends_at + GRACE_SECONDS,
+        )
+
+
+async def _events(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[tuple[str, int, str]]:
+    """Give the server-sent events as name, number and data."""
+    name, number, data = "", -1, ""
+    while True:
+        async with asyncio.timeout(SILENCE_SECONDS):
+            line = (await response.content.readline()).decode()
+        if not line:
+            return
+        line = line.rstrip("\n")
+        if line.startswith("event: "):
+            name = line[len("event: ") :]
+        elif line.startswith("id: "):
+            number = int(line[len("id: ") :])
+        elif line.startswith("data: "):
+            data = line[len("data: ") :]
+        elif not line and data:
+            yield name, number, data
+            name, data = "", ""
--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -261,9 +261,7 @@
                 record = records.from_value(entry.value)
                 self._restatement.on_record(entry.offset, entry.appended_at, record)
                 size = len(record.text) if isinstance(record, records.TextProposed) else 0
-                applied = await _offload(
-                    size, acceptance.apply, self._state, entry.offset, record
-                )
+                applied = await _offload(size, acceptance.apply, self._state, entry.offset, record)
                 self._install(applied)
         if len(page.records) < PAGE_RECORDS and self._state.anchored:
             self._view().on_log_read(_now())
--- a/src/dragonflycove/telemetry/metrics.py
+++ b/src/dragonflycove/telemetry/metrics.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from aioprometheus import collectors, registry, renderer
+from aioprometheus import collectors, renderer
+from aioprometheus import registry as registries
 
 if TYPE_CHECKING:
     from dragonflycove.values import outcomes, requests
@@ -18,7 +19,7 @@
 
     def __init__(self) -> None:
         """Create the metrics in a registry of their own."""
-        self.registry = registry.Registry()
+        self.registry = registries.Registry()
         """The registry that `/metrics` shows."""
         self._refusals = self._counter("dragonflycove_refusals", "Requests refused, by reason")
         self._retries = self._counter("dragonflycove_retries", "Attempts repeated, by reason")
@@ -80,7 +81,10 @@
             The totals by reason, event name or kind.
         """
         counter: collectors.Counter = getattr(self, f"_{name}")
-        return {next(iter(labels.values())): value for labels, value in counter.get_all()}
+        return {
+            str(next(iter(labels.values()))): float(value)  # type: ignore[arg-type]
+            for labels, value in counter.get_all()
+        }
 
     def render(self, accept: list[str]) -> tuple[bytes, str]:
         """Render the metrics for a scraper.
