--- a/src/dragonflycove/claims/claim_table.py
+++ b/src/dragonflycove/claims/claim_table.py
@@ -336,12 +336,11 @@
     def _check_waiting(self, local: calls.LocalCall, now: float) -> list[effects.Effect]:
         """Answer a waiting call if its key's outcome is known or need not be waited for."""
         state = self._book.get(local.key)
-        if state is None and not self._book.remembers(local.key):
-            finish = answers.may_have_run(local.call, outcomes.Reason.OUTCOME_UNKNOWN)
-        else:
-            finish = answers.answer_waiting(local.call, state, now)
+        finish = answers.answer_waiting(local.call, state, now)
         if finish is None:
             return []
+        if not self._book.remembers(local.key):
+            finish = answers.may_have_run(local.call, outcomes.Reason.OUTCOME_UNKNOWN)
         del self._calls_by_claim[local.claim_id]
         return [finish]
 
--- /dev/null
+++ b/tests/claims/test_claim_table.py
@@ -0,0 +1,165 @@
+"""Tests of the claim table against a log in memory."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dragonflycove.claims import claim_limits, claim_table, effects, keys, records
+from dragonflycove.values import identifiers, outcomes, requests
+
+LIMITS = claim_limits.ClaimLimits(keys.KeyRule(100.0, 10.0), 200.0, 5.0, 20.0, 1_000)
+WALL = 1_000_000.0
+
+
+class Node:
+    """A claim table with the effects that it asked for."""
+
+    def __init__(self, name, limits=LIMITS):
+        identity = identifiers.NodeIdentity(name, "start-1")
+        rng = random.Random(name)
+        self.table = claim_table.ClaimTable.from_config(limits, identity, 100.0, rng)
+        self.table.on_end_reached()
+        self.read = 0
+
+    def begin(self, call, now=0.0, wall=WALL):
+        return self.table.begin(call, now, wall)
+
+    def follow(self, log, now=0.0, appended_at=WALL):
+        """Read the log on and return the effects."""
+        found = []
+        while self.read < len(log):
+            found += self.table.on_record(self.read, appended_at, log[self.read], now)
+            self.read += 1
+        return found
+
+
+def make_call(request_id="r-1", key=f"{WALL:.0f}-abcdefgh", body="b", deadline=30.0):
+    """Return a call."""
+    return requests.ServiceCall(
+        request_id, "andrade", "postings", "POST", "/postings", body, False, key, deadline
+    )
+
+
+def appended(found):
+    """Return the records of all appends among effects."""
+    return [value for e in found if isinstance(e, effects.Append) for value in e.records]
+
+
+def finished(found):
+    """Return the outcomes among effects."""
+    return [e.outcome for e in found if isinstance(e, effects.Finish)]
+
+
+def run_first(node, log, call):
+    """Claim, send and answer a call at a node."""
+    log += appended(node.begin(call))
+    (send,) = node.follow(log)
+    assert node.table.may_send(send.claim_id, 0.0)
+    assert not node.table.may_send(send.claim_id, 0.0)
+    answer = records.Answer(201, "text/plain", b"done")
+    node.table.on_append_done("any", 0.0)
+    return node.table.on_answer(send.claim_id, answer, 0.0)
+
+
+def test_the_first_claim_is_sent_once_and_others_get_the_recorded_answer():
+    log, first, second = [], Node("quito-1"), Node("quito-2")
+    ours = appended(first.begin(make_call()))
+    log += ours + appended(second.begin(make_call("r-2")))
+    (send,) = first.follow(log)
+    assert second.follow(log) == []
+    assert first.table.may_send(send.claim_id, 1.0)
+    first.table.on_append_done("append-unknown", 1.0)
+    answer = records.Answer(201, "text/plain", b"done")
+    found = first.table.on_answer(send.claim_id, answer, 1.0) + first.table.tick(1.1)
+    assert finished(found) == [outcomes.Answered(201)]
+    outcome = records.Outcome(send.claim_id, keys.ClaimKey.from_call(make_call()), "", answer)
+    log.append(records.encode(outcome))
+    (again,) = second.follow(log)
+    assert (again.request_id, again.outcome, again.answer) == (
+        "r-2",
+        outcomes.Answered(201),
+        answer,
+    )
+    assert second.begin(make_call("r-3"))[0].answer == answer
+
+
+@pytest.mark.parametrize(
+    ("call", "reason"),
+    [
+        (make_call(key=""), outcomes.Reason.KEY_MISSING),
+        (make_call(key="no-time"), outcomes.Reason.BAD_REQUEST),
+        (make_call(key=f"{WALL - 101:.0f}-abcdefgh"), outcomes.Reason.KEY_EXPIRED),
+        (make_call(key=f"{WALL + 11:.0f}-abcdefgh"), outcomes.Reason.KEY_FROM_FUTURE),
+    ],
+)
+def test_a_bad_key_is_refused_at_once(call, reason):
+    (finish,) = Node("quito-1").begin(call)
+    assert isinstance(finish.outcome, outcomes.Refused)
+    assert finish.outcome.reason is reason
+
+
+@pytest.mark.parametrize("appended_at", [WALL + 101, WALL - 11])
+def test_a_claim_whose_key_is_bad_by_the_log_clock_is_void(appended_at):
+    node = Node("quito-1")
+    log = appended(node.begin(make_call()))
+    found = node.follow(log, appended_at=appended_at)
+    assert isinstance(finished(found)[0], outcomes.Refused)
+    assert not any(isinstance(effect, effects.Send) for effect in found)
+
+
+def test_a_key_with_another_body_is_refused():
+    log, node = [], Node("quito-1")
+    run_first(node, log, make_call())
+    (refused,) = finished(node.begin(make_call("r-2", body="other")))
+    assert refused.reason is outcomes.Reason.KEY_REUSED
+
+
+def test_a_holder_that_was_paused_past_its_limit_does_not_send():
+    log, node = [], Node("quito-1")
+    log += appended(node.begin(make_call()))
+    (send,) = node.follow(log)
+    assert not node.table.may_send(send.claim_id, LIMITS.claim_seconds)
+    found = node.table.tick(LIMITS.claim_seconds)
+    assert isinstance(finished(found)[0], outcomes.Refused)
+    assert not node.table.may_send(send.claim_id, 0.0)
+
+
+def test_a_dead_owner_leaves_its_call_as_one_that_may_have_run():
+    log, first, second = [], Node("quito-1"), Node("quito-2")
+    log += appended(first.begin(make_call()))
+    second.follow(log)
+    assert second.begin(make_call("r-2"), 1.0) == []
+    assert second.table.tick(24.9) == []
+    (failed,) = finished(second.table.tick(25.0))
+    assert failed.ran is outcomes.Ran.MAY_HAVE_RUN
+
+
+def test_a_lost_answer_to_an_append_leads_to_no_send_after_the_refusal():
+    log, first, second = [], Node("quito-1"), Node("quito-2")
+    (append,) = first.begin(make_call())
+    first.table.on_append_unknown(append.operation_id, 0.0)
+    log += append.records
+    (refused,) = finished(first.table.tick(5.0))
+    assert refused.reason is outcomes.Reason.LOG_UNAVAILABLE
+    found = first.follow(log, 6.0)
+    assert not any(isinstance(effect, effects.Send) for effect in found)
+    assert second.begin(make_call("r-2"), 6.0) != []
+
+
+def test_a_withdrawn_key_can_be_claimed_again_and_its_late_copy_counts_for_nothing():
+    log, first, second = [], Node("quito-1"), Node("quito-2")
+    (append,) = first.begin(make_call())
+    first.table.on_append_unknown(append.operation_id, 0.0)
+    withdrawn = appended(first.table.tick(5.0))
+    log += [*append.records, *withdrawn, *append.records]
+    second.follow(log, 6.0)
+    log += appended(second.begin(make_call("r-2"), 6.0))
+    (send,) = second.follow(log, 6.0)
+    assert second.table.may_send(send.claim_id, 6.0)
+
+
+def test_keys_that_outlive_their_claims_in_the_log_are_not_configured():
+    with pytest.raises(ValueError, match="215"):
+        Node("quito-1", LIMITS._replace(key_rule=keys.KeyRule(200.0, 10.0)))
--- /dev/null
+++ b/tests/node/test_claim_task.py
@@ -0,0 +1,134 @@
+"""Tests of the claim task on the paused clock, with a log and a plain service in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+import result
+
+from dragonflycove.backends import plain_client
+from dragonflycove.configuration import schema
+from dragonflycove.node import claim_task
+from dragonflycove.platform import log_client
+from dragonflycove.transport import exchange
+from dragonflycove.values import identifiers, outcomes, requests
+
+WALL = 1_000_000.0
+SERVER = schema.Server(
+    "orders-1", "orders", "cayambe", "127.0.0.1:1", (), 0, 0.0, 8, 1, 0, False, False
+)
+
+
+class MemoryLog:
+    """A log that may lose answers or be down."""
+
+    def __init__(self):
+        self.records = []
+        self.is_down = False
+        self.answers_to_lose = 0
+
+    async def append(self, stream, records, timeout_seconds):
+        await asyncio.sleep(0.01)
+        if self.is_down:
+            return result.Err(exchange.NotDone(exchange.Cause.UNREACHABLE, "down"))
+        first = len(self.records)
+        self.records += records
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            await asyncio.sleep(timeout_seconds)
+            return result.Err(exchange.Unknown(exchange.Cause.SILENT, "lost"))
+        return result.Ok(log_client.Appended(first, len(records)))
+
+    async def read(self, stream, from_offset, limit, wait_seconds, timeout_seconds):
+        await asyncio.sleep(0.01)
+        if self.is_down:
+            return result.Err(exchange.NotDone(exchange.Cause.UNREACHABLE, "down"))
+        page = self.records[from_offset : from_offset + limit]
+        found = [
+            log_client.LogRecord(from_offset + i, WALL, value) for i, value in enumerate(page)
+        ]
+        return result.Ok(log_client.ReadPage(0, from_offset + len(page), tuple(found)))
+
+
+class MemoryService:
+    """A plain service that books what it ran."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def call(self, address, method, path, headers, body, timeout, fresh_connection):
+        self.calls.append((path, fresh_connection))
+        await asyncio.sleep(0.1)
+        return self.answers.pop(0)
+
+
+def make_call(request_id="r-1"):
+    """Return a call with a deadline of ten seconds."""
+    deadline = asyncio.get_running_loop().time() + 10.0
+    key = f"{WALL:.0f}-abcdefgh"
+    return requests.ServiceCall(
+        request_id, "andrade", "orders", "POST", "/orders", "b", False, key, deadline
+    )
+
+
+def make_task(name, log, service):
+    """Return a claim task and its running work."""
+    identity = identifiers.NodeIdentity(name, "start-1")
+    task = claim_task.ClaimTask(
+        log, service, identity, random.Random(name), wall_clock=lambda: WALL
+    )
+    return task, asyncio.create_task(task.run())
+
+
+DONE = result.Ok(plain_client.PlainAnswer(201, (("Content-Type", "text/plain"),), b"booked"))
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_two_nodes_send_a_key_once_though_answers_to_appends_are_lost():
+    log, service = MemoryLog(), MemoryService([DONE])
+    log.answers_to_lose = 2
+    tasks = [make_task(name, log, service) for name in ("quito-1", "quito-2")]
+    await asyncio.sleep(0.1)
+    calls = [tasks[i][0].call(make_call(f"r-{i}"), (), b"b", [SERVER]) for i in (0, 1)]
+    got = await asyncio.gather(*calls)
+    assert [answer.answer.body for answer in got] == [b"booked", b"booked"]
+    assert service.calls == [("/orders", True)]
+    for _, running in tasks:
+        running.cancel()
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_a_call_is_refused_not_run_while_the_log_is_down():
+    log, service = MemoryLog(), MemoryService([DONE])
+    task, running = make_task("quito-1", log, service)
+    await asyncio.sleep(0.1)
+    log.is_down = True
+    got = await task.call(make_call(), (), b"b", [SERVER])
+    assert got.outcome.reason is outcomes.Reason.LOG_UNAVAILABLE
+    assert isinstance(got.outcome, outcomes.Refused)
+    log.is_down = False
+    await asyncio.sleep(10.0)
+    assert service.calls == []
+    running.cancel()
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_only_a_server_that_was_not_reached_is_replaced_by_the_next():
+    not_sent = result.Err(plain_client.NotSent("refused"))
+    may_have_run = result.Err(plain_client.MayHaveRun("cut", False))
+    log, service = MemoryLog(), MemoryService([not_sent, may_have_run, DONE])
+    task, running = make_task("quito-1", log, service)
+    await asyncio.sleep(0.1)
+    got = await task.call(make_call(), (), b"b", [SERVER, SERVER, SERVER])
+    assert got.outcome.ran is outcomes.Ran.MAY_HAVE_RUN
+    assert len(service.calls) == 2
+    again = await task.call(make_call("r-2"), (), b"b", [SERVER])
+    assert again.outcome.ran is outcomes.Ran.MAY_HAVE_RUN
+    assert len(service.calls) == 2
+    running.cancel()
