--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
 import result
-from loguru import logger
 
 from dragonflycove.configuration import (
     acceptance,
@@ -17,10 +17,10 @@
     verdicts,
 )
 from dragonflycove.peering import messages, snapshots
+from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable
 
     from dragonflycove.configuration import schema
@@ -60,16 +60,20 @@
 class ConfigurationTaskSettings(NamedTuple):
     """Settings of the task."""
 
-    host: str
+    host: str = ""
     """Name of this host."""
 
-    retention_seconds: float
+    retention_seconds: float = 86_400.0
     """How long the log keeps a record, seconds."""
 
     freshness_bounds: freshness.FreshnessBounds = freshness.FreshnessBounds(6.0, 3.0, 20.0)
     """Bounds on silence."""
 
 
+DEFAULT_SETTINGS = ConfigurationTaskSettings()
+"""Settings of a node without peers."""
+
+
 class PeerPosition(NamedTuple):
     """How far a peer has applied the configuration stream."""
 
@@ -89,8 +93,8 @@
     def __init__(
         self,
         log: log_client.LogClient,
-        settings: ConfigurationTaskSettings,
-        rng: random.Random,
+        settings: ConfigurationTaskSettings = DEFAULT_SETTINGS,
+        rng: random.Random | None = None,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         """Create the task.
@@ -103,7 +107,7 @@
         """
         self._log = log
         self._settings = settings
-        self._rng = rng
+        self._rng = rng or random.Random()
         self._wall_clock = wall_clock
         self._state = acceptance.begin()
         self._policy = restatement.RestatementPolicy(settings.retention_seconds)
@@ -134,7 +138,7 @@
         """Whether the log or a peer has told this node which version is in force."""
         return self._ready.is_set()
 
-    def freshness(self) -> freshness.Freshness:
+    def evaluate_freshness(self) -> freshness.Freshness:
         """Tell how fresh the configuration is."""
         return self._view().evaluate(_now())
 
@@ -222,7 +226,7 @@
             return
         added = self._assembler.add(part)
         if isinstance(added, result.Err):
-            logger.warning("event=snapshot_refused host={} reason={!r}", host, added.err_value)
+            logs.warning("snapshot_refused", host=host, reason=added.err_value)
             self._assembler = None
             return
         if added.ok_value is None:
@@ -235,7 +239,7 @@
             size = len(snapshot.text)
             applied = await _offload(size, acceptance.adopt, self._state, snapshot)
             self._install(applied)
-        logger.info("event=snapshot_taken host={} verdict={!r}", host, str(applied.verdict)[:200])
+        logs.event("snapshot_taken", host=host, version=self.configuration.version)
         if self.configuration.version:
             self._ready.set()
 
@@ -249,7 +253,7 @@
                 pause = RETRY_SECONDS
                 await self._take_page(page.ok_value)
                 continue
-            logger.warning("event=log_read_failed reason={!r}", page.err_value.reason)
+            logs.warning("log_read_failed", reason=page.err_value.reason)
             await asyncio.sleep(pause * (0.5 + self._rng.random()))
             pause = min(2 * pause, MAX_RETRY_SECONDS)
 
@@ -261,9 +265,7 @@
                 record = records.from_value(entry.value)
                 self._restatement.on_record(entry.offset, entry.appended_at, record)
                 size = len(record.text) if isinstance(record, records.TextProposed) else 0
-                applied = await _offload(
-                    size, acceptance.apply, self._state, entry.offset, record
-                )
+                applied = await _offload(size, acceptance.apply, self._state, entry.offset, record)
                 self._install(applied)
         if len(page.records) < PAGE_RECORDS and self._state.anchored:
             self._view().on_log_read(_now())
@@ -274,17 +276,9 @@
         self._state = applied.state
         if isinstance(applied.verdict, verdicts.Accepted | verdicts.Rejected):
             outcome = applied.verdict.outcome
-            logger.info(
-                "event=operation_decided operation={} accepted={} version={} author={!r} detail={!r}",
-                outcome.operation_id,
-                outcome.accepted,
-                outcome.version,
-                outcome.author,
-                outcome.detail,
-            )
+            logs.event("operation_decided", **outcome._asdict())
         if self.configuration.version == before.version:
             return
-        logger.info("event=configuration_in_force version={}", self.configuration.version)
         for subscriber in self._subscribers:
             subscriber(self.configuration)
 
@@ -333,7 +327,7 @@
         value = records.to_value(restatement.restate(self._state, operation_id))
         appended = await self._log.append(records.STREAM, [value], CALL_SECONDS)
         taken = isinstance(appended, result.Ok)
-        logger.info("event=restated operation={} taken={}", operation_id, taken)
+        logs.event("configuration_restated", operation_id=operation_id, taken=taken)
 
     def _view(self) -> freshness.FreshnessView:
         if self._freshness is None:
--- a/src/dragonflycove/peering/snapshots.py
+++ b/src/dragonflycove/peering/snapshots.py
@@ -33,10 +33,10 @@
     request_id: str
     """Identifier of the request that it answers."""
 
-    index: int
+    number: int
     """Its place, from zero."""
 
-    count: int
+    total: int
     """How many parts there are."""
 
     data: bytes
@@ -53,7 +53,7 @@
             request_id: Identifier of the request.
         """
         self.request_id = request_id
-        self._data_by_index: dict[int, bytes] = {}
+        self._data_by_number: dict[int, bytes] = {}
 
     def add(self, part: SnapshotPart) -> result.Result[records.Snapshot | None, str]:
         """Add a part.
@@ -66,12 +66,12 @@
         """
         if part.request_id != self.request_id:
             return result.Ok(None)
-        if not 0 <= part.index < part.count <= MAX_PARTS:
+        if not 0 <= part.number < part.total <= MAX_PARTS:
             return result.Err("bad part number")
-        self._data_by_index[part.index] = part.data
-        if len(self._data_by_index) < part.count:
+        self._data_by_number[part.number] = part.data
+        if len(self._data_by_number) < part.total:
             return result.Ok(None)
-        return unpack(b"".join(self._data_by_index[index] for index in range(part.count)))
+        return unpack(b"".join(self._data_by_number[number] for number in range(part.total)))
 
 
 def split(snapshot: records.Snapshot, request_id: str) -> list[SnapshotPart]:
--- a/tests/configuration/test_acceptance.py
+++ b/tests/configuration/test_acceptance.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import json
-import random
 from typing import NamedTuple
 
 import hypothesis
-import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from dragonflycove.configuration import acceptance, records, restatement, schema, verdicts
+from dragonflycove.configuration import acceptance, records, restatement, schema
 
 ZONES = ("cayambe", "riobamba")
 
--- a/tests/configuration/test_text.py
+++ b/tests/configuration/test_text.py
@@ -39,7 +39,18 @@
     """Fields left out get their defaults; a server's models are its service's."""
     parsed = text.parse("// comment\n" + json.dumps(make_document())).unwrap()
     assert parsed.servers_by_id["engine-1"] == schema.Server(
-        "engine-1", "ask", "cayambe", "127.0.0.1:9001", ("m1", "m2"), 1000, 50.0, 8, 1, 8, False, False
+        "engine-1",
+        "ask",
+        "cayambe",
+        "127.0.0.1:9001",
+        ("m1", "m2"),
+        1000,
+        50.0,
+        8,
+        1,
+        8,
+        False,
+        False,
     )
     assert parsed.organisations_by_name["shop"] == schema.Organisation("shop", 1.0, 0.0)
     assert parsed.services_by_name["stock"].calls == (schema.CallRule("GET", "/stock/*", True),)
