--- /dev/null
+++ b/src/dragonflycove/shares/_ranking.py
@@ -0,0 +1,103 @@
+"""This host's rendezvous rank for each limit, kept up to date change by change."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from dragonflycove.values import identifiers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class Ranking:
+    """Ranks of one host among all hosts that may use units."""
+
+    def __init__(self, host: str) -> None:
+        """Create a ranking without hosts.
+
+        Args:
+            host: Name of this node's host.
+        """
+        self._host = host
+        self._names: set[str] = set()
+        self._rank_by_limit: dict[str, int] = {}
+        self._best_by_limit: dict[str, tuple[int, tuple[str, ...]]] = {}
+
+    @property
+    def size(self) -> int:
+        """Number of hosts, this one included."""
+        return len(self._names | {self._host})
+
+    def apply(self, added: Iterable[str], removed: Iterable[str]) -> None:
+        """Add and remove hosts.
+
+        Args:
+            added: Names of hosts to add.
+            removed: Names of hosts to remove.
+        """
+        for name in added:
+            self._names.add(name)
+            self._shift(name, 1)
+        for name in removed:
+            self._names.discard(name)
+            self._shift(name, -1)
+        self._best_by_limit.clear()
+
+    def rank(self, limit_name: str) -> int:
+        """Return how many hosts rank above this one.
+
+        Args:
+            limit_name: Name of the limit.
+
+        Returns:
+            The rank, 0 for the best.
+        """
+        rank = self._rank_by_limit.get(limit_name)
+        if rank is None:
+            own = _score(limit_name, self._host)
+            rank = sum(_score(limit_name, name) > own for name in self._names)
+            self._rank_by_limit[limit_name] = rank
+        return rank
+
+    def best(self, limit_name: str, count: int) -> tuple[str, ...]:
+        """Return the best hosts.
+
+        Args:
+            limit_name: Name of the limit.
+            count: How many.
+
+        Returns:
+            Their names, the best first.
+        """
+        cached = self._best_by_limit.get(limit_name)
+        if cached is None or cached[0] != count:
+            names = heapq.nlargest(
+                min(count, len(self._names)), self._names, key=lambda name: _score(limit_name, name)
+            )
+            cached = (count, tuple(names))
+            self._best_by_limit[limit_name] = cached
+        return cached[1]
+
+    def forget(self, limit_name: str) -> None:
+        """Drop what is kept for a limit that is gone.
+
+        Args:
+            limit_name: Name of the limit.
+        """
+        self._rank_by_limit.pop(limit_name, None)
+        self._best_by_limit.pop(limit_name, None)
+
+    def _shift(self, name: str, step: int) -> None:
+        """Move this host's known ranks because another host came or went."""
+        if name == self._host:
+            return
+        for limit_name, rank in self._rank_by_limit.items():
+            if _score(limit_name, name) > _score(limit_name, self._host):
+                self._rank_by_limit[limit_name] = rank + step
+
+
+def _score(limit_name: str, host: str) -> tuple[int, str]:
+    """Return the rendezvous weight of a host for a limit."""
+    return identifiers.stable_hash(limit_name, host), host
--- /dev/null
+++ b/tests/placement/test_memory_groups.py
@@ -0,0 +1,54 @@
+"""Tests of memory groups."""
+
+from __future__ import annotations
+
+import random
+
+from dragonflycove.placement import memory_groups
+from dragonflycove.values import outcomes
+
+REQUEST = memory_groups.GroupRequest("r1", 250, 100.0)
+CANDIDATES = [memory_groups.Candidate(f"e{number}", 100) for number in (3, 1, 2)]
+
+
+def make() -> memory_groups.GroupBuilder:
+    """Return a builder."""
+    return memory_groups.GroupBuilder(REQUEST, "a/1", random.Random(1))
+
+
+def build(builder: memory_groups.GroupBuilder) -> list[memory_groups.Effect]:
+    """Grant every reservation at 0 s and return the last effects."""
+    effects = builder.on_start(CANDIDATES, 0.0)
+    while isinstance(effects[0], memory_groups.Reserve):
+        effects = builder.on_granted(effects[0].server_id, effects[0].group_id, 0.0)
+    return effects
+
+
+def test_engines_are_reserved_in_the_fixed_order() -> None:
+    ready = build(make())
+    assert ready == [memory_groups.GroupReady("r1", "r1.1", ("e1", "e2", "e3"))]
+
+
+def test_a_denial_gives_back_what_is_held_and_tries_again() -> None:
+    builder = make()
+    builder.on_start(CANDIDATES, 0.0)
+    builder.on_granted("e1", "r1.1", 0.0)
+    assert builder.on_denied("e2", "r1.1", 0.0) == [memory_groups.Release("e1", "r1.1")]
+    assert not builder.wants_candidates(0.0)
+    assert builder.wants_candidates(1.0)
+    assert build(builder) == [memory_groups.GroupReady("r1", "r1.2", ("e1", "e2", "e3"))]
+
+
+def test_a_lost_engine_ends_a_running_group() -> None:
+    builder = make()
+    build(builder)
+    effects = builder.on_engine_died("e2", 5.0)
+    assert isinstance(effects[0], memory_groups.GroupFailed)
+    assert effects[0].reason is outcomes.Reason.BACKEND_CRASHED
+    assert [effect.server_id for effect in effects[1:]] == ["e1", "e3"]  # type: ignore[union-attr]
+    builder.on_released("e1", "r1.1")
+    builder.on_release_unknown("e3", "r1.1", 5.0)
+    assert not builder.is_done
+    assert builder.on_tick(6.0) == [memory_groups.Release("e3", "r1.1")]
+    builder.on_released("e3", "r1.1")
+    assert builder.is_done
--- /dev/null
+++ b/tests/quarantine/test_quarantine.py
@@ -0,0 +1,95 @@
+"""Tests of the quarantine of requests that crash servers."""
+
+from __future__ import annotations
+
+from dragonflycove.quarantine import quarantine, records, verdicts
+from dragonflycove.shares import share_table
+
+HOSTS = frozenset({"a", "b", "c"})
+SERVERS = frozenset({"s1", "s2", "s3"})
+
+
+def make(host: str) -> quarantine.Quarantine:
+    """Return a node's quarantine whose shares are settled from 100 s to 10,000 s."""
+    table = share_table.ShareTable(host, 10_000.0, 0.0)
+    table.on_host_list(HOSTS, 0.0, -20_000.0)
+    table.on_host_list(HOSTS, 0.0, -10_000.0)
+    table.on_host_list(HOSTS, 0.0, 0.0)
+    return quarantine.Quarantine(table, host)
+
+
+def holder_of(nodes: dict[str, quarantine.Quarantine], fingerprint: str, now: float) -> str:
+    """Return the host whose node may try a suspect."""
+    found = [
+        host
+        for host, node in nodes.items()
+        if not isinstance(node.verdict(fingerprint, now), verdicts.Elsewhere)
+    ]
+    assert len(found) == 1
+    return found[0]
+
+
+def crash_everywhere(
+    nodes: dict[str, quarantine.Quarantine], server_id: str, start_id: str, now: float
+) -> None:
+    """Let every node see a crash, and every record reach every peer."""
+    told = [e for node in nodes.values() for e in node.on_crash(server_id, now, start_id)]
+    for effect in told:
+        if isinstance(effect, verdicts.TellPeers):
+            for node in nodes.values():
+                node.on_peer_record(effect.record, now)
+
+
+def test_a_suspect_is_tried_by_one_node_and_refused_after_the_second_crash() -> None:
+    nodes = {host: make(host) for host in HOSTS}
+    nodes["a"].on_start("f", "s1", "r1", 100.0)
+    crash_everywhere(nodes, "s1", "x", 100.0)
+    holder = holder_of(nodes, "f", 101.5)
+    alone = nodes[holder].verdict("f", 101.5, "r1", SERVERS)
+    assert isinstance(alone, verdicts.Alone)
+    assert isinstance(nodes[holder].verdict("f", 101.5, "r2", SERVERS), verdicts.Wait)
+    nodes[holder].on_start("f", "s2", "r1", 101.5)
+    crash_everywhere(nodes, "s2", "y", 102.0)
+    for node in nodes.values():
+        verdict = node.verdict("f", 103.0)
+        assert verdict == verdicts.Refused(quarantine.REFUSAL_SECONDS - 1.0)
+        assert node.verdict("f", 102.0 + quarantine.REFUSAL_SECONDS) == verdicts.Allowed()
+
+
+def test_a_bystander_is_cleared_and_late_word_of_the_crash_changes_nothing() -> None:
+    nodes = {host: make(host) for host in HOSTS}
+    nodes["a"].on_start("f", "s1", "r1", 100.0)
+    crash_everywhere(nodes, "s1", "x", 100.0)
+    node = nodes[holder_of(nodes, "f", 101.5)]
+    node.on_start("f", "s2", "r1", 101.5)
+    cleared = records.Cleared("f", "a")
+    assert [effect.record for effect in node.on_end("r1", True, 102.0)][0][0] == "f"  # type: ignore[union-attr]
+    for other in nodes.values():
+        other.on_peer_record(cleared, 102.0)
+        other.on_log_record(records.Crash("s1", "x", ("f",), "a"), 5, 103.0)
+        assert other.verdict("f", 103.0) == verdicts.Allowed()
+
+
+def test_a_node_that_starts_later_learns_from_the_log_or_from_a_peer() -> None:
+    old = make("a")
+    old.on_start("f", "s1", "r1", 100.0)
+    old.on_crash("s1", 100.0, "x")
+    old.on_peer_record(records.Crash("s2", "y", ("f",), "b"), 101.0)
+    by_peer, by_log = make("b"), make("c")
+    for record in old.known_records(102.0):
+        by_peer.on_peer_record(record, 102.0)
+    for offset, server_id in enumerate(["s1", "s2"]):
+        by_log.on_log_record(records.Crash(server_id, server_id, ("f",), "a"), offset, 102.0, 60.0)
+    assert isinstance(by_peer.verdict("f", 102.0), verdicts.Refused)
+    assert by_log.verdict("f", 102.0) == verdicts.Refused(quarantine.REFUSAL_SECONDS - 60.0)
+
+
+def test_records_survive_the_wire() -> None:
+    for record in (
+        records.Crash("s1", "x", ("f", "g"), "a"),
+        records.Trial("f", "s1", "a", True),
+        records.Cleared("f", "a"),
+    ):
+        assert records.from_wire(records.to_wire(record)) == record
+    assert records.from_wire({"kind": "newer"}) is None
+    assert records.from_wire({"kind": "trial"}) is None
--- /dev/null
+++ b/tests/shares/test_subsets.py
@@ -0,0 +1,40 @@
+"""Tests of the choice of subsets."""
+
+from __future__ import annotations
+
+import collections
+
+from dragonflycove.shares import subsets
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+ZONE_BY_HOST = {f"entry-{number}": ZONES[number % 3] for number in range(320)}
+SERVERS = [subsets.Placed(f"engine-{number}", ZONES[number % 3]) for number in range(600)]
+
+
+def test_every_server_has_its_nodes_and_no_node_has_too_many() -> None:
+    load: collections.Counter[str] = collections.Counter()
+    for server in SERVERS:
+        nodes = subsets.choose_nodes(server, ZONE_BY_HOST)
+        assert len(set(nodes)) == subsets.NODES_PER_SERVER
+        local = sum(ZONE_BY_HOST[node] == server.zone for node in nodes)
+        assert local >= subsets.LOCAL_NODES_PER_SERVER
+        load.update(nodes)
+    mean = len(SERVERS) * subsets.NODES_PER_SERVER / len(ZONE_BY_HOST)
+    assert min(load[host] for host in ZONE_BY_HOST) > 0
+    assert max(load.values()) <= 3 * mean
+
+
+def test_a_lost_host_moves_only_its_own_places() -> None:
+    left = {host: zone for host, zone in ZONE_BY_HOST.items() if host != "entry-7"}
+    for server in SERVERS:
+        before = set(subsets.choose_nodes(server, ZONE_BY_HOST))
+        after = set(subsets.choose_nodes(server, left))
+        assert len(after - before) == ("entry-7" in before)
+
+
+def test_a_small_fleet_covers_every_server_and_the_table_follows() -> None:
+    few = dict(list(ZONE_BY_HOST.items())[:6])
+    table = subsets.SubsetTable("entry-1")
+    assert len(table.update(few, frozenset(SERVERS[:18]))) == 18
+    chosen = table.update(ZONE_BY_HOST, frozenset(SERVERS))
+    assert chosen == {s.name for s in SERVERS if "entry-1" in subsets.choose_nodes(s, ZONE_BY_HOST)}
