--- /dev/null
+++ b/tests/placement/test_load_planner.py
@@ -0,0 +1,62 @@
+"""Tests of the orders that load models."""
+
+from __future__ import annotations
+
+import random
+
+from dragonflycove.configuration import schema
+from dragonflycove.placement import load_planner, states
+
+
+def make_server(server_id, models=("small", "large")):
+    """Return an engine of the configuration."""
+    return schema.Server(
+        server_id, "answers", "cayambe", "127.0.0.1:1", models, 1, 1.0, 1, 1, 1, True, False
+    )
+
+
+def observe(server_id, models, running=0):
+    """Return an engine as it was read back."""
+    return states.ObservedEngine(server_id, states.EndState(frozenset(models)), 1, running)
+
+
+def test_loads_go_by_need_within_the_rate():
+    servers = {name: make_server(name) for name in ("e-1", "e-2", "e-3")}
+    engines = [observe(name, []) for name in servers]
+    planner = load_planner.LoadPlanner(0.5)
+    given = [len(planner.plan(servers, engines, {"large": 9}, float(now))) for now in range(9)]
+    assert given == [1, 0, 1, 0, 1, 0, 0, 0, 0]
+
+
+def test_a_model_without_a_copy_goes_first():
+    servers = {"e-1": make_server("e-1", ("small",)), "e-2": make_server("e-2", ("small", "large"))}
+    engines = [observe("e-1", []), observe("e-2", ["small"])]
+    (order,) = load_planner.LoadPlanner(0.1).plan(servers, engines, {"small": 1, "large": 1}, 0.0)
+    assert (order.server_id, order.state.models) == ("e-2", {"small", "large"})
+
+
+def test_nothing_is_dropped_from_an_engine_that_runs_streams():
+    servers = {"e-1": make_server("e-1", ("small",))}
+    planner = load_planner.LoadPlanner(1.0)
+    assert planner.plan(servers, [observe("e-1", ["small", "old"], running=1)], {}, 0.0) == []
+    (order,) = planner.plan(servers, [observe("e-1", ["small", "old"])], {}, 1.0)
+    assert order.state.models == {"small"}
+
+
+def test_a_wrong_late_order_is_put_right_and_the_fleet_settles_within_the_rate():
+    rng = random.Random(5)
+    servers = {f"e-{i}": make_server(f"e-{i}") for i in range(6)}
+    serving = {name: frozenset() for name in servers}
+    planner = load_planner.LoadPlanner(0.5)
+    units, now = 0.0, 0.0
+    while now < 300.0:
+        now += 1.0
+        engines = [observe(name, serving[name]) for name in servers]
+        for order in planner.plan(servers, engines, {}, now):
+            units += order.units
+            if rng.random() < 0.8:
+                serving[order.server_id] = order.state.models
+        if now == 100.0:
+            serving["e-3"] = frozenset({"old"})
+        assert units <= load_planner.BURST_UNITS + 0.5 * now
+    assert all(models == {"small", "large"} for models in serving.values())
--- /dev/null
+++ b/tests/reclaim/test_reclaimer.py
@@ -0,0 +1,181 @@
+"""State machine of reclaim: owners die, are replaced, hand streams over and are wrongly judged."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from dragonflycove.reclaim import inventory, reclaimer
+from dragonflycove.values import identifiers
+
+RULES = reclaimer.ReclaimRules(3.0, 30.0, 5.0, 5.0, 10.0, 1)
+HOSTS = ("quito-1", "quito-2", "quito-3", "quito-4")
+ENGINE = "e-1"
+BOUND_SECONDS = RULES.bound_seconds + 10.0
+"""Bound on how long a dead owner's things stay, the readings' interval included, seconds."""
+
+
+class Reclaim(stateful.RuleBasedStateMachine):
+    """Nodes own things on one engine; the oracle knows who lives.
+
+    A host whose process is dead may stay on the list. While the peers tell the truth, nothing of a
+    live owner's is given back but what it forgot, and everything left behind is gone within the
+    bound, as long as some node lives that has heard the dead one or does not find it listed.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.starts = 0
+        self.node_by_host = {}
+        self.known_by_host = {}
+        self.items = {}
+        self.left_at = {}
+        self.witnesses = {}
+        self.unlisted = {}
+        for host in HOSTS:
+            self.start(host)
+        self.run(1)
+
+    def start(self, host):
+        """Start a process on a host."""
+        self.starts += 1
+        identity = identifiers.NodeIdentity(host, f"start-{self.starts}")
+        self.node_by_host[host] = (identity, reclaimer.Reclaimer(identity, RULES))
+        self.known_by_host[host] = set()
+        self.unlisted.pop(host, None)
+        for item_id in self.left_at:
+            if self.items[item_id].owner.host == host:
+                self.left_at[item_id] = self.now
+
+    def stop(self, host):
+        """End a process, and note which others have heard it."""
+        identity, _ = self.node_by_host.pop(host)
+        del self.known_by_host[host]
+        self.witnesses[identity] = {node[0] for node in self.node_by_host.values()}
+        for witnesses in self.witnesses.values():
+            witnesses.discard(identity)
+        for item_id, item in self.items.items():
+            if item.owner == identity:
+                self.left_at[item_id] = self.now
+        return identity
+
+    @stateful.rule(host=st.sampled_from(HOSTS), kind=st.sampled_from(inventory.Kind))
+    def own(self, host, kind):
+        """A live node starts something on the engine."""
+        if host in self.node_by_host:
+            item_id = f"item-{len(self.items)}-{self.now}"
+            self.items[item_id] = inventory.Item(kind, item_id, self.node_by_host[host][0])
+            self.known_by_host[host].add(item_id)
+
+    @stateful.rule(host=st.sampled_from(HOSTS), index=st.integers(0, 20))
+    def take_over(self, host, index):
+        """A caller resumes a stream at another node."""
+        if host in self.node_by_host and index < len(self.items):
+            item_id = sorted(self.items)[index]
+            owner = self.node_by_host[host][0]
+            self.items[item_id] = self.items[item_id]._replace(owner=owner)
+            self.left_at.pop(item_id, None)
+            for known in self.known_by_host.values():
+                known.discard(item_id)
+            self.known_by_host[host].add(item_id)
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def forget(self, host):
+        """A node's cancellations were all lost."""
+        for item_id in self.known_by_host.get(host, set()):
+            self.left_at[item_id] = self.now
+        self.known_by_host.get(host, set()).clear()
+
+    @stateful.precondition(lambda self: len(self.node_by_host) > 1)
+    @stateful.rule(host=st.sampled_from(HOSTS), stays_listed=st.booleans())
+    def kill(self, host, stays_listed):
+        if host in self.node_by_host:
+            self.stop(host)
+            if not stays_listed:
+                self.unlisted[host] = self.now
+
+    @stateful.rule(host=st.sampled_from(HOSTS))
+    def restart(self, host):
+        if host in self.node_by_host:
+            self.stop(host)
+        self.start(host)
+        self.run(1)
+
+    @stateful.rule(seconds=st.sampled_from([1, 5, 20, 60]))
+    def run(self, seconds):
+        """Let every live node look at the engine once a second."""
+        for _ in range(seconds):
+            self.now += 1.0
+            heard = {host: node[0].incarnation for host, node in self.node_by_host.items()}
+            listed = frozenset(HOSTS) - self.unlisted.keys()
+            for host, (identity, node) in self.node_by_host.items():
+                others = {name: start for name, start in heard.items() if name != host}
+                node.on_members(listed, others, self.now)
+                reading = inventory.Inventory("engine-1", tuple(self.items.values()))
+                known = frozenset(self.known_by_host[host])
+                for effect in node.on_inventory(ENGINE, reading, known, self.now):
+                    self.give_back(effect[1], identity)
+            self.check_nothing_stays()
+
+    def give_back(self, item_id, by):
+        """Check and carry out an effect."""
+        item = self.items.pop(item_id, None)
+        if item is not None:
+            assert item_id in self.left_at, f"{by} gave back what {item.owner} uses"
+            del self.left_at[item_id]
+
+    def check_nothing_stays(self):
+        """Check that what was left behind is gone within the bound."""
+        for item_id, at in self.left_at.items():
+            owner = self.items[item_id].owner
+            is_provable = (
+                owner.host in self.unlisted
+                or owner.host in self.node_by_host
+                or self.witnesses[owner]
+            )
+            assert not is_provable or self.now < at + BOUND_SECONDS, "memory is lost"
+
+
+TestReclaim = Reclaim.TestCase
+TestReclaim.settings = hypothesis.settings(max_examples=150, stateful_step_count=30)
+
+
+def make_node(host):
+    """Return a reclaimer that knows its own host alone."""
+    return reclaimer.Reclaimer(identifiers.NodeIdentity(host, "1"), RULES)
+
+
+def make_inventory(host, incarnation):
+    """Return an inventory of one stream."""
+    owner = identifiers.NodeIdentity(host, incarnation)
+    item = inventory.Item(inventory.Kind.STREAM, "attempt-1", owner)
+    return inventory.Inventory("engine-1", (item,))
+
+
+def test_a_host_off_the_list_counts_as_dead_only_after_the_lag():
+    node, held = make_node("quito-1"), make_inventory("quito-2", "1")
+    node.on_members(frozenset({"quito-1", "quito-2"}), {"quito-2": "1"}, 0.0)
+    effects = []
+    for now in range(1, 12):
+        node.on_members(frozenset({"quito-1"}), {}, float(now))
+        effects += [now for _ in node.on_inventory(ENGINE, held, frozenset(), float(now))]
+    assert effects[0] == RULES.lag_seconds + RULES.grace_seconds
+
+
+def test_a_new_start_seen_on_the_engine_before_it_was_heard_is_not_taken_for_the_old_one():
+    node, held = make_node("quito-1"), make_inventory("quito-2", "new")
+    hosts = frozenset({"quito-1", "quito-2"})
+    node.on_members(hosts, {"quito-2": "old"}, 0.0)
+    for now in range(1, 25):
+        node.on_members(hosts, {}, float(now))
+        assert node.on_inventory(ENGINE, held, frozenset(), float(now)) == []
+
+
+def test_what_is_first_seen_long_after_its_owner_died_is_left_for_the_grace_time():
+    node, held = make_node("quito-1"), make_inventory("quito-2", "1")
+    for now in range(20):
+        node.on_members(frozenset({"quito-1"}), {}, float(now))
+    assert node.on_inventory(ENGINE, held, frozenset(), 20.0) == []
+    assert node.on_inventory(ENGINE, held, frozenset(), 25.0) != []
