--- /dev/null
+++ b/src/dragonflycove/node/guard_task.py
@@ -0,0 +1,406 @@
+"""The task that owns what bounds work at the servers: shares, cold start and quarantine."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from dragonflycove.configuration import schema
+from dragonflycove.node import dispatch_task
+from dragonflycove.quarantine import quarantine, verdicts
+from dragonflycove.shares import cold_start, share_table
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.node import services
+    from dragonflycove.quarantine import records
+    from dragonflycove.routing import load_view
+    from dragonflycove.values import requests
+
+REVIEW_SECONDS = 0.25
+"""Time between two computations of this node's limits, seconds."""
+
+
+class StartGranted(NamedTuple):
+    """The request may be sent to its server now."""
+
+
+class StartElsewhere(NamedTuple):
+    """The request may run, but on other servers."""
+
+    servers: frozenset[str]
+    """The servers that may take it."""
+
+
+class StartMoved(NamedTuple):
+    """The request may run only at another node."""
+
+    hosts: tuple[str, ...]
+    """Hosts of the nodes, the best first."""
+
+
+class StartRefused(NamedTuple):
+    """The request may not run."""
+
+    retry_after_seconds: float
+    """When that ends."""
+
+
+class Suspended(NamedTuple):
+    """The request's attempt is to be cancelled, since its like has crashed a server."""
+
+    server_id: str
+    """Where the attempt runs."""
+
+
+StartAnswer = StartGranted | StartElsewhere | StartMoved | StartRefused | Suspended
+"""What a request's task is told."""
+
+
+class Receiver(Protocol):
+    """Where the answers for one request go."""
+
+    def post(self, message: StartAnswer) -> None:
+        """Take an answer."""
+
+
+class StartAsked(NamedTuple):
+    """A request is about to be sent."""
+
+    request: requests.ModelRequest
+    """The request."""
+
+    server_id: str
+    """The server."""
+
+    receiver: Receiver
+    """Where the answer goes."""
+
+
+class AttemptEnded(NamedTuple):
+    """A request no longer runs at its server."""
+
+    request_id: str
+    """The request."""
+
+    whole: bool
+    """Whether it ran to its end."""
+
+
+class FirstTokenTimed(NamedTuple):
+    """A first token came."""
+
+    server_id: str
+    """The server."""
+
+    predicted_seconds: float
+    """Time that the prompt takes on a warm server."""
+
+    measured_seconds: float
+    """Time that it took."""
+
+
+class ServerCrashed(NamedTuple):
+    """A server broke off everything at once."""
+
+    server_id: str
+    """The server."""
+
+
+class HostsRead(NamedTuple):
+    """The host list was read."""
+
+    names: frozenset[str]
+    """Hosts that may hold shares."""
+
+    age_seconds: float
+    """Age of the list."""
+
+
+class ReportRead(NamedTuple):
+    """An engine reported its load."""
+
+    report: load_view.EngineReport
+    """The report."""
+
+
+class ConfigurationChanged(NamedTuple):
+    """A configuration came into force."""
+
+    configuration: schema.Configuration
+    """The configuration."""
+
+
+class PeerSawCold(NamedTuple):
+    """A peer saw a server turn cold."""
+
+    server_id: str
+    """The server."""
+
+    start_id: str
+    """The start that the peer saw."""
+
+
+class PeerRecord(NamedTuple):
+    """A peer sent a quarantine record."""
+
+    record: records.Record
+    """The record."""
+
+
+class LoggedRecord(NamedTuple):
+    """A quarantine record was read from the log."""
+
+    record: records.Record
+    """The record."""
+
+    offset: int
+    """Its offset."""
+
+    age_seconds: float
+    """How long ago it was appended."""
+
+
+GuardMessage = (
+    StartAsked
+    | AttemptEnded
+    | FirstTokenTimed
+    | ServerCrashed
+    | HostsRead
+    | ReportRead
+    | ConfigurationChanged
+    | PeerSawCold
+    | PeerRecord
+    | LoggedRecord
+)
+"""What the guard task takes."""
+
+
+class GuardLinks(NamedTuple):
+    """Where the guard's effects go."""
+
+    tell_peers_cold: Callable[[cold_start.TellPeersCold], None]
+    """Tells all peers that a server turned cold."""
+
+    tell_peers_record: Callable[[records.Record], None]
+    """Sends a quarantine record to all peers."""
+
+    append_record: Callable[[records.Record], None]
+    """Appends a quarantine record to the log."""
+
+
+class _Waiting(NamedTuple):
+    """A start that was put off."""
+
+    asked: StartAsked
+    until: float
+
+
+class GuardTask:
+    """Owns the share table, the cold-start tracker and the quarantine."""
+
+    def __init__(self, context: services.NodeServices, links: GuardLinks) -> None:
+        """Create the task.
+
+        Args:
+            context: What all tasks of the node share.
+            links: Where its effects go.
+        """
+        settings = context.settings
+        self.mailbox = context.guard
+        """Messages to this task."""
+        self.shares = share_table.ShareTable(
+            settings.host, settings.host_list_lag_seconds, settings.reclaim_seconds
+        )
+        """This node's shares."""
+        self._context = context
+        self._links = links
+        self._cold = cold_start.ColdStartTracker({})
+        self._quarantine = quarantine.Quarantine(self.shares, settings.host)
+        self._start_by_server: dict[str, str] = {}
+        self._receivers_by_request: dict[str, Receiver] = {}
+        self._waiting: list[_Waiting] = []
+        self._last_limits: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Take messages, and review limits and waiting starts, until cancelled."""
+        loop = asyncio.get_running_loop()
+        review_at = loop.time()
+        while True:
+            message = await self.mailbox.receive(review_at - loop.time())
+            if message is not None:
+                self._handle(message, loop.time())
+            if loop.time() >= review_at:
+                self._review(loop.time())
+                review_at = loop.time() + REVIEW_SECONDS
+
+    def screen(self, fingerprint: str) -> StartRefused | None:
+        """Tell at once whether a new request is refused.
+
+        Args:
+            fingerprint: Its fingerprint.
+
+        Returns:
+            The refusal, or `None`.
+        """
+        now = asyncio.get_running_loop().time()
+        verdict = self._quarantine.verdict(fingerprint, now)
+        if isinstance(verdict, verdicts.Refused):
+            return StartRefused(verdict.retry_after_seconds)
+        return None
+
+    def known_records(self) -> list[records.Record]:
+        """Return the records that a peer which just started needs to know."""
+        return list(self._quarantine.known_records(asyncio.get_running_loop().time()))
+
+    def cold_servers(self) -> tuple[str, ...]:
+        """Return the identifiers of the model servers that are cold."""
+        now = asyncio.get_running_loop().time()
+        return tuple(
+            server_id for server_id in self._last_limits if not self._cold.is_warm(server_id, now)
+        )
+
+    def _review(self, now: float) -> None:
+        limits = self._cold.node_limits(self.shares, now)
+        if limits != self._last_limits:
+            self._last_limits = limits
+            self._context.dispatch.post(dispatch_task.Limited(limits))
+        due = [waiting for waiting in self._waiting if waiting.until <= now]
+        self._waiting = [waiting for waiting in self._waiting if waiting.until > now]
+        for waiting in due:
+            if now < waiting.asked.request.deadline:
+                self._on_start_asked(waiting.asked, now)
+
+    @functools.singledispatchmethod
+    def _handle(self, message: object, now: float) -> None:
+        raise TypeError(f"unknown message {message!r}")
+
+    @_handle.register
+    def _on_start_asked(self, message: StartAsked, now: float) -> None:
+        request = message.request
+        verdict = self._quarantine.verdict(
+            request.fingerprint, now, request.request_id, self._candidates(request)
+        )
+        if isinstance(verdict, verdicts.Wait):
+            self._waiting.append(_Waiting(message, verdict.until))
+        elif isinstance(verdict, verdicts.Refused):
+            message.receiver.post(StartRefused(verdict.retry_after_seconds))
+        elif isinstance(verdict, verdicts.Elsewhere):
+            message.receiver.post(StartMoved(verdict.hosts))
+        elif isinstance(verdict, verdicts.Alone) and message.server_id not in verdict.servers:
+            message.receiver.post(StartElsewhere(verdict.servers))
+        else:
+            self._grant(message, now)
+
+    def _grant(self, message: StartAsked, now: float) -> None:
+        request = message.request
+        self._receivers_by_request[request.request_id] = message.receiver
+        # Peers are told before the request is sent.
+        self._carry_out(
+            self._quarantine.on_start(
+                request.fingerprint, message.server_id, request.request_id, now
+            )
+        )
+        message.receiver.post(StartGranted())
+
+    def _candidates(self, request: requests.ModelRequest) -> frozenset[str]:
+        configuration = self._context.configuration
+        return frozenset(
+            server.server_id
+            for server in configuration.servers_by_id.values()
+            if request.model in server.models
+            and configuration.accepts_new_work(server.server_id)
+            and self._last_limits.get(server.server_id, 0) > 0
+        )
+
+    @_handle.register
+    def _on_attempt_ended(self, message: AttemptEnded, now: float) -> None:
+        self._receivers_by_request.pop(message.request_id, None)
+        self._waiting = [
+            waiting
+            for waiting in self._waiting
+            if waiting.asked.request.request_id != message.request_id
+        ]
+        self._carry_out(self._quarantine.on_end(message.request_id, message.whole, now))
+
+    @_handle.register
+    def _on_first_token_timed(self, message: FirstTokenTimed, now: float) -> None:
+        told = self._cold.on_first_token(
+            message.server_id, message.predicted_seconds, message.measured_seconds, now
+        )
+        self._tell_cold(told)
+
+    @_handle.register
+    def _on_server_crashed(self, message: ServerCrashed, now: float) -> None:
+        self._tell_cold(self._cold.on_crash(message.server_id, now))
+        start_id = self._start_by_server.get(message.server_id, "")
+        self._carry_out(self._quarantine.on_crash(message.server_id, now, start_id))
+        self._review(now)
+
+    @_handle.register
+    def _on_hosts_read(self, message: HostsRead, now: float) -> None:
+        self.shares.on_host_list(message.names, message.age_seconds, now)
+
+    @_handle.register
+    def _on_report_read(self, message: ReportRead, now: float) -> None:
+        report = message.report
+        before = self._start_by_server.get(report.server_id, report.start_id)
+        if before != report.start_id:
+            logs.warning("server_restarted", server=report.server_id, start=report.start_id)
+            self._carry_out(self._quarantine.on_crash(report.server_id, now, before))
+        self._start_by_server[report.server_id] = report.start_id
+        told = self._cold.on_report(
+            report.server_id,
+            report.start_id,
+            report.finished_since_start,
+            report.running,
+            report.age_seconds,
+            now,
+        )
+        self._tell_cold(told)
+
+    @_handle.register
+    def _on_configuration_changed(self, message: ConfigurationChanged, now: float) -> None:
+        configuration = message.configuration
+        engines = {
+            server_id: server
+            for server_id, server in configuration.servers_by_id.items()
+            if configuration.services_by_name[server.service].kind is schema.ServiceKind.MODEL
+        }
+        self._cold.on_configuration(engines)
+        self._review(now)
+
+    @_handle.register
+    def _on_peer_saw_cold(self, message: PeerSawCold, now: float) -> None:
+        self._cold.on_peer_cold(message.server_id, message.start_id, now)
+        self._review(now)
+
+    @_handle.register
+    def _on_peer_record(self, message: PeerRecord, now: float) -> None:
+        self._carry_out(self._quarantine.on_peer_record(message.record, now))
+
+    @_handle.register
+    def _on_logged_record(self, message: LoggedRecord, now: float) -> None:
+        self._carry_out(
+            self._quarantine.on_log_record(message.record, message.offset, now, message.age_seconds)
+        )
+
+    def _tell_cold(self, told: list[cold_start.TellPeersCold]) -> None:
+        for effect in told:
+            logs.event("server_cold", server=effect.server_id, start=effect.start_id)
+            self._context.metrics.count("server_turned_cold")
+            self._links.tell_peers_cold(effect)
+
+    def _carry_out(self, effects: list[verdicts.Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, verdicts.TellPeers):
+                self._links.tell_peers_record(effect.record)
+            elif isinstance(effect, verdicts.AppendLog):
+                self._links.append_record(effect.record)
+            else:
+                receiver = self._receivers_by_request.get(effect.request_id)
+                if receiver is not None:
+                    receiver.post(Suspended(effect.server_id))
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -12,7 +12,7 @@
 from dragonflycove.attempts import model_life
 from dragonflycove.backends import engine_client, engine_stream
 from dragonflycove.callers import streams
-from dragonflycove.node import dispatch_task, tasks
+from dragonflycove.node import dispatch_task, guard_task, tasks
 from dragonflycove.telemetry import logs
 from dragonflycove.values import outcomes, requests
 
@@ -27,6 +27,9 @@
 CANCEL_SECONDS = 2.0
 """Longest time for one try to cancel an attempt, seconds."""
 
+CRASH_REASONS = (outcomes.Reason.BACKEND_CRASHED, outcomes.Reason.BACKEND_UNREACHABLE)
+"""Reasons that count as a crash of the server, once a fresh connection has failed too."""
+
 TOKENS_PER_NOTICE = 16
 """Tokens after which the dispatch task is told of progress."""
 
@@ -83,7 +86,13 @@
 )
 
 RequestMessage = (
-    dispatch_task.RequestNotice | EngineEvent | CallerGone | CallerResumed | Moved | HandOver
+    dispatch_task.RequestNotice
+    | guard_task.StartAnswer
+    | EngineEvent
+    | CallerGone
+    | CallerResumed
+    | Moved
+    | HandOver
 )
 """What a request's task takes."""
 
@@ -120,6 +129,8 @@
         self._life = life or model_life.ModelLife(request, context.rng)
         self._readers_by_attempt: dict[str, asyncio.Task[None]] = {}
         self._accepted_at = asyncio.get_running_loop().time()
+        self._attempt_started_at = self._accepted_at
+        self._assigned: dispatch_task.Assigned | None = None
         self._has_first_token = False
         self._tokens_since_notice = 0
         self._retries_counted: collections.Counter[outcomes.Reason] = collections.Counter()
@@ -174,9 +185,61 @@
 
     @_handle.register
     def _on_assigned(self, message: dispatch_task.Assigned, now: float) -> None:
-        effects = self._life.on_dispatched(message.server_id, message.priority, now, message.group)
-        self.current_server = message.server_id
-        self._carry_out(effects)
+        self._assigned = message
+        self._context.guard.post(
+            guard_task.StartAsked(self.request, message.server_id, self.mailbox)
+        )
+
+    @_handle.register
+    def _on_start_granted(self, message: guard_task.StartGranted, now: float) -> None:
+        assigned = self._assigned
+        if assigned is None:
+            return
+        self._assigned = None
+        self.current_server = assigned.server_id
+        self._attempt_started_at = now
+        self._carry_out(
+            self._life.on_dispatched(assigned.server_id, assigned.priority, now, assigned.group)
+        )
+
+    @_handle.register
+    def _on_start_elsewhere(self, message: guard_task.StartElsewhere, now: float) -> None:
+        assigned = self._assigned
+        if assigned is None:
+            return
+        self._assigned = None
+        others = frozenset(self._context.configuration.servers_by_id) - message.servers
+        reason = outcomes.Reason.QUARANTINED
+        self._context.metrics.retried(reason)
+        self._context.dispatch.post(
+            dispatch_task.AttemptFailed(self.request.request_id, assigned.server_id, reason)
+        )
+        self._context.dispatch.post(dispatch_task.Resubmit(self.request, others, reason))
+
+    @_handle.register
+    def _on_start_moved(self, message: guard_task.StartMoved, now: float) -> None:
+        address = self._context.address_of(message.hosts)
+        if address is None or self._life.delivered_count:
+            detail = "a like request has crashed a server; send this one again"
+            self._deny(outcomes.Reason.QUARANTINED, detail, 1.0, now)
+            return
+        self._hand_over_to(address)
+
+    @_handle.register
+    def _on_start_refused(self, message: guard_task.StartRefused, now: float) -> None:
+        detail = "requests like this one have crashed backend servers"
+        self._deny(outcomes.Reason.QUARANTINED, detail, message.retry_after_seconds, now)
+
+    @_handle.register
+    def _on_suspended(self, message: guard_task.Suspended, now: float) -> None:
+        if message.server_id == self.current_server:
+            self._carry_out(self._life.on_preempted(now))
+
+    def _deny(
+        self, reason: outcomes.Reason, detail: str, retry_after_seconds: float, now: float
+    ) -> None:
+        failed = outcomes.Failed(reason, detail, outcomes.Ran.NOT_RUN, retry_after_seconds)
+        self._carry_out(self._life.on_no_server(failed, now))
 
     @_handle.register
     def _on_denied(self, message: dispatch_task.Denied, now: float) -> None:
@@ -212,13 +275,19 @@
 
     @_handle.register
     def _on_hand_over(self, message: HandOver, now: float) -> None:
-        if self._life.resume_point is None:
-            return
-        self._stream.post(streams.HandedOver(message.address))
+        if self._life.resume_point is not None:
+            self._hand_over_to(message.address)
+
+    def _hand_over_to(self, address: str) -> None:
+        self._stream.post(streams.HandedOver(address))
         self._handed_over = True
+        self._end_attempt(whole=False)
         self._context.dispatch.post(dispatch_task.Withdrawn(self.request.request_id))
         self._context.request_over(self.request.request_id)
 
+    def _end_attempt(self, whole: bool) -> None:
+        self._context.guard.post(guard_task.AttemptEnded(self.request.request_id, whole))
+
     @_handle.register
     def _on_engine_event(self, message: EngineEvent, now: float) -> None:
         event = message.event
@@ -269,10 +338,9 @@
             self._prompt + effect.delivered_text,
             effect.max_tokens,
             effect.priority,
-            effect.group,
+            self._context.group_of(self.request.request_id) if effect.group else (),
         )
         events = self._context.engines.generate(address, order, self._timeouts())
-        self._context.on_attempt_started(self.request, effect.attempt, effect.server_id)
         self._read(effect.attempt, 0, events)
         self._post_resume_token()
 
@@ -298,7 +366,7 @@
         reader = self._readers_by_attempt.pop(effect.attempt, None)
         if reader is not None:
             reader.cancel()
-        self._context.on_attempt_ended(effect.attempt)
+        self._end_attempt(whole=False)
         self._context.cancel_attempt(effect.attempt, effect.server_id)
 
     @_perform.register
@@ -317,7 +385,8 @@
     @_perform.register
     def _perform_suspect(self, effect: life_effects.SuspectServer) -> None:
         logs.warning("server_suspect", server=effect.server_id, reason=effect.reason.value)
-        self._context.on_server_suspect(effect.server_id, effect.attempt, effect.reason)
+        if effect.reason in CRASH_REASONS:
+            self._context.server_crashed(effect.server_id)
 
     @_perform.register
     def _perform_emit(self, effect: life_effects.Emit) -> None:
@@ -342,8 +411,7 @@
             self._context.metrics.failed(effect.outcome.reason)
             self._context.dispatch.post(dispatch_task.Withdrawn(request_id))
             logs.event("request_failed", request=request_id, reason=effect.outcome.reason.value)
-        for attempt in self._readers_by_attempt:
-            self._context.on_attempt_ended(attempt)
+        self._end_attempt(isinstance(effect.outcome, outcomes.Answered))
         self._stream.post(streams.StreamOver(effect.outcome))
         self._context.request_over(request_id)
 
@@ -356,6 +424,16 @@
         seconds = asyncio.get_running_loop().time() - self._accepted_at
         self._context.metrics.first_token(self.request.length_class, seconds)
         self._context.dispatch.post(dispatch_task.FirstToken(self.request.request_id))
+        self._time_first_token()
+
+    def _time_first_token(self) -> None:
+        """Let the guard compare the engine's own part of the time with a warm engine's."""
+        server = self._context.configuration.servers_by_id.get(self.current_server)
+        if server is None or server.prefill_tokens_per_second <= 0:
+            return
+        predicted = self.request.prompt_tokens / server.prefill_tokens_per_second
+        measured = self._now() - self._attempt_started_at
+        self._context.guard.post(guard_task.FirstTokenTimed(server.server_id, predicted, measured))
 
     def _post_resume_token(self) -> None:
         point = self._life.resume_point
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -10,6 +10,7 @@
 from dragonflycove.admission import dispatcher as dispatching
 from dragonflycove.backends import engine_client, plain_client
 from dragonflycove.callers import app as caller_app
+from dragonflycove.callers import gateway
 from dragonflycove.configuration import schema
 from dragonflycove.node import (
     claim_task,
@@ -17,11 +18,13 @@
     dispatch_task,
     drain,
     engine_poll_task,
+    guard_task,
     host_list_task,
     http_server,
     model_request_task,
     node_gateway,
     plain_calls,
+    quarantine_log_task,
     services,
     tasks,
 )
@@ -36,8 +39,11 @@
 
     from starlette import requests as http_requests
 
+    from dragonflycove.quarantine import records as quarantine_records
     from dragonflycove.routing import load_view
     from dragonflycove.settings import node as node_settings
+    from dragonflycove.shares import cold_start
+    from dragonflycove.values import requests
 
 
 class Node:
@@ -69,13 +75,14 @@
             engine_client.EngineClient(self._session),
             plain_client.PlainClient(self._session),
             self._dispatch.mailbox,
+            tasks.Mailbox(),
             self._broken,
         )
         self._log = log_client.LogClient(self._session, settings.log_address)
         self._calls = plain_calls.PlainCalls(self._context)
         self._build_tasks(settings)
         self._gateway = node_gateway.NodeGateway(
-            self._context, self._calls, self._run_once, self._find_fault
+            self._context, self._guard, self._calls, self._run_once, self._find_fault
         )
         self._server = http_server.HttpServer(self._build_app(), settings.caller_address)
 
@@ -85,11 +92,22 @@
         return cls(settings, rng)
 
     def _build_tasks(self, settings: node_settings.NodeSettings) -> None:
-        self._configuration = configuration_task.ConfigurationTask(self._log)
+        self._configuration = configuration_task.ConfigurationTask(
+            self._log,
+            configuration_task.ConfigurationTaskSettings(
+                settings.host, settings.log_retention_seconds
+            ),
+            self._context.rng,
+        )
         self._configuration.subscribe(self._on_configuration)
         self._claims = claim_task.ClaimTask(
             self._log, self._context.plain, self._context.identity, self._context.rng
         )
+        self._quarantine_log = quarantine_log_task.QuarantineLogTask(self._log, self._context.guard)
+        links = guard_task.GuardLinks(
+            self._tell_peers_cold, self._tell_peers_record, self._quarantine_log.append
+        )
+        self._guard = guard_task.GuardTask(self._context, links)
         self._engines = engine_poll_task.EnginePollTask(self._context, self._on_report)
         hosts = host_list_client.HostListClient(self._session, settings.host_list_address)
         self._hosts = host_list_task.HostListTask(self._context, hosts, self._on_hosts)
@@ -122,6 +140,8 @@
         self._core.start("dispatch", self._dispatch.run())
         self._core.start("configuration", self._configuration.run())
         self._core.start("claims", self._claims.run())
+        self._core.start("guard", self._guard.run())
+        self._core.start("quarantine-log", self._quarantine_log.run())
         self._core.start("engines", self._engines.run())
         self._core.start("hosts", self._hosts.run())
         self._core.start("http", self._server.run())
@@ -138,6 +158,7 @@
     def _on_configuration(self, configuration: schema.Configuration) -> None:
         self._context.configuration = configuration
         self._context.dispatch.post(dispatch_task.Configured(configuration))
+        self._context.guard.post(guard_task.ConfigurationChanged(configuration))
         logs.event(
             "configuration_in_force",
             version=configuration.version,
@@ -154,9 +175,42 @@
 
     def _on_hosts(self, hosts: host_list_client.HostList, age_seconds: float) -> None:
         """Take in a reading of the host list."""
+        names = frozenset(hosts.hosts_by_name)
+        own = hosts.hosts_by_name.get(self._context.identity.host)
+        # Another process may have been given this host's name; its address tells them apart.
+        if own is not None and own.address != self._context.settings.caller_address:
+            names -= {own.name}
+        self._context.guard.post(guard_task.HostsRead(names, age_seconds))
 
     def _on_report(self, report: load_view.EngineReport) -> None:
         """Take in a load report."""
+        free = report.memory_tokens - report.memory_used_tokens
+        self._context.free_tokens_by_server[report.server_id] = free
+        self._context.guard.post(guard_task.ReportRead(report))
+
+    def _tell_peers_cold(self, effect: cold_start.TellPeersCold) -> None:
+        """Tell all peers that a server turned cold."""
+
+    def _tell_peers_record(self, record: quarantine_records.Record) -> None:
+        """Send a quarantine record to all peers."""
+
+    async def _run_once(
+        self,
+        call: requests.ServiceCall,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> gateway.ServiceAnswer:
+        """Run a call that may not be repeated."""
+        servers = self._calls.rank(call.service, frozenset())
+        if not servers:
+            return gateway.ServiceAnswer(plain_calls.NO_SERVER)
+        called = await self._claims.call(call, headers, body, servers)
+        answer = called.answer
+        if answer is None:
+            return gateway.ServiceAnswer(called.outcome)
+        self._context.metrics.answered("once")
+        headers = (("content-type", answer.content_type),)
+        return gateway.ServiceAnswer(called.outcome, answer.status, headers, answer.body)
 
     def _find_fault(self) -> str | None:
         if self._context.configuration.version == 0:
--- a/src/dragonflycove/node/node_gateway.py
+++ b/src/dragonflycove/node/node_gateway.py
@@ -17,7 +17,7 @@
     from collections.abc import Awaitable, Callable
 
     from dragonflycove.configuration import schema
-    from dragonflycove.node import plain_calls, services
+    from dragonflycove.node import guard_task, plain_calls, services
 
     RunOnce = Callable[
         [requests.ServiceCall, tuple[tuple[str, str], ...], bytes],
@@ -34,6 +34,7 @@
     def __init__(
         self,
         context: services.NodeServices,
+        guard: guard_task.GuardTask,
         calls: plain_calls.PlainCalls,
         run_once: RunOnce,
         find_fault: Callable[[], str | None],
@@ -42,11 +43,13 @@
 
         Args:
             context: What all tasks of the node share.
+            guard: Knows which requests may not run.
             calls: Runs idempotent calls to plain services.
             run_once: Runs calls that may not be repeated.
             find_fault: Returns why the node can't take work now, `None` if it can.
         """
         self._context = context
+        self._guard = guard
         self._calls = calls
         self._run_once = run_once
         self._find_fault = find_fault
@@ -98,6 +101,10 @@
             Where its frames come, or the refusal.
         """
         request = request._replace(request_id=identifiers.new_id(self._context.rng, "request"))
+        quarantined = self._screen(request.fingerprint)
+        if quarantined is not None:
+            self._context.metrics.refused(quarantined.reason)
+            return result.Err(quarantined)
         stream = streams.CallerStream()
         task = model_request_task.ModelRequestTask(self._context, request, prompt, stream)
         admitted: asyncio.Future[outcomes.Refused | None] = (
@@ -119,6 +126,13 @@
         self._context.background.start(request.request_id, task.run())
         return result.Ok(gateway.OpenStream(request.request_id, stream))
 
+    def _screen(self, fingerprint: str) -> outcomes.Refused | None:
+        refused = self._guard.screen(fingerprint)
+        if refused is None:
+            return None
+        detail = "requests like this one have crashed backend servers"
+        return outcomes.Refused(outcomes.Reason.QUARANTINED, detail, refused.retry_after_seconds)
+
     def resume(
         self, token: str, from_index: int, model: str, prompt: str, deadline: float
     ) -> result.Result[gateway.OpenStream, outcomes.Refused]:
--- a/src/dragonflycove/node/plain_calls.py
+++ b/src/dragonflycove/node/plain_calls.py
@@ -25,8 +25,10 @@
 RETRY_AFTER_SECONDS = 1.0
 """When callers may come back after no server could take a call, seconds."""
 
-KEY_HEADER = "Idempotency-Key"
-"""Header that carries the caller's key."""
+NO_SERVER = outcomes.Refused(
+    outcomes.Reason.NO_SERVER, "no server of the service is free", RETRY_AFTER_SECONDS
+)
+"""Refusal while every server is busy, leaving or gone."""
 
 
 class PlainCalls:
@@ -78,9 +80,7 @@
         """
         loop = asyncio.get_running_loop()
         excluded: frozenset[str] = frozenset()
-        failed: outcomes.Refused | outcomes.Failed = outcomes.Refused(
-            outcomes.Reason.NO_SERVER, "no server of the service is free", RETRY_AFTER_SECONDS
-        )
+        failed: outcomes.Refused | outcomes.Failed = NO_SERVER
         for attempt in range(MOST_ATTEMPTS):
             ranked = self.rank(call.service, excluded)
             if not ranked or loop.time() >= call.deadline:
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -8,14 +8,14 @@
 import result
 
 from dragonflycove.configuration import schema
-from dragonflycove.node import model_request_task, tasks
+from dragonflycove.node import dispatch_task, group_task, guard_task, model_request_task, tasks
+from dragonflycove.placement import memory_groups
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
     import random
 
     from dragonflycove.backends import engine_client, plain_client
-    from dragonflycove.node import dispatch_task
     from dragonflycove.platform import host_list_client
     from dragonflycove.settings import node as node_settings
     from dragonflycove.telemetry import metrics as node_metrics
@@ -40,6 +40,7 @@
         engines: engine_client.EngineClient,
         plain: plain_client.PlainClient,
         dispatch: tasks.Mailbox[dispatch_task.DispatchMessage],
+        guard: tasks.Mailbox[guard_task.GuardMessage],
         broken: asyncio.Event,
     ) -> None:
         """Create the context.
@@ -52,6 +53,7 @@
             engines: Client of model engines.
             plain: Client of plain services.
             dispatch: Mailbox of the dispatch task.
+            guard: Mailbox of the guard task.
             broken: Set when an invariant is broken.
         """
         self.settings = settings
@@ -68,6 +70,14 @@
         """Client of plain services."""
         self.dispatch = dispatch
         """Mailbox of the dispatch task."""
+        self.guard = guard
+        """Mailbox of the guard task."""
+        self.groups_by_request: dict[str, group_task.GroupTask] = {}
+        """Memory groups that hold or may hold memory."""
+        self.group_id_by_request: dict[str, str] = {}
+        """Identifiers of the memory groups that are ready."""
+        self.free_tokens_by_server: dict[str, int] = {}
+        """KV memory free at each engine by its last report, tokens."""
         self.configuration: schema.Configuration = schema.EMPTY
         """The configuration in force."""
         self.hosts_by_name: dict[str, host_list_client.HostEntry] = {}
@@ -129,6 +139,9 @@
             request_id: The request.
         """
         self.requests_by_id.pop(request_id, None)
+        group = self.groups_by_request.get(request_id)
+        if group is not None:
+            group.mailbox.post(group_task.RequestEnded())
         self.work_ended.set()
 
     def call_over(self) -> None:
@@ -136,16 +149,61 @@
         self.calls_running -= 1
         self.work_ended.set()
 
-    def on_attempt_started(
-        self, request: requests.ModelRequest, attempt: str, server_id: str
-    ) -> None:
-        """Take note that a request runs at a server."""
+    def address_of(self, hosts: tuple[str, ...]) -> str | None:
+        """Return the caller address of the first of these hosts that is live."""
+        for name in hosts:
+            entry = self.hosts_by_name.get(name)
+            if entry is not None and not entry.leaving:
+                return entry.address
+        return None
 
-    def on_attempt_ended(self, attempt: str) -> None:
-        """Take note that an attempt is over."""
+    def server_crashed(self, server_id: str) -> None:
+        """Take note that a server broke off everything at once.
 
-    def on_server_suspect(self, server_id: str, attempt: str, reason: outcomes.Reason) -> None:
-        """Take note that a server seems to be down."""
+        Args:
+            server_id: The server.
+        """
+        self.guard.post(guard_task.ServerCrashed(server_id))
+        for group in self.groups_by_request.values():
+            group.mailbox.post(group_task.EngineDied(server_id))
 
     def build_group(self, request: requests.ModelRequest, candidates: tuple[str, ...]) -> None:
-        """Build a memory group for a request."""
+        """Build a memory group for a request, unless one is being built.
+
+        Args:
+            request: The request.
+            candidates: Engines that may take part.
+        """
+        if request.request_id in self.groups_by_request:
+            return
+        group = group_task.GroupTask(self, request, lambda: self._free_engines(candidates))
+        self.groups_by_request[request.request_id] = group
+        self.background.start(f"group-{request.request_id}", group.run())
+
+    def _free_engines(self, names: tuple[str, ...]) -> list[memory_groups.Candidate]:
+        return [
+            memory_groups.Candidate(name, self.free_tokens_by_server.get(name, 0))
+            for name in names
+            if self.configuration.accepts_new_work(name)
+        ]
+
+    def group_of(self, request_id: str) -> tuple[str, ...]:
+        """Return the identifier of a request's memory group as engines take it."""
+        group_id = self.group_id_by_request.get(request_id)
+        return (group_id,) if group_id is not None else ()
+
+    def group_over(self, request_id: str) -> None:
+        """Forget a memory group that holds nothing any more."""
+        self.groups_by_request.pop(request_id, None)
+        self.group_id_by_request.pop(request_id, None)
+
+    def fail_request(self, request_id: str, failed: outcomes.Failed) -> None:
+        """End a request that cannot be run.
+
+        Args:
+            request_id: The request.
+            failed: What its caller is told.
+        """
+        task = self.requests_by_id.get(request_id)
+        if task is not None:
+            task.mailbox.post(dispatch_task.Denied(failed))
--- a/src/dragonflycove/settings/node.py
+++ b/src/dragonflycove/settings/node.py
@@ -63,5 +63,8 @@
     reclaim_seconds: Seconds = 5.0
     """Time within which what a dead node left on an engine is given back, seconds."""
 
+    log_retention_seconds: Seconds = 3600.0
+    """Time for which the log service keeps a record, seconds."""
+
     log_path: str = ""
     """File for the logs; empty for the standard error."""
--- a/src/dragonflycove/telemetry/metrics.py
+++ b/src/dragonflycove/telemetry/metrics.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from aioprometheus import collectors, renderer
-from aioprometheus import registry as registries
 
 if TYPE_CHECKING:
     from dragonflycove.values import outcomes, requests
@@ -19,7 +18,7 @@
 
     def __init__(self) -> None:
         """Create the metrics in a registry of their own."""
-        self.registry = registries.Registry()
+        self.registry = collectors.Registry()
         """The registry that `/metrics` shows."""
         self._refusals = self._counter("dragonflycove_refusals", "Requests refused, by reason")
         self._retries = self._counter("dragonflycove_retries", "Attempts repeated, by reason")
--- a/tests/node/test_claim_task.py
+++ b/tests/node/test_claim_task.py
@@ -46,9 +46,7 @@
         if self.is_down:
             return result.Err(exchange.NotDone(exchange.Cause.UNREACHABLE, "down"))
         page = self.records[from_offset : from_offset + limit]
-        found = [
-            log_client.LogRecord(from_offset + i, WALL, value) for i, value in enumerate(page)
-        ]
+        found = [log_client.LogRecord(from_offset + i, WALL, value) for i, value in enumerate(page)]
         return result.Ok(log_client.ReadPage(0, from_offset + len(page), tuple(found)))
 
 
@@ -59,7 +57,7 @@
         self.answers = list(answers)
         self.calls = []
 
-    async def call(self, address, method, path, headers, body, timeout, fresh_connection):
+    async def call(self, address, method, path, headers, body, timeout_seconds, fresh_connection):
         self.calls.append((path, fresh_connection))
         await asyncio.sleep(0.1)
         return self.answers.pop(0)
