--- /dev/null
+++ b/tests/telemetry/test_telemetry.py
@@ -0,0 +1,26 @@
+"""Tests of log lines and counters."""
+
+from __future__ import annotations
+
+from dragonflycove.telemetry import logs, metrics
+from dragonflycove.values import outcomes
+
+
+def test_an_event_is_one_line_of_pairs() -> None:
+    line = logs.format_event("zone_out", {"zone": "a b", "detail": 'x"y\nz', "count": 2})
+    assert line == 'event=zone_out zone="a b" detail="x\\"y\\nz" count=2'
+
+
+def test_each_reason_has_its_counter() -> None:
+    counted = metrics.Metrics()
+    for reason in outcomes.Reason:
+        counted.refused(reason)
+        counted.retried(reason, 2)
+    assert counted.totals("refusals") == {reason.value: 1.0 for reason in outcomes.Reason}
+    assert counted.totals("retries") == {reason.value: 2.0 for reason in outcomes.Reason}
+    content, _ = counted.render(["text/plain"])
+    assert b'dragonflycove_refusals{reason="overloaded"} 1' in content
+
+
+def test_every_reason_has_a_status() -> None:
+    assert set(outcomes.STATUS_BY_REASON) == set(outcomes.Reason)
