Add stand-ins for log, host list, weight store, model engine and plain service

Each is a plain class with an injected clock behind a thin starlette interface on uvicorn, with fault switches at PUT /_standin/faults and books at GET /_standin/books; `standins.main.run` runs one.

--- /dev/null
+++ b/src/dragonflycove/standins/engine_app.py
@@ -0,0 +1,172 @@
+"""HTTP interface of the model engine's stand-in: prompts, streams and reports."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import msgspec
+import result
+from starlette import responses, routing
+
+from dragonflycove.platform import weight_store_client
+from dragonflycove.standins import (
+    engine_control,
+    engine_frames,
+    engine_model,
+    engine_orders,
+    engine_parameters,
+    engine_streams,
+    engine_wire,
+    serving,
+)
+from dragonflycove.transport import sessions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
+    from starlette import requests
+
+    from dragonflycove.standins import clock, connections, faults
+
+FETCH_TIMEOUT_SECONDS = 5.0
+"""Bound on one read of the weight store."""
+
+
+class EngineApp:
+    """Translates between HTTP and the engine."""
+
+    def __init__(self, parameters: engine_parameters.EngineParameters, now: clock.Clock) -> None:
+        """Create an engine and its interface.
+
+        Args:
+            parameters: The engine's parameters.
+            now: The clock.
+        """
+        self.engine = engine_model.Engine(parameters, now)
+        self._switches = engine_parameters.EngineSwitches()
+        self._session: aiohttp.ClientSession | None = None
+        self.orders = engine_orders.Orders(self.engine, self._fetch)
+        control = engine_control.EngineControl(self.engine, self.orders)
+        routes: list[routing.BaseRoute] = [
+            routing.Route("/v1/completions", self._complete, methods=["POST"]),
+            routing.Route("/v1/streams/{attempt}", self._resume, methods=["GET"]),
+            *control.routes(),
+        ]
+        self._standin = serving.Standin(
+            routes,
+            self.engine.books_to_json,
+            engine_parameters.EngineSwitches,
+            self._apply,
+            self._run,
+            lambda: self.engine.is_down,
+        )
+
+    def standin(self) -> serving.Standin:
+        """Return the stand-in."""
+        return self._standin
+
+    @contextlib.asynccontextmanager
+    async def _run(self) -> AsyncIterator[None]:
+        """Step the engine and load weights while the context lasts."""
+        async with sessions.open_pooled() as session:
+            self._session = session
+            tasks = [
+                asyncio.create_task(self.engine.run()),
+                asyncio.create_task(self.orders.run()),
+            ]
+            try:
+                yield
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _fetch(self, name: str) -> engine_orders.Fetched | engine_orders.RetryLater:
+        """Read weights from the store."""
+        address = self.engine.parameters.weight_store
+        if not address:
+            return engine_orders.Fetched(0)
+        assert self._session is not None
+        client = weight_store_client.WeightStoreClient(self._session, address)
+        answer = await client.fetch(name, FETCH_TIMEOUT_SECONDS)
+        if isinstance(answer, result.Ok):
+            return engine_orders.Fetched(answer.ok_value.units)
+        return engine_orders.RetryLater(getattr(answer.err_value, "retry_after_seconds", None))
+
+    def _apply(self, switches: faults.Switches) -> None:
+        """Apply the engine's own switches."""
+        if not isinstance(switches, engine_parameters.EngineSwitches):
+            return
+        self._switches = switches
+        if switches.crash:
+            self.engine.crash("switched")
+        if switches.turn_cold:
+            self.engine.turn_cold()
+
+    async def _complete(self, request: requests.Request) -> responses.Response:
+        """Run the prompt in the body."""
+        attempt = request.headers.get("X-Attempt-Id", "")
+        owner = request.headers.get("X-Owner", "")
+        try:
+            body = msgspec.json.decode(await request.body(), type=engine_wire.Completion)
+        except msgspec.MsgspecError as error:
+            return _refuse(engine_streams.Rejection(400, str(error)))
+        if not attempt or not owner or body["max_tokens"] < 1:
+            return _refuse(engine_streams.Rejection(400, "no attempt, owner or tokens"))
+        marker = self.engine.parameters.crash_marker
+        submission = engine_wire.read_completion(body, attempt, owner, marker)
+        stream = self.engine.submit(submission)
+        if isinstance(stream, engine_streams.Rejection):
+            return _refuse(stream)
+        return self._stream(request, stream, 0)
+
+    async def _resume(self, request: requests.Request) -> responses.Response:
+        """Give a stream's frames from a place on."""
+        owner = request.headers.get("X-Owner")
+        stream = self.engine.find(request.path_params["attempt"], owner)
+        if stream is None:
+            return _refuse(engine_streams.Rejection(404, "unknown attempt", ran="unknown"))
+        try:
+            from_index = int(request.query_params.get("from", "0"))
+        except ValueError as error:
+            return _refuse(engine_streams.Rejection(400, str(error), ran="unknown"))
+        return self._stream(request, stream, from_index)
+
+    def _stream(
+        self, request: requests.Request, stream: engine_streams.Stream, from_index: int
+    ) -> responses.Response:
+        """Return a stream of frames."""
+        client = request.scope["client"]
+        if stream.lost:
+            self._standin.connections.cut(client)
+        frames = self._frames(client, stream, from_index)
+        return responses.StreamingResponse(frames, media_type="text/event-stream")
+
+    async def _frames(
+        self, client: connections.Client, stream: engine_streams.Stream, from_index: int
+    ) -> AsyncIterator[bytes]:
+        """Give a stream's frames as bytes; cut the connection if the stream is lost."""
+        frame_faults = engine_frames.FrameFaults(self._switches)
+        heartbeat_seconds = self.engine.parameters.heartbeat_seconds
+        async for event in stream.follow(from_index, heartbeat_seconds):
+            if isinstance(event, engine_streams.Lost):
+                self._standin.connections.cut(client)
+                return
+            if isinstance(event, engine_streams.Idle):
+                yield engine_frames.HEARTBEAT
+                continue
+            for token in frame_faults.apply(event):
+                yield engine_frames.encode(token)
+        self.engine.note_delivered(stream)
+
+
+def _refuse(rejection: engine_streams.Rejection) -> responses.Response:
+    """Return a refusal."""
+    headers = {}
+    if rejection.retry_after_seconds is not None:
+        headers["Retry-After"] = f"{rejection.retry_after_seconds:g}"
+    body = {"ran": rejection.ran, "error": rejection.reason}
+    return serving.json_response(body, rejection.status, headers)
--- /dev/null
+++ b/src/dragonflycove/standins/engine_wire.py
@@ -0,0 +1,108 @@
+"""Bodies of the model engine's interface."""
+
+from __future__ import annotations
+
+from typing import Any, NotRequired, TypedDict
+
+from dragonflycove.standins import engine_memory, engine_streams
+from dragonflycove.values import requests as request_values
+
+
+class Completion(TypedDict):
+    """Body of a prompt."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    priority: int
+    group: NotRequired[list[str]]
+
+
+class ReservationOrder(TypedDict):
+    """Body of a reservation."""
+
+    tokens: int
+    owner: str
+    expires_in_seconds: float
+
+
+class ImportOrder(TypedDict):
+    """Body of an import."""
+
+    source: str
+    export_id: str
+    attempt: str
+
+
+class StateOrder(TypedDict):
+    """Body of an order."""
+
+    fencing: int
+    models: list[str]
+    adapters: list[str]
+    versions: dict[str, str]
+    role: str
+
+
+class ExportedCache(TypedDict):
+    """An exported KV cache as one engine gives it to another."""
+
+    submission: dict[str, Any]
+    owner: str
+    prefill_remaining: float
+    emitted: int
+
+
+def read_completion(
+    body: Completion, attempt: str, owner: str, crash_marker: str
+) -> engine_streams.Submission:
+    """Convert a prompt from its wire form.
+
+    Args:
+        body: The body.
+        attempt: Identifier of the attempt.
+        owner: `host/incarnation` of the node that sent it.
+        crash_marker: What in a prompt crashes the engine.
+
+    Returns:
+        The submission.
+    """
+    prompt = body["prompt"]
+    return engine_streams.Submission(
+        attempt,
+        owner,
+        body["model"],
+        request_values.count_tokens(prompt),
+        request_values.hash_prefix(prompt),
+        body["max_tokens"],
+        body["priority"],
+        tuple(body.get("group", ())),
+        crash_marker in prompt,
+    )
+
+
+def write_export(item: engine_memory.Export) -> ExportedCache:
+    """Convert an export to its wire form."""
+    return ExportedCache(
+        submission=item.submission._asdict(),
+        owner=item.owner,
+        prefill_remaining=item.prefill_remaining,
+        emitted=item.emitted,
+    )
+
+
+def read_export(export_id: str, wire: ExportedCache) -> engine_memory.Export:
+    """Convert an export from its wire form; it does not expire here."""
+    fields = wire["submission"]
+    hashes = tuple(fields.pop("prefix_hashes"))
+    group = tuple(fields.pop("group"))
+    submission = engine_streams.Submission(**fields, prefix_hashes=hashes, group=group)
+    return engine_memory.Export(
+        export_id,
+        submission,
+        wire["owner"],
+        wire["prefill_remaining"],
+        wire["emitted"],
+        float("inf"),
+    )
--- /dev/null
+++ b/tests/standins/test_platform_contract.py
@@ -0,0 +1,222 @@
+"""Contracts of the platform and of plain services: clients against the stand-ins on sockets."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pytest
+import result
+
+from dragonflycove.backends import plain_client
+from dragonflycove.platform import host_list_client, log_client, weight_store_client
+from dragonflycove.standins import clock, kinds, serving
+from dragonflycove.transport import exchange, sessions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    import aiohttp
+
+TIMEOUT_SECONDS = 5.0
+"""Bound on each call; no test but those of silence waits for it."""
+
+SILENCE_SECONDS = 0.1
+"""Bound on a call that gets no answer."""
+
+
+class Bench:
+    """One stand-in on a socket, its session and its switches."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        """Create the bench."""
+        self.address = address
+        self.session = session
+
+    async def set_faults(self, **switches: Any) -> None:
+        """Set the fault switches."""
+        url = f"http://{self.address}/_standin/faults"
+        async with self.session.put(url, json=switches) as response:
+            assert response.status == 200
+
+    async def books(self) -> dict[str, Any]:
+        """Return the stand-in's books."""
+        async with self.session.get(f"http://{self.address}/_standin/books") as response:
+            books: dict[str, Any] = msgspec.json.decode(await response.read())
+            return books
+
+
+@contextlib.asynccontextmanager
+async def bench(kind: str, **parameters: Any) -> AsyncIterator[Bench]:
+    """Serve a stand-in as long as the context lasts."""
+    standin = kinds.BUILDERS_BY_KIND[kind](parameters, clock.unix_clock())
+    async with serving.serving(standin) as address, sessions.open_pooled() as session:
+        yield Bench(address, session)
+
+
+@pytest.mark.asyncio
+async def test_log_gives_back_in_order_what_it_took() -> None:
+    async with bench("log") as log:
+        client = log_client.LogClient(log.session, log.address)
+        first = await client.append("s", [{"n": 0}, {"n": 1}], TIMEOUT_SECONDS)
+        second = await client.append("s", [{"n": 2}], TIMEOUT_SECONDS)
+        assert first == result.Ok(log_client.Appended(0, 2))
+        assert second == result.Ok(log_client.Appended(2, 1))
+        page = (await client.read("s", 1, 10, 0, TIMEOUT_SECONDS)).unwrap()
+        assert [(record.offset, record.value) for record in page.records] == [
+            (1, {"n": 1}),
+            (2, {"n": 2}),
+        ]
+        assert (page.first_retained, page.next_offset) == (0, 3)
+        empty = (await client.read("s", 3, 10, 0.01, TIMEOUT_SECONDS)).unwrap()
+        assert empty == log_client.ReadPage(0, 3, ())
+
+
+@pytest.mark.asyncio
+async def test_log_refuses_over_its_rate_and_says_when_to_come_back() -> None:
+    async with bench("log", appends_per_second=0.001, burst_appends=1) as log:
+        client = log_client.LogClient(log.session, log.address)
+        assert (await client.append("s", [{}], TIMEOUT_SECONDS)).is_ok()
+        error = (await client.append("s", [{}], TIMEOUT_SECONDS)).err()
+        assert isinstance(error, exchange.NotDone)
+        assert error.status == 429
+        assert error.retry_after_seconds is not None
+        assert (await log.books())["streams"]["s"]["next"] == 1
+
+
+LOG_FAULTS = [
+    ({"outage": True}, exchange.NotDone, 0),
+    ({"refuse": 1}, exchange.NotDone, 0),
+    ({"cut_before": 1}, exchange.Unknown, 0),
+    ({"cut_after": 1}, exchange.Unknown, 1),
+    ({"silent_before": 1}, exchange.Unknown, 0),
+    ({"silent_after": 1}, exchange.Unknown, 1),
+    ({"delay_seconds": 0.3}, exchange.Unknown, None),
+]
+"""Switches, kind of the error, and the appends that took effect (`None`: either)."""
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("switches", "kind", "appends"), LOG_FAULTS)
+async def test_log_fault_table(switches: dict[str, Any], kind: type, appends: int | None) -> None:
+    async with bench("log") as log:
+        client = log_client.LogClient(log.session, log.address)
+        await log.set_faults(match="POST /v1/streams", **switches)
+        timeout = SILENCE_SECONDS if "cut" not in str(switches) else TIMEOUT_SECONDS
+        error = (await client.append("s", [{}], timeout)).err()
+        assert isinstance(error, kind)
+        page = (await client.read("s", 0, 10, 0, TIMEOUT_SECONDS)).unwrap()
+        assert appends is None or page.next_offset == appends
+
+
+@pytest.mark.asyncio
+async def test_host_list_shows_changes_after_its_lag() -> None:
+    host = {
+        "name": "entry-1",
+        "zone": "cayambe",
+        "address": "1.2.3.4:1",
+        "peer_address": "1.2.3.4:2",
+    }
+    async with bench("hosts", lag_seconds=3600, hosts=[host]) as hosts:
+        client = host_list_client.HostListClient(hosts.session, hosts.address)
+        url = f"http://{hosts.address}/v1/hosts/entry-1"
+        async with hosts.session.put(url, json=host | {"state": "leaving"}) as response:
+            assert response.status == 200
+        live = host_list_client.HostEntry("entry-1", "cayambe", "1.2.3.4:1", "1.2.3.4:2", False)
+        old = (await client.fetch(TIMEOUT_SECONDS)).unwrap()
+        assert old.hosts_by_name == {"entry-1": live}
+        await hosts.set_faults(lag_seconds=0)
+        new = (await client.fetch(TIMEOUT_SECONDS)).unwrap()
+        assert new.hosts_by_name == {"entry-1": live._replace(leaving=True)}
+        assert new.read_at - old.read_at >= 3600
+        async with hosts.session.delete(url) as response:
+            assert response.status == 200
+        assert (await client.fetch(TIMEOUT_SECONDS)).unwrap().hosts_by_name == {}
+
+
+@pytest.mark.asyncio
+async def test_weight_store_refuses_over_its_rate() -> None:
+    async with bench("weights", reads_per_second=0.001, burst_reads=1) as weights:
+        client = weight_store_client.WeightStoreClient(weights.session, weights.address)
+        read = await client.fetch("herder@3", TIMEOUT_SECONDS)
+        assert read == result.Ok(weight_store_client.Weights("herder@3", 1))
+        error = (await client.fetch("herder@3", TIMEOUT_SECONDS)).err()
+        assert isinstance(error, exchange.NotDone)
+        assert error.retry_after_seconds is not None
+        assert await weights.books() == {"reads_by_name": {"herder@3": 1}, "rate_limited": 1}
+
+
+async def post(plain: Bench, fresh: bool, timeout_seconds: float) -> Any:
+    """Send a posting with the key `k1`."""
+    client = plain_client.PlainClient(plain.session)
+    try:
+        return await client.call(
+            plain.address,
+            "POST",
+            "/postings?x=%2F",
+            (("Idempotency-Key", "k1"),),
+            b"{}",
+            timeout_seconds,
+            fresh_connection=fresh,
+        )
+    finally:
+        await client.close()
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("fresh", [True, False])
+async def test_plain_service_runs_a_call_and_counts_it(fresh: bool) -> None:
+    async with bench("plain", load_lag_seconds=0) as plain:
+        answer = (await post(plain, fresh, TIMEOUT_SECONDS)).unwrap()
+        assert answer.status == 200
+        assert msgspec.json.decode(answer.body) == {
+            "method": "POST",
+            "path": "/postings?x=%2F",
+            "key": "k1",
+            "body_bytes": 2,
+            "execution": 1,
+        }
+        load = await plain_client.PlainClient(plain.session).load(plain.address, TIMEOUT_SECONDS)
+        assert load.unwrap().running == 0
+
+
+PLAIN_FAULTS = [
+    ({"cut_before": 1}, plain_client.MayHaveRun, 0),
+    ({"cut_after": 1}, plain_client.MayHaveRun, 1),
+    ({"silent_before": 1}, plain_client.MayHaveRun, 0),
+    ({"silent_after": 1}, plain_client.MayHaveRun, 1),
+    ({"refuse": 1}, plain_client.PlainAnswer, 0),
+]
+"""Switches, what the client says, and how often the call ran."""
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("fresh", [True, False])
+@pytest.mark.parametrize(("switches", "kind", "runs"), PLAIN_FAULTS)
+async def test_plain_fault_table(
+    switches: dict[str, Any], kind: type, runs: int, fresh: bool
+) -> None:
+    async with bench("plain") as plain:
+        await plain.set_faults(match="POST", **switches)
+        silent = "silent" in str(switches)
+        answer = await post(plain, fresh, SILENCE_SECONDS if silent else TIMEOUT_SECONDS)
+        outcome = answer.ok() or answer.err()
+        assert isinstance(outcome, kind)
+        assert getattr(outcome, "silent", silent) == silent
+        assert getattr(outcome, "status", 503) == 503
+        books = await plain.books()
+        assert books["executions_by_key"].get("k1", 0) == runs
+
+
+@pytest.mark.asyncio
+async def test_open_connections_go_silent_while_new_ones_work() -> None:
+    async with bench("plain") as plain, sessions.open_pooled() as pooled:
+        request = exchange.Request("GET", f"http://{plain.address}/stock")
+        assert (await exchange.exchange(pooled, request, TIMEOUT_SECONDS)).is_ok()
+        await plain.set_faults(silence_open_connections=True)
+        error = (await exchange.exchange(pooled, request, SILENCE_SECONDS)).err()
+        assert isinstance(error, exchange.Unknown)
+        assert error.cause is exchange.Cause.SILENT
+        async with sessions.open_fresh() as fresh:
+            assert (await exchange.exchange(fresh, request, TIMEOUT_SECONDS)).is_ok()
