--- /dev/null
+++ b/src/dragonflycove/cli/lookup_command.py
@@ -0,0 +1,57 @@
+"""`lookup`: asks a node which addresses to use."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+from urllib import parse as urllib_parse
+
+import result
+
+from dragonflycove.cli import command_line, connections, exit_codes
+from dragonflycove.transport import sessions
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+LOOKUP = command_line.Command(
+    "lookup",
+    "Asks a node which addresses a caller should use, as JSON.",
+    (),
+    (
+        command_line.Flag("node", "", "Address of any node, a.b.c.d:port."),
+        command_line.Flag("zone", "", "Availability zone of the caller."),
+    ),
+)
+"""Command line of `lookup`."""
+
+
+def run(argv: Sequence[str]) -> int:
+    """Run `lookup`.
+
+    Args:
+        argv: The words after it.
+
+    Returns:
+        The exit status.
+    """
+    parsed = command_line.parse(LOOKUP, argv)
+    if isinstance(parsed, result.Err):
+        return parsed.err_value
+    if not parsed.ok_value.text("node"):
+        return command_line.complain(LOOKUP, "name a node with --node")
+    return asyncio.run(_run(parsed.ok_value))
+
+
+async def _run(arguments: command_line.Arguments) -> exit_codes.ExitCode:
+    query = urllib_parse.urlencode({"zone": arguments.text("zone")})
+    session = sessions.open_pooled()
+    try:
+        found = await connections.fetch(session, arguments.text("node"), f"/v1/where?{query}")
+    finally:
+        await session.close()
+    if isinstance(found, result.Err):
+        return command_line.fail(found.err_value, exit_codes.ExitCode.UNREACHABLE)
+    print(json.dumps(found.ok_value, indent=2))
+    return exit_codes.ExitCode.OK
--- a/src/dragonflycove/operators/log_reading.py
+++ b/src/dragonflycove/operators/log_reading.py
@@ -54,14 +54,21 @@
 class LogReader:
     """Applies the acceptance rule to what it reads."""
 
-    def __init__(self, log: log_client.LogClient) -> None:
+    def __init__(self, log: log_client.LogClient, *, keep_versions: bool = False) -> None:
         """Create a reader that has read nothing.
 
         Args:
             log: The log service.
+            keep_versions: Whether to keep the texts of older versions.
         """
         self._log = log
+        self._keep_versions = keep_versions
         self.state = acceptance.begin()
+        """The state after the records that were read."""
+        self.texts_by_version: dict[int, str] = {}
+        """Texts of the versions that were passed, if they are kept."""
+        self.appended_at_by_offset: dict[int, float] = {}
+        """When the log took the records, Unix seconds, if versions are kept."""
 
     async def read_to_end(self, timeout_seconds: float) -> result.Result[int, Failure]:
         """Read until the log has no more records.
@@ -94,3 +101,7 @@
         for entry in page.records:
             record = records.from_value(entry.value)
             self.state = acceptance.apply(self.state, entry.offset, record).state
+            if self._keep_versions:
+                snapshot = self.state.snapshot
+                self.texts_by_version[snapshot.version] = snapshot.text
+                self.appended_at_by_offset[entry.offset] = entry.appended_at
