Select engines by policy: partition, priorities, borrowing with give-back

Cause: one rule for every length class lets long prompts take the slots and memory that short ones need. Preempted requests come back by resubmit(PREEMPTED), free of the retry budget.

--- a/src/dragonflycove/admission/entries.py
+++ b/src/dragonflycove/admission/entries.py
@@ -7,7 +7,7 @@
 
 from sortedcontainers import SortedList
 
-from dragonflycove.routing import router
+from dragonflycove.routing import demands
 from dragonflycove.values import requests
 
 if TYPE_CHECKING:
@@ -34,16 +34,17 @@
         "attempts",
         "demand",
         "first_token_at",
-        "group",
+        "is_borrower",
+        "is_preempted",
         "preemptions",
         "request",
         "sent_at",
-        "server_id",
+        "servers",
         "state",
         "tokens",
     )
 
-    def __init__(self, request: requests.ModelRequest, demand: router.Demand) -> None:
+    def __init__(self, request: requests.ModelRequest, demand: demands.Demand) -> None:
         """Create the entry of a request that waits.
 
         Args:
@@ -53,8 +54,9 @@
         self.request = request
         self.demand = demand
         self.state = State.QUEUED
-        self.server_id = ""
-        self.group: tuple[str, ...] = ()
+        self.servers: tuple[str, ...] = ()
+        self.is_borrower = False
+        self.is_preempted = False
         self.sent_at = 0.0
         self.first_token_at: float | None = None
         self.tokens = 0
@@ -68,6 +70,7 @@
     def __init__(self) -> None:
         """Create an empty book."""
         self.by_id: dict[str, Entry] = {}
+        self.borrowers_by_id: dict[str, Entry] = {}
         self._deadlines: SortedList[tuple[float, str]] = SortedList()
 
     def add(self, entry: Entry) -> None:
@@ -112,7 +115,7 @@
 
 def demand_of(
     request: requests.ModelRequest, policy: policies.Policy, excluded: frozenset[str]
-) -> router.Demand:
+) -> demands.Demand:
     """Return what a request needs of a server.
 
     Args:
@@ -127,7 +130,7 @@
     is_first = length is requests.LengthClass.SHORT and (
         request.urgency is requests.Urgency.INTERACTIVE
     )
-    return router.Demand(
+    return demands.Demand(
         request.model,
         request.prompt_tokens,
         request.prompt_tokens + request.max_tokens,
--- a/src/dragonflycove/admission/gate.py
+++ b/src/dragonflycove/admission/gate.py
@@ -68,7 +68,7 @@
             return outcomes.Refused(
                 outcomes.Reason.UNKNOWN_ORGANISATION, "The organisation is not configured."
             )
-        if not self._router.candidates_by_model.get(request.model):
+        if not self._router.candidates(request.model):
             return outcomes.Refused(
                 outcomes.Reason.NO_SERVER, "No server has the model.", NO_SERVER_RETRY_SECONDS
             )
--- a/src/dragonflycove/admission/lanes.py
+++ b/src/dragonflycove/admission/lanes.py
@@ -79,6 +79,10 @@
                 return key
         return waiting[0] if waiting else None
 
+    def interactive_waits(self) -> bool:
+        """Tell whether a short or medium interactive request waits."""
+        return any(self.queues_by_lane[key] for key in LANE_ORDER[:2])
+
     def charge(self, lane: LaneKey, tokens: int) -> None:
         """Account for tokens that were dispatched.
 
--- /dev/null
+++ b/src/dragonflycove/admission/lifecycle.py
@@ -0,0 +1,239 @@
+"""Moves admitted requests between waiting, running and their end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dragonflycove.admission import effects, entries, retry_budget
+from dragonflycove.values import outcomes
+
+if TYPE_CHECKING:
+    from dragonflycove.admission import promise, scheduler
+    from dragonflycove.configuration import schema
+    from dragonflycove.routing import router
+
+FAILURE_RETRY_SECONDS = 2.0
+"""When to come back after a failure."""
+
+FREE_REASONS = frozenset({outcomes.Reason.SERVER_LEAVING, outcomes.Reason.PREEMPTED})
+"""Reasons to run a request again that cost nothing of the retry budget."""
+
+PREEMPTIONS_LIMIT = 3
+"""Most times that one request gives borrowed capacity back."""
+
+
+class Lifecycle:
+    """The admitted requests of a node and each one's next step."""
+
+    def __init__(
+        self,
+        book: entries.Book,
+        servers: router.Router,
+        estimates: promise.Promise,
+        waiting: scheduler.Scheduler,
+    ) -> None:
+        """Create the lifecycle of no requests.
+
+        Args:
+            book: The admitted requests.
+            servers: The node's view of the engines.
+            estimates: How requests have run so far.
+            waiting: What waits in the node.
+        """
+        self.counts_by_reason: dict[outcomes.Reason, int] = {}
+        self.preemptions = 0
+        self.budgets = retry_budget.Budgets()
+        self._book = book
+        self._router = servers
+        self._promise = estimates
+        self._scheduler = waiting
+
+    def enqueue(
+        self, entry: entries.Entry, configuration: schema.Configuration, now: float
+    ) -> list[effects.Effect]:
+        """Let a request wait for an engine, or ask for a memory group.
+
+        Args:
+            entry: The request.
+            configuration: The configuration that is in force.
+            now: Time, seconds.
+
+        Returns:
+            What becomes possible.
+        """
+        request = entry.request
+        if entry.demand.memory_tokens > self._router.capacity(request.model).largest_memory_tokens:
+            entry.state = entries.State.AWAITING_GROUP
+            candidates = self._router.candidates(request.model)
+            allowed = tuple(c for c in candidates if c not in entry.demand.excluded)
+            return [effects.NeedsGroup(request, allowed)]
+        entry.state = entries.State.QUEUED
+        organisation = configuration.organisations_by_name.get(request.organisation)
+        self._scheduler.push(entry, organisation.weight if organisation else 1.0)
+        return self.drain_model(request.model, now)
+
+    def retry(
+        self,
+        entry: entries.Entry,
+        excluded: frozenset[str],
+        reason: outcomes.Reason,
+        configuration: schema.Configuration,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Let a request wait again after its attempt broke, or end it.
+
+        Args:
+            entry: The request.
+            excluded: Engines that it must not run on again.
+            reason: Why the attempt broke.
+            configuration: The configuration that is in force.
+            now: Time, seconds.
+
+        Returns:
+            What becomes possible.
+        """
+        request = entry.request
+        self.unplace(entry)
+        entry.state = entries.State.BROKEN
+        self.count(reason)
+        entry.demand = entry.demand._replace(excluded=excluded)
+        if now >= request.deadline:
+            return [self.fail(entry, outcomes.Reason.DEADLINE, "The deadline passed.")]
+        if all(server_id in excluded for server_id in self._router.candidates(request.model)):
+            return [self.fail(entry, outcomes.Reason.NO_SERVER, "No other server is left.")]
+        if reason not in FREE_REASONS and not self.budgets.spend(request.service, now):
+            text = "The service's retry budget is used up."
+            return [self.fail(entry, outcomes.Reason.RETRY_BUDGET, text)]
+        return self.enqueue(entry, configuration, now)
+
+    def drain(self, now: float) -> list[effects.Effect]:
+        """Dispatch what can be.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            Dispatches and preemptions.
+        """
+        if not self._scheduler.lanes_by_model:
+            return []
+        models = list(self._scheduler.lanes_by_model)
+        return [effect for model in models for effect in self.drain_model(model, now)]
+
+    def drain_model(self, model: str, now: float) -> list[effects.Effect]:
+        """Dispatch what can be for one model.
+
+        Args:
+            model: Its name.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches and preemptions.
+        """
+        drained: list[effects.Effect] = []
+        for entry, choice in self._scheduler.placements(model, now):
+            entry.is_borrower = choice.is_borrowed
+            uncached = entry.demand.prompt_tokens - choice.cached_tokens
+            drained.append(self.place(entry, (choice.server_id,), uncached, now))
+        if self._scheduler.interactive_waits(model):
+            drained += self._reclaim_borrowed(model)
+        return drained
+
+    def _reclaim_borrowed(self, model: str) -> list[effects.Effect]:
+        """Ask the newest borrower to give its engine back, one at a time."""
+        borrowers = [
+            entry for entry in self._book.borrowers_by_id.values() if entry.request.model == model
+        ]
+        if not borrowers or any(entry.is_preempted for entry in borrowers):
+            return []
+        newest = max(borrowers, key=lambda entry: (entry.sent_at, entry.request.request_id))
+        newest.is_preempted = True
+        newest.preemptions += 1
+        self.preemptions += 1
+        return [effects.Preempt(newest.request.request_id, newest.servers[0])]
+
+    def place(
+        self, entry: entries.Entry, servers: tuple[str, ...], uncached_tokens: int, now: float
+    ) -> effects.Dispatch:
+        """Run a request.
+
+        Args:
+            entry: The request.
+            servers: The engine, or the memory group, the lead first.
+            uncached_tokens: Prompt tokens that have to be read.
+            now: Time, seconds.
+
+        Returns:
+            The dispatch.
+        """
+        entry.state = entries.State.RUNNING
+        entry.servers = servers
+        entry.sent_at = now
+        entry.first_token_at = None
+        entry.tokens = 0
+        entry.attempts += 1
+        entry.is_preempted = False
+        if entry.is_borrower and entry.preemptions < PREEMPTIONS_LIMIT:
+            self._book.borrowers_by_id[entry.request.request_id] = entry
+        request_id = entry.request.request_id
+        self._router.occupy(servers, request_id, entry.demand, uncached_tokens, now)
+        group = servers if len(servers) > 1 else ()
+        return effects.Dispatch(entry.request, servers[0], entry.demand.priority, group)
+
+    def on_first_token(self, entry: entries.Entry, now: float) -> None:
+        """Take in that a running request's first token has come.
+
+        Args:
+            entry: The request.
+            now: Time, seconds.
+        """
+        if entry.first_token_at is None:
+            entry.first_token_at = now
+        self._book.borrowers_by_id.pop(entry.request.request_id, None)
+        self._router.prompt_read(entry.servers, entry.request.request_id, entry.demand)
+
+    def unplace(self, entry: entries.Entry) -> None:
+        """Stop a request's waiting or running.
+
+        Args:
+            entry: The request.
+        """
+        self._book.borrowers_by_id.pop(entry.request.request_id, None)
+        if entry.state is entries.State.RUNNING:
+            self._router.release(entry.servers, entry.request.request_id)
+        elif entry.state is entries.State.QUEUED:
+            self._scheduler.remove(entry)
+
+    def end(self, entry: entries.Entry) -> None:
+        """Forget a request.
+
+        Args:
+            entry: The request.
+        """
+        self.unplace(entry)
+        self._book.remove(entry)
+
+    def fail(self, entry: entries.Entry, reason: outcomes.Reason, detail: str) -> effects.Effect:
+        """End a request without an answer.
+
+        Args:
+            entry: The request.
+            reason: Why.
+            detail: One sentence for the caller.
+
+        Returns:
+            The failure.
+        """
+        ran = outcomes.Ran.MAY_HAVE_RUN if entry.attempts else outcomes.Ran.NOT_RUN
+        self.end(entry)
+        self.count(reason)
+        outcome = outcomes.Failed(reason, detail, ran, FAILURE_RETRY_SECONDS)
+        return effects.Fail(entry.request.request_id, outcome)
+
+    def count(self, reason: outcomes.Reason) -> None:
+        """Count a refusal, failure or retry.
+
+        Args:
+            reason: Why.
+        """
+        self.counts_by_reason[reason] = self.counts_by_reason.get(reason, 0) + 1
--- a/src/dragonflycove/admission/retry_budget.py
+++ b/src/dragonflycove/admission/retry_budget.py
@@ -44,3 +44,38 @@
             return False
         self._available -= 1.0
         return True
+
+
+class Budgets:
+    """The retry budget of each service that has had a request."""
+
+    def __init__(self) -> None:
+        """Create no budgets."""
+        self._by_service: dict[str, RetryBudget] = {}
+
+    def on_admitted(self, service: str, now: float) -> None:
+        """Add the share that one admitted request pays for.
+
+        Args:
+            service: The request's service.
+            now: Time, seconds.
+        """
+        self._of(service, now).on_admitted()
+
+    def spend(self, service: str, now: float) -> bool:
+        """Take one retry, if there is one.
+
+        Args:
+            service: The request's service.
+            now: Time, seconds.
+
+        Returns:
+            Whether the retry may be made.
+        """
+        return self._of(service, now).spend(now)
+
+    def _of(self, service: str, now: float) -> RetryBudget:
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = self._by_service[service] = RetryBudget(now)
+        return budget
--- a/src/dragonflycove/admission/scheduler.py
+++ b/src/dragonflycove/admission/scheduler.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterator
 
     from dragonflycove.admission import entries, promise
-    from dragonflycove.routing import router
+    from dragonflycove.routing import demands, router
 
 START_MARGIN = 1.5
 """Multiple of its estimated run before its deadline at which a request has to start."""
@@ -21,7 +21,7 @@
 
     entry: entries.Entry
     """The request, no longer waiting."""
-    choice: router.Choice
+    choice: demands.Choice
     """The server."""
 
 
@@ -105,6 +105,18 @@
         if not lane_set:
             del self.lanes_by_model[model]
 
+    def interactive_waits(self, model: str) -> bool:
+        """Tell whether a short or medium interactive request waits.
+
+        Args:
+            model: Name of the model.
+
+        Returns:
+            True where one does.
+        """
+        lane_set = self.lanes_by_model.get(model)
+        return lane_set is not None and lane_set.interactive_waits()
+
     def queued_tokens(self) -> tuple[int, int]:
         """Return the tokens that wait, by urgency."""
         totals = [0, 0]
--- a/src/dragonflycove/routing/load_view.py
+++ b/src/dragonflycove/routing/load_view.py
@@ -221,22 +221,6 @@
         """Return the KV memory that is believed free, tokens."""
         return self.server.memory_tokens - self.memory_used - self.pending_memory
 
-    def has_room(self, memory_tokens: int, now: float) -> bool:
-        """Tell whether a request may be sent to the engine now.
-
-        Args:
-            memory_tokens: KV memory that the request takes.
-            now: Time, seconds.
-
-        Returns:
-            False where this node's limit, the engine's memory or a recent failure forbids it.
-        """
-        return (
-            self.in_flight < self.limit
-            and self.blocked_until <= now
-            and memory_tokens <= self.memory_free()
-        )
-
 
 class LoadView:
     """Belief about every engine of the configuration."""
@@ -260,14 +244,3 @@
             load.server = server
             load.rate = max(1.0, server.prefill_tokens_per_second)
             self.loads_by_id[server.server_id] = load
-
-    def on_report(self, report: EngineReport, now: float) -> None:
-        """Take in a report; one of an unknown engine changes nothing.
-
-        Args:
-            report: The report.
-            now: Time, seconds.
-        """
-        load = self.loads_by_id.get(report.server_id)
-        if load is not None:
-            load.on_report(report, now)
