--- a/src/dragonflycove/standins/main.py
+++ b/src/dragonflycove/standins/main.py
@@ -32,7 +32,7 @@
     """Run a stand-in.
 
     Args:
-        argv: The command line; the first entry is the program's name.
+        argv: The command line after `dragonflycove standin`.
 
     Returns:
         Exit status: 0 after SIGTERM, 2 for a bad command line or bad settings.
@@ -45,7 +45,7 @@
     names = ["kind", "settings"]
     flags.mark_flags_as_required(names, flag_values=values)  # type: ignore[no-untyped-call]
     try:
-        values(argv)  # type: ignore[no-untyped-call]
+        values(["dragonflycove standin", *argv])  # type: ignore[no-untyped-call]
         text = pathlib.Path(values.settings).read_text(encoding="utf-8")
         settings = msgspec.convert(jsonc.loads(text), StandinSettings)
         return asyncio.run(_serve(values.kind, settings))
