--- a/src/dragonflycove/backends/engine_stream.py
+++ b/src/dragonflycove/backends/engine_stream.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 import yarl
+from aiohttp import http_exceptions
 
 from dragonflycove.transport import exchange, sessions
 
@@ -202,11 +203,11 @@
                 line = await response.content.readline()
         except TimeoutError:
             return self._end_or(BrokenKind.SILENT, "no byte in time")
-        except ValueError as error:
+        except (ValueError, http_exceptions.HttpProcessingError) as error:
             return Broken(BrokenKind.ERROR, sent=True, detail=exchange.describe(error))
         except (aiohttp.ClientError, OSError) as error:
             return self._end_or(BrokenKind.CRASHED, exchange.describe(error))
-        if not line:
+        if not line.endswith(b"\n"):
             return self._end_or(BrokenKind.CRASHED, "the stream ended before its last frame")
         return self._parse_line(line.strip())
 
--- /dev/null
+++ b/tests/standins/engine_bench.py
@@ -0,0 +1,121 @@
+"""One model engine on a socket with a client of it, for tests."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from dragonflycove.backends import engine_client, engine_stream
+from dragonflycove.standins import clock, engine_streams, kinds, serving
+from dragonflycove.transport import sessions
+from dragonflycove.values import requests
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+TIMEOUT_SECONDS = 5.0
+"""Bound on each call; no test waits for it."""
+
+TIMEOUTS = engine_stream.StreamTimeouts(2.0, 2.0, 10.0)
+"""Bounds on each stream; no test but those of silence waits for them."""
+
+QUICK = {
+    "models": ["herder"],
+    "step_seconds": 0.002,
+    "prefill_tokens_per_second": 5_000_000.0,
+    "starts_cold": False,
+    "load_lag_seconds": 0.0,
+    "cache_event_lag_seconds": 0.0,
+    "cache_event_loss": 0.0,
+    "restart_seconds": 0.05,
+    "heartbeat_seconds": 0.05,
+}
+"""Parameters of an engine that answers at once."""
+
+PROMPT = "What does the cheese cost in Cuenca? " * 300
+"""A prompt of about 2,800 tokens, three blocks."""
+
+
+class Bench:
+    """One engine on a socket with a client of it."""
+
+    def __init__(self, address: str, client: engine_client.EngineClient) -> None:
+        """Create the bench."""
+        self.address = address
+        self.client = client
+
+    def order(self, attempt: str, prompt: str = PROMPT, tokens: int = 5) -> engine_client.Generate:
+        """Return a prompt to run."""
+        return engine_client.Generate(attempt, "entry-1/inc-1", "herder", prompt, tokens, 0)
+
+    async def generate(
+        self, attempt: str, prompt: str = PROMPT, tokens: int = 5
+    ) -> list[engine_stream.StreamEvent]:
+        """Run a prompt to its end."""
+        order = self.order(attempt, prompt, tokens)
+        return [event async for event in self.client.generate(self.address, order, TIMEOUTS)]
+
+    async def begin(self, order: engine_client.Generate) -> None:
+        """Run a prompt up to its first frame and drop the connection."""
+        stream = self.client.generate(self.address, order, TIMEOUTS)
+        async with contextlib.aclosing(stream):  # type: ignore[type-var]
+            async for event in stream:
+                if isinstance(event, engine_stream.Frame):
+                    return
+
+    async def resume(self, attempt: str, from_index: int) -> list[engine_stream.StreamEvent]:
+        """Read the rest of a stream as another owner."""
+        stream = self.client.resume(self.address, attempt, "entry-2/inc-1", from_index, TIMEOUTS)
+        return [event async for event in stream]
+
+    async def set_faults(self, **switches: Any) -> None:
+        """Set the fault switches."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(f"http://{self.address}/_standin/faults", json=switches) as response,
+        ):
+            assert response.status == 200
+
+    async def books(self) -> dict[str, Any]:
+        """Return the engine's books."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{self.address}/_standin/books") as response,
+        ):
+            books: dict[str, Any] = await response.json()
+            return books
+
+
+@contextlib.asynccontextmanager
+async def engine(**parameters: Any) -> AsyncIterator[Bench]:
+    """Serve an engine as long as the context lasts."""
+    standin = kinds.build_engine(QUICK | parameters, clock.unix_clock())
+    async with serving.serving(standin) as address, sessions.open_pooled() as session:
+        client = engine_client.EngineClient(session)
+        try:
+            yield Bench(address, client)
+        finally:
+            await client.close()
+
+
+def answer(attempt: str, tokens: int = 5, start: int = 0) -> list[engine_stream.Frame]:
+    """Return the frames of the whole answer to the prompt."""
+    prompt_hash = requests.hash_prefix(PROMPT)[-1]
+    return [
+        engine_stream.Frame(
+            attempt,
+            index,
+            engine_streams.answer_token(prompt_hash, index),
+            "stop" if index == tokens - 1 else None,
+        )
+        for index in range(start, tokens)
+    ]
+
+
+def without_heartbeats(
+    events: list[engine_stream.StreamEvent],
+) -> list[engine_stream.StreamEvent]:
+    """Return the events but the heartbeats."""
+    return [event for event in events if not isinstance(event, engine_stream.Heartbeat)]
--- /dev/null
+++ b/tests/standins/test_engine_model.py
@@ -0,0 +1,236 @@
+"""Tests of the model engine's stand-in on the paused clock."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from dragonflycove.standins import (
+    clock,
+    engine_model,
+    engine_orders,
+    engine_parameters,
+    engine_streams,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+BLOCK_TOKENS = 1_024
+"""Tokens in one block of the prefix cache."""
+
+
+@contextlib.asynccontextmanager
+async def running(**parameters: Any) -> AsyncIterator[engine_model.Engine]:
+    """Run a warm engine that reads 10,000 prompt tokens a second."""
+    defaults: dict[str, Any] = {
+        "models": ["herder"],
+        "memory_tokens": 100_000,
+        "prefill_tokens_per_second": 10_000.0,
+        "step_seconds": 0.1,
+        "starts_cold": False,
+    }
+    checked = engine_parameters.EngineParameters(**(defaults | parameters))
+    engine = engine_model.Engine(checked, clock.loop_clock())
+    task = asyncio.create_task(engine.run())
+    try:
+        yield engine
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def prompt(
+    attempt: str, tokens: int = 1_000, priority: int = 0, **fields: Any
+) -> engine_streams.Submission:
+    """Return a prompt whose blocks no other prompt has."""
+    blocks = range(-(-tokens // BLOCK_TOKENS))
+    hashes = tuple(hash((attempt, block)) for block in blocks)
+    submission = engine_streams.Submission(attempt, "n1/i1", "herder", tokens, hashes, 10, priority)
+    return submission._replace(**fields)
+
+
+def taken(
+    engine: engine_model.Engine, submission: engine_streams.Submission
+) -> engine_streams.Stream:
+    """Submit a prompt that the engine takes."""
+    stream = engine.submit(submission)
+    assert isinstance(stream, engine_streams.Stream)
+    return stream
+
+
+async def first_token_seconds(stream: engine_streams.Stream) -> float:
+    """Return how long the first token takes from now."""
+    now = asyncio.get_running_loop().time
+    start = now()
+    async for event in stream.follow(0, 3_600):
+        assert isinstance(event, engine_streams.Token)
+        break
+    return now() - start
+
+
+async def test_prefill_goes_by_priority_and_then_by_arrival() -> None:
+    async with running() as engine:
+        long = taken(engine, prompt("long", 50_000, priority=1))
+        await asyncio.sleep(1)
+        short = taken(engine, prompt("short", 1_000, priority=0))
+        assert await first_token_seconds(short) == pytest.approx(0.25, abs=0.15)
+        behind = taken(engine, prompt("behind", 1_000, priority=1))
+        assert await first_token_seconds(behind) == pytest.approx(4.0, abs=0.3)
+        assert long.emitted > 0
+
+
+async def test_a_cached_prefix_is_not_read_again() -> None:
+    async with running() as engine:
+        first = taken(engine, prompt("a", 20_000))
+        await first_token_seconds(first)
+        again = taken(engine, prompt("b", 20_000, prefix_hashes=first.submission.prefix_hashes))
+        assert await first_token_seconds(again) <= 0.3
+        assert again.prefilled <= BLOCK_TOKENS
+
+
+@pytest.mark.parametrize(("in_flight", "crashes"), [(2, 0), (3, 1)])
+async def test_a_cold_engine_bears_its_bound_and_no_more(in_flight: int, crashes: int) -> None:
+    async with running(starts_cold=True, cold_concurrency=2) as engine:
+        streams = [taken(engine, prompt(f"a{number}")) for number in range(in_flight)]
+        books = engine.books_to_json()
+        assert len(books["crashes"]) == crashes
+        assert [stream.lost for stream in streams] == [bool(crashes)] * in_flight
+        assert engine.is_down == bool(crashes)
+
+
+async def test_an_engine_turns_warm_after_its_requests_and_cold_without_a_word() -> None:
+    async with running(starts_cold=True, warm_after_requests=1, load_lag_seconds=0) as engine:
+        taken(engine, prompt("a"))
+        await asyncio.sleep(5)
+        assert not engine.cold_start.is_cold
+        before = engine.load()[1]
+        engine.turn_cold()
+        assert engine.cold_start.is_cold
+        assert engine.load()[1] == before
+
+
+async def test_a_crash_frees_all_and_the_next_start_is_another() -> None:
+    async with running(restart_seconds=3, load_lag_seconds=0) as engine:
+        start_id = engine.start_id
+        bystander = taken(engine, prompt("bystander", priority=1))
+        taken(engine, prompt("killer", crashes=True))
+        await asyncio.sleep(0.5)
+        assert bystander.lost
+        assert engine.is_down
+        books = engine.books_to_json()
+        assert books["memory_held_tokens"] == 0
+        assert sorted(books["crashes"][0]["attempts"]) == ["bystander", "killer"]
+        await asyncio.sleep(3)
+        assert not engine.is_down
+        assert engine.start_id != start_id
+        assert engine.cold_start.is_cold
+
+
+async def test_streams_wait_for_memory() -> None:
+    async with running(memory_tokens=2_000) as engine:
+        first = taken(engine, prompt("a", 1_900))
+        second = taken(engine, prompt("b", 1_900))
+        await asyncio.sleep(0.15)
+        assert (first.state, second.state) == (
+            engine_streams.StreamState.PREFILL,
+            engine_streams.StreamState.WAITING,
+        )
+        engine.cancel("a")
+        await asyncio.sleep(0.15)
+        assert second.state is engine_streams.StreamState.PREFILL
+
+
+async def test_an_unclaimed_stream_keeps_its_memory_for_a_bounded_time() -> None:
+    async with running(keep_seconds=15) as engine:
+        stream = taken(engine, prompt("a"))
+        await asyncio.sleep(5)
+        assert stream.is_finished
+        assert engine.books_to_json()["memory_held_tokens"] == 1_010
+        assert engine.find("a", None) is stream
+        await asyncio.sleep(15)
+        assert engine.find("a", None) is None
+        assert engine.books_to_json()["memory_held_tokens"] == 0
+
+
+async def test_a_reservation_lapses_unless_a_stream_uses_it() -> None:
+    async with running() as engine:
+        assert engine.reserve("used", "n1/i1", 40_000, 1.0) == 200
+        assert engine.reserve("idle", "n1/i1", 40_000, 1.0) == 200
+        stream = taken(engine, prompt("a", 250_000, group=("used",)))
+        await asyncio.sleep(2)
+        assert engine.books_to_json()["reservations"] == ["used"]
+        engine.unreserve("used")
+        assert stream.lost
+        assert engine.books_to_json()["memory_held_tokens"] == 0
+        refused = engine.submit(prompt("b", 250_000, group=("used",)))
+        assert isinstance(refused, engine_streams.Rejection)
+        assert (refused.status, refused.ran) == (409, "not_run")
+
+
+async def test_an_export_lapses() -> None:
+    async with running(export_keep_seconds=60) as engine:
+        stream = taken(engine, prompt("a", 50_000))
+        await asyncio.sleep(1)
+        assert engine.export("a") is not None
+        assert stream.lost
+        assert engine.books_to_json()["memory_held_tokens"] == 50_010
+        await asyncio.sleep(60)
+        assert engine.books_to_json()["memory_held_tokens"] == 0
+
+
+async def test_the_load_is_shown_with_its_lag() -> None:
+    async with running(load_lag_seconds=2) as engine:
+        taken(engine, prompt("a", 100))
+        await asyncio.sleep(1.95)
+        measured_at, load = engine.load()
+        assert measured_at == pytest.approx(-0.05)
+        assert (load.waiting, load.running) == (0, 0)
+        await asyncio.sleep(0.1)
+        assert engine.load()[1].waiting == 1
+
+
+async def test_cache_events_come_late_and_with_gaps() -> None:
+    async with running(cache_event_lag_seconds=5, cache_event_loss=0.5, seed=3) as engine:
+        for number in range(20):
+            taken(engine, prompt(f"a{number}", 100))
+        await asyncio.sleep(3)
+        assert engine.cache.events_from(0).events == ()
+        await asyncio.sleep(5)
+        page = engine.cache.events_from(0)
+        seqs = [event.seq for event in page.events]
+        assert seqs == sorted(set(seqs))
+        assert 0 < len(seqs) < 20
+        assert page.next_seq == seqs[-1] + 1
+
+
+async def test_orders_load_at_the_rate_of_the_store_and_the_newest_one_wins() -> None:
+    answers: list[engine_orders.Fetched | engine_orders.RetryLater] = [
+        engine_orders.RetryLater(4.0)
+    ]
+    fetched: list[str] = []
+
+    async def fetch(name: str) -> engine_orders.Fetched | engine_orders.RetryLater:
+        fetched.append(name)
+        return answers.pop() if answers else engine_orders.Fetched(2)
+
+    async with running(load_seconds_per_unit=0.5) as engine:
+        orders = engine_orders.Orders(engine, fetch)
+        task = asyncio.create_task(orders.run())
+        stream = taken(engine, prompt("a"))
+        orders.put(engine_orders.State(3, ("ledger",), (), {"ledger": "2"}, "serve"))
+        assert stream.lost
+        await asyncio.sleep(4.9)
+        assert orders.in_force.models == ()
+        await asyncio.sleep(0.2)
+        assert orders.in_force == engine_orders.State(3, ("ledger",), (), {"ledger": "2"}, "serve")
+        assert engine.models == {"ledger"}
+        assert fetched == ["ledger@2", "ledger@2"]
+        assert not orders.put(engine_orders.State(2, (), (), {}, ""))
+        assert engine.models == {"ledger"}
+        task.cancel()
--- a/tests/standins/test_platform_contract.py
+++ b/tests/standins/test_platform_contract.py
@@ -177,7 +177,9 @@
             "body_bytes": 2,
             "execution": 1,
         }
-        load = await plain_client.PlainClient(plain.session).load(plain.address, TIMEOUT_SECONDS)
+        client = plain_client.PlainClient(plain.session)
+        load = await client.load(plain.address, TIMEOUT_SECONDS)
+        await client.close()
         assert load.unwrap().running == 0
 
 
