Refuse connections to a crashed engine stand-in until its restart

Cause: while down it accepted connections and cut them, so a client saw a crash (sent) where a dead process gives a refused connection (nothing sent); innocent prompts would count as suspects. Change: the server stops listening at the crash; a socket that is bound but does not listen keeps the port.

--- a/src/dragonflycove/standins/engine_app.py
+++ b/src/dragonflycove/standins/engine_app.py
@@ -61,8 +61,9 @@
             engine_parameters.EngineSwitches,
             self._apply,
             self._run,
-            lambda: self.engine.is_down,
+            lambda: self.engine.down_seconds,
         )
+        self.engine.on_crash = self._standin.went_down.set
 
     def standin(self) -> serving.Standin:
         """Return the stand-in."""
--- a/src/dragonflycove/standins/engine_model.py
+++ b/src/dragonflycove/standins/engine_model.py
@@ -16,6 +16,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dragonflycove.standins import clock, engine_parameters
 
 RETRY_AFTER_SECONDS = 1.0
@@ -33,14 +35,24 @@
             now: The clock.
         """
         self.parameters = parameters
+        """Its parameters."""
+        self.now = now
+        """The clock."""
         self.models: set[str] = set(parameters.models)
+        """Models in force."""
         self.books = engine_reports.Books()
-        self.now = now
-        self._rng = random.Random(parameters.seed)
+        """What it has done."""
         self.memory = engine_memory.Memory(parameters.memory_tokens)
+        """Who holds its KV memory."""
+        self._rng = random.Random(parameters.seed)
         self.cache = engine_cache.PrefixCache(parameters, self._rng, now)
+        """Its prefix cache."""
         self.cold_start = engine_cold_start.ColdStart(parameters)
+        """Whether it is cold."""
         self.table = engine_table.StreamTable()
+        """Streams that it keeps."""
+        self.on_crash: Callable[[], None] = lambda: None
+        """Called when it crashes."""
         self._sequence = 0
         self._start_id = self._new_id("start")
         self._finished_since_start = 0
@@ -48,10 +60,15 @@
         self._wake = asyncio.Event()
         self._history = engine_reports.LoadHistory(parameters.load_lag_seconds, self._load())
 
+    @property
+    def down_seconds(self) -> float:
+        """Time until it answers again after a crash; 0 if it answers."""
+        return max(0.0, self._down_until - self.now())
+
     @property
     def is_down(self) -> bool:
         """Whether it has crashed and does not answer yet."""
-        return self.now() < self._down_until
+        return self.down_seconds > 0
 
     @property
     def start_id(self) -> str:
@@ -202,6 +219,7 @@
         self._start_id = self._new_id("start")
         self._finished_since_start = 0
         self._down_until = self.now() + self.parameters.restart_seconds
+        self.on_crash()
         for stream in streams:
             stream.lose()
         self._note_load()
--- a/src/dragonflycove/standins/faults.py
+++ b/src/dragonflycove/standins/faults.py
@@ -57,18 +57,18 @@
         self,
         app: types.ASGIApp,
         registry: connections.Connections,
-        is_down: Callable[[], bool],
+        down_seconds: Callable[[], float],
     ) -> None:
         """Create the gate with all faults off.
 
         Args:
             app: The stand-in's interface.
             registry: Its open connections.
-            is_down: Tells whether the connection of every request is to be cut.
+            down_seconds: Returns how long every request's connection is to be cut.
         """
         self._app = app
         self._registry = registry
-        self._is_down = is_down
+        self._down_seconds = down_seconds
         self.switches = Switches()
 
     def set(self, switches: Switches, client: connections.Client | None = None) -> None:
@@ -94,7 +94,7 @@
         guarded = self._guard(client, send)
         if scope["path"].startswith(CONTROL_PREFIX):
             await self._app(scope, receive, guarded)
-        elif self._is_down():
+        elif self._down_seconds() > 0:
             self._registry.cut(client)
             await _hang(receive)
         elif self._matches(scope):
