Membership by probes of bounded fan-out, and the peer connections

Change: membership/ as pure decisions with a refutation counter of its own; peering/ with versioned messages, bounded frames and confirmed sending; tasks.

--- a/src/dragonflycove/configuration/freshness.py
+++ b/src/dragonflycove/configuration/freshness.py
@@ -28,8 +28,8 @@
     peer_seconds: float
     """Longest time since any peer was heard for a node that is not cut off, seconds."""
 
-    majority_seconds: float
-    """Longest time since a host was heard of for it to count as heard, seconds."""
+    least_reachable: float
+    """Least part of the other hosts that a node can reach that is not cut off, 0 to 1."""
 
 
 class FreshnessView:
@@ -45,8 +45,8 @@
         self._bounds = bounds
         self._log_read_at = float("-inf")
         self._peer_heard_at = now
-        self._heard_at_by_host: dict[str, float] = {}
-        self._expected_hosts: frozenset[str] = frozenset()
+        self._expects_peers = False
+        self._reachable_fraction = 1.0
 
     def on_log_read(self, now: float) -> None:
         """Take note that the log was read to its end.
@@ -66,24 +66,15 @@
         self._peer_heard_at = now
         self._log_read_at = max(self._log_read_at, now - max(0.0, log_age_seconds))
 
-    def on_host_heard(self, host: str, now: float) -> None:
-        """Take note that a host is alive, by its own frame or a peer's digest.
+    def on_reachability(self, expects_peers: bool, reachable_fraction: float) -> None:
+        """Take note of how many of the other hosts answer.
 
         Args:
-            host: Name of the host.
-            now: Time, seconds.
-        """
-        self._heard_at_by_host[host] = now
-
-    def on_expected_hosts(self, other_hosts: frozenset[str]) -> None:
-        """Take note of which other hosts the host list names.
-
-        Args:
-            other_hosts: Names of the hosts, this one left out.
+            expects_peers: Whether the host list names other hosts.
+            reachable_fraction: Estimated part of them that can be reached, 0 to 1.
         """
-        self._expected_hosts = other_hosts
-        for host in self._heard_at_by_host.keys() - other_hosts:
-            del self._heard_at_by_host[host]
+        self._expects_peers = expects_peers
+        self._reachable_fraction = reachable_fraction
 
     def log_age_seconds(self, now: float) -> float:
         """Return the age of the last reading of the log that is known of.
@@ -107,16 +98,10 @@
         """
         if self.log_age_seconds(now) <= self._bounds.log_seconds:
             return Freshness.FRESH
-        if not self._expected_hosts:
+        if not self._expects_peers:
             # There is nobody from whom the node could be cut off.
             return Freshness.LOG_SILENT
         peers_silent = now - self._peer_heard_at > self._bounds.peer_seconds
-        if peers_silent or 2 * self._count_heard(now) < len(self._expected_hosts):
+        if peers_silent or self._reachable_fraction < self._bounds.least_reachable:
             return Freshness.STALE
         return Freshness.LOG_SILENT
-
-    def _count_heard(self, now: float) -> int:
-        oldest = now - self._bounds.majority_seconds
-        return sum(
-            1 for host in self._expected_hosts if self._heard_at_by_host.get(host, oldest) > oldest
-        )
--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -50,6 +50,9 @@
 PEER_CHECK_SECONDS = 0.5
 """Time between checks whether a peer is to be asked, seconds."""
 
+POSITION_SECONDS = 20.0
+"""Age of what a peer said of its position after which it is not asked, seconds."""
+
 REQUEST_SECONDS = 3.0
 """Time after which an unanswered request for a snapshot is given up, seconds."""
 
@@ -66,7 +69,7 @@
     retention_seconds: float = 86_400.0
     """How long the log keeps a record, seconds."""
 
-    freshness_bounds: freshness.FreshnessBounds = freshness.FreshnessBounds(6.0, 3.0, 20.0)
+    freshness_bounds: freshness.FreshnessBounds = freshness.FreshnessBounds(6.0, 4.0, 0.5)
     """Bounds on silence."""
 
 
@@ -179,15 +182,15 @@
             hosts: Names of the live hosts, this one included.
         """
         self._hosts = hosts
-        self._view().on_expected_hosts(frozenset(hosts) - {self._settings.host})
 
-    def on_host_heard(self, host: str) -> None:
-        """Take note that a host is alive.
+    def on_reachability(self, expects_peers: bool, reachable_fraction: float) -> None:
+        """Take note of how many of the other hosts answer.
 
         Args:
-            host: Name of the host.
+            expects_peers: Whether the host list names other hosts.
+            reachable_fraction: Estimated part of them that can be reached, 0 to 1.
         """
-        self._view().on_host_heard(host, _now())
+        self._view().on_reachability(expects_peers, reachable_fraction)
 
     def on_peer_header(self, header: messages.Header) -> None:
         """Take note of what a peer's frame tells.
@@ -202,7 +205,6 @@
             # A reading of the log elsewhere tells nothing of records that are not here yet.
             age = float("inf")
         self._view().on_peer_frame(age, now)
-        self._view().on_host_heard(host, now)
         self._position_by_host[host] = PeerPosition(header.version, header.next_offset, now)
 
     def on_snapshot_requested(self, host: str, message: snapshots.SnapshotRequested) -> None:
@@ -298,7 +300,7 @@
 
     def _find_host_ahead(self) -> str | None:
         ours = self._state.snapshot.next_offset
-        recent = _now() - self._settings.freshness_bounds.majority_seconds
+        recent = _now() - POSITION_SECONDS
         offset_by_host = {
             host: position.next_offset
             for host, position in self._position_by_host.items()
--- /dev/null
+++ b/src/dragonflycove/peering/codec.py
@@ -0,0 +1,21 @@
+"""The registry with the messages that peering and membership bring along."""
+
+from __future__ import annotations
+
+from dragonflycove.membership import digests
+from dragonflycove.peering import messages, relaying, snapshots
+
+
+def new_registry() -> messages.Registry:
+    """Return a registry with the messages of peering and membership.
+
+    Other tasks add their own: `registry.register(name, version, message_type)`.
+    """
+    registry = messages.Registry()
+    registry.register("probe", 1, digests.Probe)
+    registry.register("probe_answered", 1, digests.ProbeAnswered)
+    registry.register("probe_requested", 1, digests.ProbeRequested)
+    registry.register("snapshot_requested", 1, snapshots.SnapshotRequested)
+    registry.register("snapshot_part", 1, snapshots.SnapshotPart)
+    registry.register("relayed", 1, relaying.Relayed)
+    return registry
--- a/src/dragonflycove/peering/messages.py
+++ b/src/dragonflycove/peering/messages.py
@@ -61,6 +61,19 @@
     """What is wrong."""
 
 
+class PackedMessage(NamedTuple):
+    """A message without a frame."""
+
+    kind: str
+    """Kind of the message."""
+
+    kind_version: int
+    """Version of that kind."""
+
+    body: bytes
+    """Its fields in CBOR."""
+
+
 class _Kind(NamedTuple):
     """Name and version of a message type on the wire."""
 
@@ -131,6 +144,36 @@
             return BadFrame(f"protocol version {layout[0]!r} is not {PROTOCOL_VERSION}")
         return self._decode_layout(layout)
 
+    def pack(self, message: Any) -> PackedMessage:
+        """Encode a message without a frame.
+
+        Args:
+            message: A message of a registered type.
+
+        Returns:
+            The message, encoded.
+        """
+        kind = self._kind_by_type[type(message)]
+        body = msgspec.to_builtins(message, builtin_types=(bytes,))
+        return PackedMessage(kind.name, kind.version, cbor2.dumps(body))
+
+    def unpack(self, packed: PackedMessage) -> Any | None:
+        """Decode a message without a frame.
+
+        Args:
+            packed: The message, encoded.
+
+        Returns:
+            The message; `None` if this release does not know it or it is malformed.
+        """
+        message_type = self._type_by_kind.get(_Kind(packed.kind, packed.kind_version))
+        if message_type is None:
+            return None
+        try:
+            return msgspec.convert(cbor2.loads(packed.body), message_type)
+        except Exception:  # noqa: BLE001 - the decoder raises many kinds on hostile bytes
+            return None
+
     def _decode_layout(self, layout: list[Any]) -> Frame | UnknownFrame | BadFrame:
         try:
             header = msgspec.convert(layout[1], Header)
