--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -16,7 +16,7 @@
     restatement,
     verdicts,
 )
-from dragonflycove.peering import messages, snapshots
+from dragonflycove.peering import messages
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers
 
@@ -44,18 +44,6 @@
 RESTATEMENT_CHECK_SECONDS = 30.0
 """Time between checks whether a restatement is due, seconds."""
 
-PEER_GRACE_SECONDS = 1.0
-"""Time in which the log may show a version that a peer has, before the peer is asked, seconds."""
-
-PEER_CHECK_SECONDS = 0.5
-"""Time between checks whether a peer is to be asked, seconds."""
-
-POSITION_SECONDS = 20.0
-"""Age of what a peer said of its position after which it is not asked, seconds."""
-
-REQUEST_SECONDS = 3.0
-"""Time after which an unanswered request for a snapshot is given up, seconds."""
-
 INLINE_CHARACTERS = 50_000
 """Longest text that is checked on the loop's own thread, characters."""
 
@@ -77,19 +65,6 @@
 """Settings of a node without peers."""
 
 
-class PeerPosition(NamedTuple):
-    """How far a peer has applied the configuration stream."""
-
-    version: int
-    """Version in force there."""
-
-    next_offset: int
-    """Offset of the first record that it has not applied."""
-
-    seen_at: float
-    """When it said so, seconds."""
-
-
 class ConfigurationTask:
     """Owns the acceptance state; nobody else changes it."""
 
@@ -119,12 +94,7 @@
         self._changing = asyncio.Lock()
         self._subscribers: list[Callable[[schema.Configuration], None]] = []
         self._hosts: tuple[str, ...] = ()
-        self._position_by_host: dict[str, PeerPosition] = {}
-        self._assembler: snapshots.SnapshotAssembler | None = None
-        self._asked_at = float("-inf")
         self._ready = asyncio.Event()
-        self.send: Callable[[str, object], None] = _send_nowhere
-        """Sends a message to a host; set by whoever owns the peer connections."""
 
     @property
     def state(self) -> acceptance.AcceptanceState:
@@ -160,9 +130,9 @@
         await self._ready.wait()
 
     async def run(self) -> None:
-        """Follow the log and the peers until cancelled."""
+        """Follow the log until cancelled."""
         self._view()
-        await asyncio.gather(self._follow_log(), self._follow_peers(), self._keep_restated())
+        await asyncio.gather(self._follow_log(), self._keep_restated())
 
     def header(self, sender: str) -> messages.Header:
         """Return what this node's frames tell.
@@ -198,50 +168,23 @@
         Args:
             header: The header.
         """
-        host = identifiers.NodeIdentity.parse(header.sender).host
-        now = _now()
         age = header.log_age_seconds if header.log_age_seconds >= 0 else float("inf")
         if header.next_offset > self._state.snapshot.next_offset:
             # A reading of the log elsewhere tells nothing of records that are not here yet.
             age = float("inf")
-        self._view().on_peer_frame(age, now)
-        self._position_by_host[host] = PeerPosition(header.version, header.next_offset, now)
-
-    def on_snapshot_requested(self, host: str, message: snapshots.SnapshotRequested) -> None:
-        """Answer a peer that asks for the snapshot.
-
-        Args:
-            host: Name of the peer's host.
-            message: Its request.
-        """
-        for part in snapshots.split(self._state.snapshot, message.request_id):
-            self.send(host, part)
+        self._view().on_peer_frame(age, _now())
 
-    async def on_snapshot_part(self, host: str, part: snapshots.SnapshotPart) -> None:
-        """Take a part of a snapshot that was asked for.
+    async def adopt(self, snapshot: records.Snapshot) -> None:
+        """Take over a peer's snapshot, if it is newer.
 
         Args:
-            host: Name of the peer's host.
-            part: The part.
+            snapshot: The snapshot.
         """
-        if self._assembler is None or part.request_id != self._assembler.request_id:
-            return
-        added = self._assembler.add(part)
-        if isinstance(added, result.Err):
-            logs.warning("snapshot_refused", host=host, reason=added.err_value)
-            self._assembler = None
-            return
-        if added.ok_value is None:
-            return
-        self._assembler = None
-        await self._adopt(host, added.ok_value)
-
-    async def _adopt(self, host: str, snapshot: records.Snapshot) -> None:
         async with self._changing:
             size = len(snapshot.text)
             applied = await _offload(size, acceptance.adopt, self._state, snapshot)
             self._install(applied)
-        logs.event("snapshot_taken", host=host, version=self.configuration.version)
+        logs.event("snapshot_taken", version=self.configuration.version)
         if self.configuration.version:
             self._ready.set()
 
@@ -284,38 +227,6 @@
         for subscriber in self._subscribers:
             subscriber(self.configuration)
 
-    async def _follow_peers(self) -> None:
-        """Ask a peer that is ahead, if the log does not show its version soon."""
-        behind_since: float | None = None
-        while True:
-            await asyncio.sleep(PEER_CHECK_SECONDS)
-            ahead = self._find_host_ahead()
-            if ahead is None:
-                behind_since = None
-                continue
-            now = _now()
-            behind_since = now if behind_since is None else behind_since
-            if now - behind_since >= PEER_GRACE_SECONDS and now - self._asked_at > REQUEST_SECONDS:
-                self._ask(ahead, now)
-
-    def _find_host_ahead(self) -> str | None:
-        ours = self._state.snapshot.next_offset
-        recent = _now() - POSITION_SECONDS
-        offset_by_host = {
-            host: position.next_offset
-            for host, position in self._position_by_host.items()
-            if position.next_offset > ours and position.seen_at > recent
-        }
-        furthest = max(offset_by_host.values(), default=0)
-        ahead = sorted(host for host, offset in offset_by_host.items() if offset == furthest)
-        return self._rng.choice(ahead) if ahead else None
-
-    def _ask(self, host: str, now: float) -> None:
-        request_id = identifiers.new_id(self._rng, "snapshot")
-        self._assembler = snapshots.SnapshotAssembler(request_id)
-        self._asked_at = now
-        self.send(host, snapshots.SnapshotRequested(request_id))
-
     async def _keep_restated(self) -> None:
         while True:
             await asyncio.sleep(RESTATEMENT_CHECK_SECONDS)
@@ -347,9 +258,5 @@
     return await asyncio.to_thread(function, *arguments)
 
 
-def _send_nowhere(host: str, message: object) -> None:
-    """Drop a message, while there are no peer connections."""
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
