--- a/src/dragonflycove/node/snapshot_exchange.py
+++ b/src/dragonflycove/node/snapshot_exchange.py
@@ -118,9 +118,7 @@
         for part in snapshots.split(snapshot, message.request_id):
             self._peers.send(sender.host, part)
 
-    def _on_part(
-        self, sender: identifiers.NodeIdentity, message: snapshots.SnapshotPart
-    ) -> None:
+    def _on_part(self, sender: identifiers.NodeIdentity, message: snapshots.SnapshotPart) -> None:
         if self._assembler is None or message.request_id != self._assembler.request_id:
             return
         added = self._assembler.add(message)
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
-from collections.abc import Callable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import result
 
@@ -13,6 +13,9 @@
 from dragonflycove.platform import log_client
 from dragonflycove.transport import exchange
 
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
 UNKNOWN = exchange.Unknown(exchange.Cause.SILENT, "the answer did not come in time")
 """An answer that was lost."""
 
@@ -77,10 +80,8 @@
             return result.Err(DOWN)
         if from_offset >= len(self.records) and wait_seconds:
             self._changed.clear()
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), wait_seconds)
-            except TimeoutError:
-                pass
             if self.down or self.reads_down:
                 return result.Err(DOWN)
         start = max(from_offset, self.first_retained)
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,168 @@
+"""Tests of membership among nodes on a simulated clock."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from dragonflycove.membership import digests, effects, membership
+from dragonflycove.values import identifiers
+
+TICK_SECONDS = 0.25
+
+DIGESTS = st.builds(
+    # The start of a process goes with its incarnation.
+    lambda start, *rest: digests.Digest("a", f"start-{start}", float(start), *rest),
+    st.integers(1, 2),
+    st.integers(0, 2),
+    st.integers(0, 3),
+    st.just(0),
+    st.booleans(),
+    st.sampled_from(list(digests.Health)),
+)
+
+
+@hypothesis.given(st.lists(DIGESTS, min_size=1, max_size=5), st.randoms())
+def test_order_of_digests_does_not_matter(given: list[digests.Digest], rng: random.Random) -> None:
+    """Two nodes that hear the same digests, in any order and twice, know the same."""
+
+    def fold(heard: list[digests.Digest]) -> tuple[object, ...]:
+        known = None
+        for digest in heard:
+            known = digest if digests.is_newer(digest, known) else known
+        assert known is not None
+        return known._replace(leaving=False)
+
+    again = [*given, *given]
+    rng.shuffle(again)
+    assert fold(again) == fold(given)
+
+
+class Net:
+    """Nodes, and a network that loses and cuts."""
+
+    def __init__(self, nodes: int, loss: float = 0.0) -> None:
+        self.rng = random.Random(5)
+        self.loss = loss
+        self.now = 0.0
+        self.cut: set[str] = set()
+        self.hosts = [membership.HostEntry(f"h{index}", False) for index in range(nodes)]
+        self.members = {host.name: self.start(host.name, 1.0) for host in self.hosts}
+
+    def start(self, host: str, started_at: float) -> membership.Membership:
+        """Return a fresh process on a host."""
+        identity = identifiers.NodeIdentity(host, f"start-{started_at}")
+        member = membership.Membership(identity, started_at, random.Random(f"{host}{started_at}"))
+        member.on_hosts(self.hosts)
+        return member
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        ends_at = self.now + seconds
+        while self.now < ends_at:
+            self.now += TICK_SECONDS
+            queue = [
+                (host, effect)
+                for host, member in self.members.items()
+                for effect in member.on_tick(self.now)
+            ]
+            while queue:
+                sender, effect = queue.pop()
+                if isinstance(effect, effects.Send) and self.passes(sender, effect.host):
+                    answers = self.deliver(sender, effect)
+                    queue.extend((effect.host, answer) for answer in answers)
+
+    def passes(self, sender: str, receiver: str) -> bool:
+        """Tell whether a message arrives."""
+        is_cut = (sender in self.cut) != (receiver in self.cut)
+        return receiver in self.members and not is_cut and self.rng.random() >= self.loss
+
+    def deliver(self, sender: str, sent: effects.Send) -> list[effects.Effect]:
+        """Hand a message over."""
+        receiver = self.members[sent.host]
+        if isinstance(sent.message, digests.Probe):
+            return receiver.on_probe(sender, sent.message, self.now)
+        if isinstance(sent.message, digests.ProbeAnswered):
+            return receiver.on_probe_answered(sent.message, self.now)
+        return receiver.on_probe_requested(sender, sent.message)
+
+    def health_of(self, host: str) -> set[digests.Health]:
+        """Return what the others know of a host."""
+        return {
+            member.digests_by_host[host].health
+            for name, member in self.members.items()
+            if name != host and host in member.digests_by_host
+        }
+
+
+@pytest.mark.parametrize(("nodes", "loss"), [(2, 0.0), (7, 0.0), (7, 0.1), (30, 0.05)])
+def test_death_is_known_and_the_living_are_not_silent(nodes: int, loss: float) -> None:
+    """All nodes know of a death in time; with messages lost the living come back at once."""
+    net = Net(nodes, loss)
+    net.run(30.0)
+    assert all(net.health_of(host.name) <= {digests.Health.ALIVE} for host in net.hosts) or loss
+    del net.members["h0"]
+    net.run(30.0)
+    assert net.health_of("h0") == {digests.Health.SILENT}
+    net.loss = 0.0
+    net.run(2.0 * nodes)
+    for host in net.hosts[1:]:
+        assert net.health_of(host.name) <= {digests.Health.ALIVE}
+
+
+def test_restart_is_a_new_incarnation() -> None:
+    """A host that starts again is alive under its new incarnation."""
+    net = Net(7)
+    net.run(10.0)
+    del net.members["h0"]
+    net.run(20.0)
+    net.members["h0"] = net.start("h0", 2.0)
+    net.run(15.0)
+    assert net.health_of("h0") == {digests.Health.ALIVE}
+    known = {member.digests_by_host["h0"] for name, member in net.members.items() if name != "h0"}
+    assert {digest.incarnation for digest in known} == {"start-2.0"}
+
+
+def test_cut_off_nodes_see_how_few_answer() -> None:
+    """On the small side of a cut most probes go unanswered; after it heals all are alive."""
+    net = Net(7)
+    net.run(20.0)
+    net.cut = {"h0", "h1"}
+    net.run(20.0)
+    small = [net.members[host].answered_fraction() for host in ("h0", "h1")]
+    large = [net.members[host.name].answered_fraction() for host in net.hosts[2:]]
+    assert max(small) < 0.5 <= min(large)
+    net.cut = set()
+    net.run(30.0)
+    assert all(net.health_of(host.name) == {digests.Health.ALIVE} for host in net.hosts)
+    assert all(member.answered_fraction() == 1.0 for member in net.members.values())
+
+
+def test_leaving_and_host_list() -> None:
+    """A leaving node gets no traffic; a host that the list drops is forgotten."""
+    net = Net(5)
+    net.run(10.0)
+    net.members["h0"].set_own(3, True)
+    net.run(10.0)
+    assert all("h0" not in member.live_hosts() for member in net.members.values())
+    member = net.members["h1"]
+    assert effects.MemberGone("h0") in member.on_hosts(net.hosts[1:])
+    assert "h0" not in member.digests_by_host
+
+
+@pytest.mark.parametrize("nodes", [5, 50, 320])
+def test_messages_do_not_grow_with_nodes(nodes: int) -> None:
+    """One node's messages in a period, and their digests, are bounded at any count of nodes."""
+    net = Net(nodes)
+    member = net.members["h0"]
+    news = tuple(
+        digests.Digest(host.name, "start-9", 9.0, 0, 0, 0, False, digests.Health.SUSPECT)
+        for host in net.hosts[1:]
+    )
+    member.on_probe("h1", digests.Probe(1, news), 0.0)
+    sent = [effect for effect in member.on_tick(1.0) if isinstance(effect, effects.Send)]
+    assert len(sent) == 1
+    assert len(sent[0].message.digests) <= 10
--- a/tests/node/test_control_tasks.py
+++ b/tests/node/test_control_tasks.py
@@ -5,13 +5,13 @@
 import asyncio
 import random
 import socket
-from collections.abc import AsyncIterator, Callable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import cbor2
 import fake_log
 import pytest
 import pytest_asyncio
+import waiting
 from websockets.asyncio import client
 
 from dragonflycove.configuration import freshness, records
@@ -22,6 +22,9 @@
 from dragonflycove.telemetry import metrics
 from dragonflycove.values import identifiers
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 pytestmark = pytest.mark.asyncio
 
 TEXT = '{"zones": ["cayambe"], "organisations": {"herders": {}}}'
@@ -93,13 +96,6 @@
         return node
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait for a condition; the bound only ends a test that fails."""
-    async with asyncio.timeout(20.0):
-        while not condition():
-            await asyncio.sleep(0.02)
-
-
 @pytest_asyncio.fixture
 async def fleet() -> AsyncIterator[Fleet]:
     """Yield a fleet without nodes."""
@@ -120,7 +116,7 @@
     nodes[0].configuration.subscribe(lambda configuration: seen.append(configuration.version))
     publish(fleet.log, 0)
     publish(fleet.log, 1)
-    await until(lambda: all(node.version == 2 for node in nodes))
+    await waiting.until(lambda: all(node.version == 2 for node in nodes))
     assert seen == [1, 2]
 
 
@@ -128,15 +124,15 @@
     """A node that starts while the log is down takes the version in force from a peer."""
     publish(fleet.log, 0)
     first = fleet.add("a")
-    await until(lambda: first.version == 1)
+    await waiting.until(lambda: first.version == 1)
     fleet.log.down = True
     fresh = fleet.add("b")
     assert not fresh.configuration.is_ready
-    await until(lambda: fresh.configuration.is_ready)
+    await waiting.until(lambda: fresh.configuration.is_ready)
     assert fresh.version == 1
     fleet.log.down = False
     publish(fleet.log, 1)
-    await until(lambda: fresh.version == first.version == 2)
+    await waiting.until(lambda: fresh.version == first.version == 2)
 
 
 async def test_node_cut_off_from_the_log_hears_of_a_zone_out(fleet: Fleet) -> None:
@@ -145,13 +141,13 @@
     cut = fake_log.FakeLog()
     publish(cut, 0)
     nodes = [fleet.add("a"), fleet.add("b", cut)]
-    await until(lambda: all(node.version == 1 for node in nodes))
+    await waiting.until(lambda: all(node.version == 1 for node in nodes))
     cut.down = True
     fleet.log.put(records.ZoneChanged("op-out", 1, "ana", "cayambe", True))
-    await until(lambda: nodes[1].version == 2)
+    await waiting.until(lambda: nodes[1].version == 2)
     assert nodes[1].configuration.configuration.zones_out == {"cayambe"}
     freshness_of_cut = nodes[1].configuration.evaluate_freshness
-    await until(lambda: freshness_of_cut() is freshness.Freshness.FRESH)
+    await waiting.until(lambda: freshness_of_cut() is freshness.Freshness.FRESH)
 
 
 async def test_node_cut_off_from_all_is_stale_and_comes_back(fleet: Fleet) -> None:
@@ -159,22 +155,22 @@
     publish(fleet.log, 0)
     nodes = [fleet.add("a"), fleet.add("b")]
     states = [node.configuration.evaluate_freshness for node in nodes]
-    await until(lambda: all(state() is freshness.Freshness.FRESH for state in states))
+    await waiting.until(lambda: all(state() is freshness.Freshness.FRESH for state in states))
     fleet.log.down = True
-    await until(lambda: all(state() is freshness.Freshness.LOG_SILENT for state in states))
+    await waiting.until(lambda: all(state() is freshness.Freshness.LOG_SILENT for state in states))
     await nodes[1].stop()
-    await until(lambda: states[0]() is freshness.Freshness.STALE)
+    await waiting.until(lambda: states[0]() is freshness.Freshness.STALE)
     fleet.log.down = False
-    await until(lambda: states[0]() is freshness.Freshness.FRESH)
+    await waiting.until(lambda: states[0]() is freshness.Freshness.FRESH)
 
 
 async def test_dead_and_restarted_nodes_are_heard_of(fleet: Fleet) -> None:
     """A node that dies is silent to the others; its next start is alive again."""
     nodes = [fleet.add(host) for host in ("a", "b", "c")]
     known = nodes[0].control.membership.members.digests_by_host
-    await until(lambda: len(known) == 2)
+    await waiting.until(lambda: len(known) == 2)
     await nodes[2].stop()
-    await until(lambda: known["c"].health is digests.Health.SILENT)
+    await waiting.until(lambda: known["c"].health is digests.Health.SILENT)
     again = Node("c", nodes[2].address, fleet.log)
     again.control.on_hosts(
         host_list_client.HostList(
@@ -186,18 +182,18 @@
         )
     )
     again.start()
-    await until(lambda: known["c"].health is digests.Health.ALIVE)
+    await waiting.until(lambda: known["c"].health is digests.Health.ALIVE)
     await again.stop()
 
 
 async def test_messages_of_other_tasks_reach_one_or_all(fleet: Fleet) -> None:
     """A registered message goes to one host, or to all through others."""
     nodes = [fleet.add(f"host-{index}") for index in range(7)]
-    await until(lambda: len(nodes[0].control.membership.members.digests_by_host) == 6)
+    await waiting.until(lambda: len(nodes[0].control.membership.members.digests_by_host) == 6)
     nodes[0].control.peers.send("host-3", Note("to one"))
     nodes[0].control.peers.broadcast(Note("to all"), fan_out=2)
-    await until(lambda: all("to all" in node.notes for node in nodes[1:]))
-    await until(lambda: "to one" in nodes[3].notes)
+    await waiting.until(lambda: all("to all" in node.notes for node in nodes[1:]))
+    await waiting.until(lambda: "to one" in nodes[3].notes)
     assert [node.notes.count("to all") for node in nodes] == [0, 1, 1, 1, 1, 1, 1]
 
 
@@ -220,16 +216,16 @@
 ) -> None:
     """Bytes that are no frame close the connection; an unknown message only counts."""
     node = fleet.add("a")
-    await until(lambda: can_connect(node.address))
+    await waiting.until(lambda: can_connect(node.address))
     async with client.connect(f"ws://{node.address}/") as connection:
         await connection.send(data)
-        await until(lambda: node.metrics.totals("events").get(metric, 0.0) == 1.0)
+        await waiting.until(lambda: node.metrics.totals("events").get(metric, 0.0) == 1.0)
         if is_closed:
             await connection.wait_closed()
             assert connection.close_code == peer_task.REFUSED_CLOSE_CODE
         else:
             await connection.send(cbor2.dumps([1, HEADER, "note", 1, ["still open"]]))
-            await until(lambda: node.notes == ["still open"])
+            await waiting.until(lambda: node.notes == ["still open"])
 
 
 async def test_frame_over_the_bound_is_not_sent(fleet: Fleet) -> None:
