--- /dev/null
+++ b/src/dragonflycove/measure/engine_model.py
@@ -0,0 +1,239 @@
+"""A model engine in virtual time: continuous batching, priorities, memory, prefix cache, cold start."""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.routing import load_view
+from dragonflycove.values import requests
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.configuration import schema
+    from dragonflycove.measure import clock
+
+CHUNK_TOKENS = 2_048
+"""Prompt tokens that the engine reads before it looks at priorities again."""
+
+DECODE_TOKENS_PER_SECOND = 40.0
+"""Rate at which each stream is generated."""
+
+CACHE_SHARE = 0.5
+"""Size of the prefix cache against the KV memory."""
+
+
+class Stream(NamedTuple):
+    """One attempt at an engine."""
+
+    attempt: str
+    """Identifier of the attempt."""
+    priority: int
+    """Engine priority."""
+    prompt_tokens: int
+    """Prompt tokens, cached ones included."""
+    memory_tokens: int
+    """KV memory that it takes."""
+    answer_tokens: int
+    """Tokens that it generates."""
+    prefix_hashes: tuple[int, ...]
+    """Chained hashes of the prompt's blocks."""
+    on_first_token: Callable[[], None]
+    """Called when its prompt has been read."""
+    on_end: Callable[[bool], None]
+    """Called at its end with whether the answer is whole."""
+
+
+class Engine:
+    """One engine."""
+
+    def __init__(self, server: schema.Server, timeline: clock.Timeline) -> None:
+        """Create a warm engine.
+
+        Args:
+            server: Its configuration.
+            timeline: The virtual time.
+        """
+        self.server = server
+        self.crashes = 0
+        self.read_tokens = 0
+        self.finished_since_start = server.warm_after_requests
+        self._timeline = timeline
+        self._start = 0
+        self._sequence = 0
+        self._streams_by_attempt: dict[str, Stream] = {}
+        self._left_by_attempt: dict[str, int] = {}
+        self._waiting: list[tuple[int, int, str]] = []
+        self._reading: list[tuple[int, int, str]] = []
+        self._running: set[str] = set()
+        self._memory_used = 0
+        self._is_reading = False
+        self._cache: OrderedDict[int, None] = OrderedDict()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no prompt is being read."""
+        return not self._is_reading
+
+    @property
+    def memory_free(self) -> int:
+        """KV memory that is free, tokens."""
+        return self.server.memory_tokens - self._memory_used
+
+    @property
+    def occupied(self) -> int:
+        """Requests that wait or run."""
+        return len(self._streams_by_attempt)
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether it is in cold start."""
+        return self.finished_since_start < self.server.warm_after_requests
+
+    def restart(self) -> None:
+        """Break every stream off and start again, cold."""
+        broken = list(self._streams_by_attempt.values())
+        self._start += 1
+        self.finished_since_start = 0
+        self._streams_by_attempt = {}
+        self._left_by_attempt = {}
+        self._waiting = []
+        self._reading = []
+        self._running = set()
+        self._cache = OrderedDict()
+        self._memory_used = 0
+        self._is_reading = False
+        for stream in broken:
+            stream.on_end(False)
+
+    def submit(self, stream: Stream) -> None:
+        """Take a stream; a cold engine that gets more than it bears falls over.
+
+        Args:
+            stream: The stream.
+        """
+        self._sequence += 1
+        self._streams_by_attempt[stream.attempt] = stream
+        heapq.heappush(self._waiting, (stream.priority, self._sequence, stream.attempt))
+        if self.is_cold and self.occupied > self.server.cold_concurrency:
+            self.crashes += 1
+            self.restart()
+            return
+        self._admit()
+
+    def cancel(self, attempt: str) -> None:
+        """End a stream and free what it holds, if it is there.
+
+        Args:
+            attempt: The attempt.
+        """
+        if attempt in self._streams_by_attempt:
+            self._free(attempt)
+            self._admit()
+
+    def report(self, age_seconds: float) -> load_view.EngineReport:
+        """Return the load as it is now.
+
+        Args:
+            age_seconds: Age that the report will have on arrival.
+
+        Returns:
+            The report.
+        """
+        tokens = {True: [0, 0], False: [0, 0]}
+        for attempt, stream in self._streams_by_attempt.items():
+            left = self._left_by_attempt.get(attempt, stream.prompt_tokens)
+            tokens[attempt in self._running][min(1, stream.priority)] += left
+        waiting, running = tokens[False], tokens[True]
+        return load_view.EngineReport(
+            self.server.server_id,
+            age_seconds,
+            f"{self.server.server_id}-{self._start}",
+            len(self._running),
+            len(self._streams_by_attempt) - len(self._running),
+            (waiting[0], waiting[1]),
+            (running[0], running[1]),
+            self._memory_used,
+            self.server.memory_tokens,
+            self.finished_since_start,
+            self.server.models,
+        )
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self.server.concurrency:
+            attempt = self._waiting[0][2]
+            stream = self._streams_by_attempt.get(attempt)
+            if stream is not None and stream.memory_tokens > self.memory_free:
+                break
+            entry = heapq.heappop(self._waiting)
+            if stream is None:
+                continue
+            self._running.add(attempt)
+            self._memory_used += stream.memory_tokens
+            cached = min(self._cached_tokens(stream), stream.prompt_tokens - 1)
+            self._left_by_attempt[attempt] = stream.prompt_tokens - cached
+            heapq.heappush(self._reading, entry)
+        self._read()
+
+    def _cached_tokens(self, stream: Stream) -> int:
+        blocks = 0
+        for block in stream.prefix_hashes:
+            if block not in self._cache:
+                break
+            self._cache.move_to_end(block)
+            blocks += 1
+        return blocks * requests.PREFIX_BLOCK_TOKENS
+
+    def _read(self) -> None:
+        """Start to read the next chunk, unless one is being read."""
+        while self._reading and self._reading[0][2] not in self._streams_by_attempt:
+            heapq.heappop(self._reading)
+        if self._is_reading or not self._reading:
+            return
+        attempt = self._reading[0][2]
+        chunk = min(CHUNK_TOKENS, self._left_by_attempt[attempt])
+        self._is_reading = True
+        seconds = chunk / self.server.prefill_tokens_per_second
+        self._timeline.after(seconds, self._on_chunk, attempt, chunk, self._start)
+
+    def _on_chunk(self, attempt: str, chunk: int, start: int) -> None:
+        if start != self._start:
+            return
+        self._is_reading = False
+        if attempt in self._streams_by_attempt:
+            self.read_tokens += chunk
+            self._left_by_attempt[attempt] -= chunk
+            if self._left_by_attempt[attempt] <= 0:
+                self._on_read(attempt)
+        self._read()
+
+    def _on_read(self, attempt: str) -> None:
+        self._reading = [entry for entry in self._reading if entry[2] != attempt]
+        heapq.heapify(self._reading)
+        stream = self._streams_by_attempt[attempt]
+        for block in stream.prefix_hashes:
+            self._cache[block] = None
+        limit = CACHE_SHARE * self.server.memory_tokens / requests.PREFIX_BLOCK_TOKENS
+        while len(self._cache) > limit:
+            self._cache.popitem(last=False)
+        stream.on_first_token()
+        seconds = stream.answer_tokens / DECODE_TOKENS_PER_SECOND
+        self._timeline.after(seconds, self._on_answered, attempt, self._start)
+
+    def _on_answered(self, attempt: str, start: int) -> None:
+        stream = self._streams_by_attempt.get(attempt)
+        if start != self._start or stream is None:
+            return
+        self.finished_since_start += 1
+        self._free(attempt)
+        stream.on_end(True)
+        self._admit()
+
+    def _free(self, attempt: str) -> None:
+        stream = self._streams_by_attempt.pop(attempt)
+        self._left_by_attempt.pop(attempt, None)
+        if attempt in self._running:
+            self._running.discard(attempt)
+            self._memory_used -= stream.memory_tokens
--- /dev/null
+++ b/src/dragonflycove/measure/node_model.py
@@ -0,0 +1,230 @@
+"""One node of a run in virtual time: the real dispatcher, with calls in place of sockets."""
+
+from __future__ import annotations
+
+import functools
+import random
+from typing import TYPE_CHECKING
+
+from dragonflycove.admission import dispatcher, effects
+from dragonflycove.measure import engine_model
+from dragonflycove.values import outcomes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.measure import simulation, workload
+    from dragonflycove.routing import policies
+    from dragonflycove.values import requests
+
+SAME_ZONE_SECONDS = 0.0002
+"""One way within a zone."""
+
+GROUP_RETRY_SECONDS = 0.5
+"""Interval between looks for room for a memory group."""
+
+
+class NodeModel:
+    """One node: the real dispatcher, with calls of the simulation in place of sockets."""
+
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        run: simulation.Simulation,
+        policy: policies.Policy,
+        seed: int,
+    ) -> None:
+        """Create a node.
+
+        Args:
+            host: Its name.
+            zone: Its availability zone.
+            run: The run that it is part of.
+            policy: The routing policy.
+            seed: Seed of its generator.
+        """
+        self.host = host
+        self.zone = zone
+        self.dispatcher = dispatcher.Dispatcher.from_config(
+            run.configuration, zone, policy, random.Random(f"{seed}/{host}"), host
+        )
+        self._simulation = run
+        self._timeline = run.timeline
+        self._attempts = 0
+        self._attempt_by_request: dict[str, tuple[str, tuple[str, ...]]] = {}
+        self._tick_at = float("inf")
+
+    def submit(self, arrival: workload.Arrival) -> None:
+        """Take a caller's request.
+
+        Args:
+            arrival: The request.
+        """
+        self.carry_out(self.dispatcher.submit(arrival.request, self._timeline.now))
+
+    def carry_out(self, wanted: list[effects.Effect]) -> None:
+        """Do what the dispatcher asks for, and see to its next tick.
+
+        Args:
+            wanted: The effects.
+        """
+        for effect in wanted:
+            self._perform(effect)
+        tick_at = self.dispatcher.next_tick(self._timeline.now)
+        if tick_at < self._tick_at:
+            self._tick_at = tick_at
+            self._timeline.after(tick_at - self._timeline.now, self._tick, tick_at)
+
+    def _tick(self, planned_at: float) -> None:
+        if planned_at == self._tick_at:
+            self._tick_at = float("inf")
+            self.carry_out(self.dispatcher.tick(self._timeline.now))
+
+    @functools.singledispatchmethod
+    def _perform(self, effect: object) -> None:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_perform.register
+    def _perform_dispatch(self, effect: effects.Dispatch) -> None:
+        self._attempts += 1
+        attempt = f"{self.host}-{self._attempts}"
+        servers = effect.group or (effect.server_id,)
+        request_id = effect.request.request_id
+        self._attempt_by_request[request_id] = (attempt, servers)
+        members = _Members(self, request_id, attempt, effect.server_id, len(servers))
+        answer_tokens = self._simulation.arrivals_by_id[request_id].answer_tokens
+        for server_id in servers:
+            stream = engine_model.Stream(
+                attempt,
+                effect.engine_priority,
+                -(-effect.request.prompt_tokens // len(servers)),
+                -(-(effect.request.prompt_tokens + effect.request.max_tokens) // len(servers)),
+                answer_tokens,
+                effect.request.prefix_hashes,
+                members.on_first_token,
+                members.on_end,
+            )
+            engine = self._simulation.engines_by_id[server_id]
+            self._timeline.after(self._latency(server_id), engine.submit, stream)
+
+    @_perform.register
+    def _perform_refuse(self, effect: effects.Refuse) -> None:
+        self._simulation.on_end(effect.request_id, effect.outcome.reason, False)
+
+    @_perform.register
+    def _perform_fail(self, effect: effects.Fail) -> None:
+        self._cancel(effect.request_id)
+        self._simulation.on_end(effect.request_id, effect.outcome.reason, True)
+
+    @_perform.register
+    def _perform_preempt(self, effect: effects.Preempt) -> None:
+        self._cancel(effect.request_id)
+        delay = 2 * self._latency(effect.server_id)
+        request = self._simulation.arrivals_by_id[effect.request_id].request
+        reason = outcomes.Reason.PREEMPTED
+        self._timeline.after(delay, self._resubmit, request, frozenset(), reason)
+
+    @_perform.register
+    def _perform_needs_group(self, effect: effects.NeedsGroup) -> None:
+        request_id = effect.request.request_id
+        group = self._simulation.find_group(effect.request, effect.candidates)
+        if group:
+            ready = self.dispatcher.on_group_ready(request_id, group, self._timeline.now)
+            self.carry_out(ready)
+        elif request_id not in self._simulation.records_by_id:
+            self._timeline.after(GROUP_RETRY_SECONDS, self._perform_needs_group, effect)
+
+    def _resubmit(
+        self,
+        request: requests.ModelRequest,
+        excluded: frozenset[str],
+        reason: outcomes.Reason,
+    ) -> None:
+        now = self._timeline.now
+        self.carry_out(self.dispatcher.resubmit(request, now, excluded, reason))
+
+    def _cancel(self, request_id: str) -> None:
+        attempt, servers = self._attempt_by_request.pop(request_id, ("", ()))
+        for server_id in servers:
+            engine = self._simulation.engines_by_id[server_id]
+            self._timeline.after(self._latency(server_id), engine.cancel, attempt)
+
+    def _latency(self, server_id: str) -> float:
+        zone = self._simulation.configuration.servers_by_id[server_id].zone
+        return (
+            self._simulation.size.zone_latency_seconds if zone != self.zone else SAME_ZONE_SECONDS
+        )
+
+    def on_first_token(self, request_id: str, attempt: str) -> None:
+        """Take in that an attempt's prompt has been read.
+
+        Args:
+            request_id: The request.
+            attempt: The attempt.
+        """
+        if self._attempt_by_request.get(request_id, ("",))[0] == attempt:
+            self._simulation.on_first_token(request_id)
+            self.carry_out(self.dispatcher.on_first_token(request_id, self._timeline.now))
+
+    def on_end(self, request_id: str, attempt: str, server_id: str, is_whole: bool) -> None:
+        """Take in the end of an attempt.
+
+        Args:
+            request_id: The request.
+            attempt: The attempt.
+            server_id: Its engine.
+            is_whole: Whether the answer is whole; otherwise the engine broke off.
+        """
+        if self._attempt_by_request.get(request_id, ("",))[0] != attempt:
+            return
+        now = self._timeline.now
+        arrival = self._simulation.arrivals_by_id[request_id]
+        if is_whole:
+            del self._attempt_by_request[request_id]
+            self.dispatcher.on_tokens(request_id, arrival.answer_tokens, now)
+            self._simulation.on_end(request_id, None, True)
+            self.carry_out(self.dispatcher.on_finished(request_id, now))
+            return
+        self._cancel(request_id)
+        reason = outcomes.Reason.BACKEND_CRASHED
+        self.carry_out(self.dispatcher.on_attempt_failed(request_id, server_id, reason, now))
+        self._resubmit(arrival.request, frozenset({server_id}), reason)
+
+    def later(self, server_id: str, call: Callable[..., None], *arguments: object) -> None:
+        """Call something after the way from an engine.
+
+        Args:
+            server_id: The engine.
+            call: What to call.
+            arguments: Its arguments.
+        """
+        self._timeline.after(self._latency(server_id), call, *arguments)
+
+
+class _Members:
+    """The streams of one attempt; it has its first token once all have read their part."""
+
+    def __init__(
+        self, node: NodeModel, request_id: str, attempt: str, server_id: str, count: int
+    ) -> None:
+        self._node = node
+        self._request_id = request_id
+        self._attempt = attempt
+        self._server_id = server_id
+        self._unread = count
+        self._unfinished = count
+
+    def on_first_token(self) -> None:
+        """Take in that one has read its part."""
+        self._unread -= 1
+        if self._unread == 0:
+            call = self._node.on_first_token
+            self._node.later(self._server_id, call, self._request_id, self._attempt)
+
+    def on_end(self, is_whole: bool) -> None:
+        """Take in that one has ended."""
+        self._unfinished -= 1
+        if self._unfinished == 0 or not is_whole:
+            arguments = (self._request_id, self._attempt, self._server_id, is_whole)
+            self._node.later(self._server_id, self._node.on_end, *arguments)
--- /dev/null
+++ b/src/dragonflycove/measure/simulation.py
@@ -0,0 +1,217 @@
+"""Runs the real dispatchers of several nodes against engine models in virtual time."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.measure import clock, engine_model, node_model, workload
+from dragonflycove.values import identifiers
+
+if TYPE_CHECKING:
+    from dragonflycove.routing import digests, load_view, policies
+    from dragonflycove.values import outcomes, requests
+
+REPORT_SECONDS = 0.5
+"""Interval between a node's readings of an engine's load."""
+
+REPORT_LAG_SECONDS = 0.3
+"""Age of a load report on arrival."""
+
+DIGEST_SECONDS = 0.5
+"""Interval between a node's digests."""
+
+LIMIT_SECONDS = 1.0
+"""Interval between a node's looks at which engines are cold."""
+
+SAMPLE_SECONDS = 0.25
+"""Interval between looks at idle engines."""
+
+
+class Record(NamedTuple):
+    """What became of one request."""
+
+    arrival: workload.Arrival
+    """The request."""
+    first_token_seconds: float | None
+    """Time to its first token; `None` where none came."""
+    ended_at: float
+    """Time of its end, seconds."""
+    reason: outcomes.Reason | None
+    """Why it got no answer; `None` where it did."""
+    was_admitted: bool
+    """Whether it was admitted."""
+
+
+def divide_limit(limit: int, server_id: str, hosts: list[str]) -> dict[str, int]:
+    """Divide an engine's limit between the nodes.
+
+    Args:
+        limit: Most requests of all nodes together.
+        server_id: The engine.
+        hosts: Names of the nodes.
+
+    Returns:
+        Whole shares by node, of which the sum is the limit.
+    """
+    ranked = identifiers.rendezvous_rank(server_id, hosts)
+    base, rest = divmod(limit, len(hosts))
+    return {host: base + (rank < rest) for rank, host in enumerate(ranked)}
+
+
+class Simulation:
+    """Nodes, engines and callers of one run."""
+
+    def __init__(
+        self,
+        size: workload.Size,
+        policy: policies.Policy,
+        arrivals: list[workload.Arrival],
+        seed: int,
+        keeps_cold_limits: bool = True,
+    ) -> None:
+        """Create a run.
+
+        Args:
+            size: The user's fleet.
+            policy: The routing policy of every node.
+            arrivals: The requests.
+            seed: Seed of everything random in the run.
+            keeps_cold_limits: Whether nodes divide an engine's cold limit while it is cold.
+        """
+        self.size = size
+        self.configuration = workload.make_configuration(size)
+        self.timeline = clock.Timeline()
+        self.arrivals_by_id = {a.request.request_id: a for a in arrivals}
+        self.records_by_id: dict[str, Record] = {}
+        self.idle_samples = 0
+        self.idle_with_work_samples = 0
+        self.samples = 0
+        self.engines_by_id = {
+            server_id: engine_model.Engine(server, self.timeline)
+            for server_id, server in self.configuration.servers_by_id.items()
+        }
+        self._keeps_cold_limits = keeps_cold_limits
+        self._first_token_by_id: dict[str, float] = {}
+        hosts = [f"node-{i}" for i in range(size.nodes)]
+        self.nodes = [
+            node_model.NodeModel(host, size.zones[i % len(size.zones)], self, policy, seed)
+            for i, host in enumerate(hosts)
+        ]
+        self._schedule(random.Random(f"{seed}/simulation"))
+
+    def _schedule(self, rng: random.Random) -> None:
+        for arrival in self.arrivals_by_id.values():
+            self.timeline.after(arrival.at, rng.choice(self.nodes).submit, arrival)
+        for node in self.nodes:
+            self.timeline.after(0.0, self._set_limits, node)
+            self.timeline.after(rng.random() * DIGEST_SECONDS, self._send_digest, node)
+            for engine in self.engines_by_id.values():
+                delay = rng.random() * REPORT_SECONDS
+                self.timeline.after(delay, self._send_report, engine, node)
+        self.timeline.after(0.0, self._sample)
+
+    def run(self, seconds: float) -> None:
+        """Go on in virtual time.
+
+        Args:
+            seconds: Time at which to stop.
+        """
+        self.timeline.run(seconds)
+
+    def set_zones_out(self, zones_out: frozenset[str]) -> None:
+        """Put a zone out of, or back into, service at every node.
+
+        Args:
+            zones_out: Names of the zones that are out.
+        """
+        version = self.configuration.version + 1
+        self.configuration = self.configuration._replace(version=version, zones_out=zones_out)
+        for node in self.nodes:
+            node.carry_out(node.dispatcher.set_configuration(self.configuration, self.timeline.now))
+
+    def find_group(
+        self, request: requests.ModelRequest, candidates: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Find engines with memory for a request, as the memory groups' own decisions would.
+
+        Args:
+            request: The request.
+            candidates: Engines that may be members.
+
+        Returns:
+            The group, or nothing where there is no room now.
+        """
+        needed = request.prompt_tokens + request.max_tokens
+        engines = [self.engines_by_id[server_id] for server_id in candidates]
+        engines.sort(key=lambda e: (-e.memory_free, e.server.server_id))
+        for count in range(-(-needed // workload.MEMORY_TOKENS), len(engines) + 1):
+            if engines[count - 1].memory_free >= -(-needed // count):
+                return tuple(engine.server.server_id for engine in engines[:count])
+        return ()
+
+    def on_first_token(self, request_id: str) -> None:
+        """Note the time of a request's first token.
+
+        Args:
+            request_id: The request.
+        """
+        self._first_token_by_id.setdefault(request_id, self.timeline.now)
+
+    def on_end(self, request_id: str, reason: outcomes.Reason | None, was_admitted: bool) -> None:
+        """Note the end of a request.
+
+        Args:
+            request_id: The request.
+            reason: Why it got no answer; `None` where it did.
+            was_admitted: Whether it was admitted.
+        """
+        assert request_id not in self.records_by_id, "a request ends once"
+        arrival = self.arrivals_by_id[request_id]
+        first = self._first_token_by_id.get(request_id)
+        seconds = None if first is None else first - arrival.at
+        self.records_by_id[request_id] = Record(
+            arrival, seconds, self.timeline.now, reason, was_admitted
+        )
+
+    def _send_report(self, engine: engine_model.Engine, node: node_model.NodeModel) -> None:
+        report = engine.report(REPORT_LAG_SECONDS)
+        self.timeline.after(REPORT_LAG_SECONDS, self._deliver_report, node, report)
+        self.timeline.after(REPORT_SECONDS, self._send_report, engine, node)
+
+    def _deliver_report(self, node: node_model.NodeModel, report: load_view.EngineReport) -> None:
+        node.carry_out(node.dispatcher.on_report(report, self.timeline.now))
+
+    def _send_digest(self, node: node_model.NodeModel) -> None:
+        digest = node.dispatcher.digest(self.timeline.now)
+        digest = digest._replace(age_seconds=self.size.zone_latency_seconds)
+        for peer in self.nodes:
+            if peer is not node:
+                self.timeline.after(
+                    self.size.zone_latency_seconds, self._deliver_digest, peer, digest
+                )
+        self.timeline.after(DIGEST_SECONDS, self._send_digest, node)
+
+    def _deliver_digest(self, node: node_model.NodeModel, digest: digests.PeerDigest) -> None:
+        node.carry_out(node.dispatcher.on_peer_digest(digest, self.timeline.now))
+
+    def _set_limits(self, node: node_model.NodeModel) -> None:
+        hosts = [peer.host for peer in self.nodes]
+        limits = {}
+        for server_id, engine in self.engines_by_id.items():
+            is_bounded = engine.is_cold and self._keeps_cold_limits
+            limit = engine.server.cold_concurrency if is_bounded else engine.server.concurrency
+            limits[server_id] = divide_limit(limit, server_id, hosts)[node.host]
+        node.carry_out(node.dispatcher.set_limits(limits, self.timeline.now))
+        self.timeline.after(LIMIT_SECONDS, self._set_limits, node)
+
+    def _sample(self) -> None:
+        """Count engines that idle, and those of them that could take what waits."""
+        waits = any(node.dispatcher.snapshot().queued for node in self.nodes)
+        for server_id, engine in self.engines_by_id.items():
+            self.samples += 1
+            if engine.is_idle and self.configuration.accepts_new_work(server_id):
+                self.idle_samples += 1
+                has_room = engine.occupied < engine.server.concurrency and not engine.is_cold
+                self.idle_with_work_samples += waits and has_room
+        self.timeline.after(SAMPLE_SECONDS, self._sample)
