--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -4,14 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.admission import (
-    effects,
-    entries,
-    gate,
-    lifecycle,
-    promise,
-    scheduler,
-)
+from dragonflycove.admission import effects, entries, gate, lanes, lifecycle, promise, scheduler
 from dragonflycove.configuration import schema
 from dragonflycove.routing import digests, policies, router
 from dragonflycove.values import outcomes
@@ -185,8 +178,7 @@
         """
         self.router.peers.expire(self.router.view, now)
         works = digests.collect_works(self.router.view.loads_by_id.values())
-        queued = self._scheduler.queued_tokens()
-        return digests.PeerDigest(self._host, 0.0, works, queued, len(self._scheduler))
+        return digests.PeerDigest(self._host, 0.0, works, self._scheduler.all_lanes(now))
 
     def submit(self, request: requests.ModelRequest, now: float) -> list[effects.Effect]:
         """Admit a new request, or refuse it at once.
@@ -205,6 +197,7 @@
             self._lifecycle.count(refused.reason)
             return [effects.Refuse(request.request_id, refused)]
         self._lifecycle.budgets.on_admitted(request.service, now)
+        self._scheduler.on_admitted(request, now)
         entry = entries.Entry(request, entries.demand_of(request, self.policy, frozenset()))
         self._book.add(entry)
         return self._lifecycle.enqueue(entry, self.configuration, now)
@@ -298,6 +291,7 @@
         if entry.state is entries.State.RUNNING:
             first_token_at = now if entry.first_token_at is None else entry.first_token_at
             self._promise.on_finished(now - entry.sent_at, now - first_token_at, entry.tokens)
+        self._promise.on_kept(lanes.lane_of(entry.request))
         self._lifecycle.end(entry)
         return self._lifecycle.drain(now)
 
@@ -373,7 +367,7 @@
         states = [entry.state for entry in self._book.by_id.values()]
         return Snapshot(
             len(self._scheduler),
-            sum(self._scheduler.queued_tokens()),
+            self._scheduler.queued_tokens(),
             states.count(entries.State.RUNNING),
             states.count(entries.State.AWAITING_GROUP),
             self._promise.decode_tokens_per_second,
--- a/src/dragonflycove/admission/gate.py
+++ b/src/dragonflycove/admission/gate.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from dragonflycove.admission import entries, lanes, promise
+from dragonflycove.admission import entries, lanes, promise, queue_estimate
 from dragonflycove.values import outcomes
 
 if TYPE_CHECKING:
@@ -22,6 +22,9 @@
 RETRY_CEILING_SECONDS = 60.0
 """Longest time to come back after a refusal for overload."""
 
+LEAST_SHARE = 0.1
+"""Least share of an engine that prompts of the lower priority are taken to get."""
+
 
 class Gate:
     """Admits only what the estimate says ends by its deadline."""
@@ -74,22 +77,25 @@
             )
         if self._policy.is_baseline:
             return None
-        return self._check_promise(request, now)
-
-    def _check_promise(self, request: requests.ModelRequest, now: float) -> outcomes.Refused | None:
-        capacity = self._router.capacity(request.model)
-        ahead = promise.Waiting(0.0, 0.0, capacity.prefill_tokens_per_second, capacity.slots)
-        lane_set = self._scheduler.lanes_by_model.get(request.model)
-        if lane_set is not None:
-            tokens = lane_set.tokens_ahead(lanes.lane_of(request))
-            tokens += self._router.peers.queued_tokens(request.urgency)
-            ahead = ahead._replace(tokens=tokens, requests=len(lane_set))
+        return self._check_promise(request, configuration, now)
+
+    def _check_promise(
+        self, request: requests.ModelRequest, configuration: schema.Configuration, now: float
+    ) -> outcomes.Refused | None:
+        rate = self._router.capacity(request.model).prefill_tokens_per_second
+        lane = lanes.lane_of(request)
+        fleet = self._scheduler.fleet_lanes(request.model, now)
+        tokens, share = self._scheduler.organisation_share(request, configuration)
+        wait = queue_estimate.wait_seconds(fleet, lane, rate, tokens, share)
         demand = entries.demand_of(request, self._policy, frozenset())
         first_token = self._router.first_token_seconds(demand, now)
-        needed = self._promise.queue_seconds(ahead)
-        needed += self._promise.run_seconds(first_token, request.max_tokens)
+        if demand.priority:
+            first_token *= rate / max(rate - fleet.admitted_per_second[0], LEAST_SHARE * rate)
+        needed = wait + self._promise.run_seconds(first_token, request.max_tokens)
+        is_over = tokens > share * fleet.queued_tokens[lanes.LANE_ORDER.index(lane)] / fleet.nodes
+        patience = promise.OVER_SHARE_PATIENCE if is_over else promise.OWN_SHARE_PATIENCE
         left = request.deadline - now
-        if needed <= left * promise.OWN_SHARE_PATIENCE:
+        if needed <= left * patience * self._promise.confidence(lane):
             return None
         retry_after = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, needed - left))
         return outcomes.Refused(
--- a/src/dragonflycove/admission/lanes.py
+++ b/src/dragonflycove/admission/lanes.py
@@ -33,7 +33,10 @@
 )
 """Lanes in the order in which they are served."""
 
-BATCH_FIRST_ORDER = LANE_ORDER[3:] + LANE_ORDER[:3]
+FIRST_BATCH_INDEX = 3
+"""Index of the first batch lane in the order of service."""
+
+BATCH_FIRST_ORDER = LANE_ORDER[FIRST_BATCH_INDEX:] + LANE_ORDER[:FIRST_BATCH_INDEX]
 """The order while batch requests are owed their share."""
 
 
@@ -96,29 +99,17 @@
             credit = self._batch_credit + tokens * BATCH_SHARE / (1 - BATCH_SHARE)
             self._batch_credit = min(credit, BATCH_CREDIT_LIMIT_TOKENS)
 
-    def tokens_ahead(self, lane: LaneKey) -> int:
-        """Return the waiting tokens that are served before a new request of a lane.
-
-        Args:
-            lane: The lane.
-
-        Returns:
-            Tokens.
-        """
-        total = 0
-        for key in LANE_ORDER:
-            total += self.queues_by_lane[key].tokens
-            if key == lane:
-                break
-        return total
+    def queued_tokens(self) -> tuple[int, ...]:
+        """Return the waiting tokens by lane, in the order of service."""
+        return tuple(self.queues_by_lane[key].tokens for key in LANE_ORDER)
 
     def _batch_waits(self) -> bool:
-        return any(self.queues_by_lane[key] for key in LANE_ORDER[3:])
+        return any(self.queues_by_lane[key] for key in LANE_ORDER[FIRST_BATCH_INDEX:])
 
     def _batch_is_owed(self) -> bool:
         if self._batch_credit <= 0.0:
             return False
         return any(
             item is not None and item.cost_tokens <= self._batch_credit
-            for item in (self.queues_by_lane[key].head() for key in LANE_ORDER[3:])
+            for item in (self.queues_by_lane[key].head() for key in LANE_ORDER[FIRST_BATCH_INDEX:])
         )
--- a/src/dragonflycove/admission/lifecycle.py
+++ b/src/dragonflycove/admission/lifecycle.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from dragonflycove.admission import effects, entries, retry_budget
+from dragonflycove.admission import effects, entries, lanes, retry_budget
 from dragonflycove.values import outcomes
 
 if TYPE_CHECKING:
@@ -134,11 +134,20 @@
         for entry, choice in self._scheduler.placements(model, now):
             entry.is_borrower = choice.is_borrowed
             uncached = entry.demand.prompt_tokens - choice.cached_tokens
+            rate = self._router.capacity(model).mean_prefill_tokens_per_second
+            if now + uncached / rate > entry.request.deadline:
+                drained.append(self._fail_late(entry))
+                continue
             drained.append(self.place(entry, (choice.server_id,), uncached, now))
         if self._scheduler.interactive_waits(model):
             drained += self._reclaim_borrowed(model)
         return drained
 
+    def _fail_late(self, entry: entries.Entry) -> effects.Effect:
+        entry.state = entries.State.BROKEN
+        text = "Its prompt cannot be read by the deadline any more."
+        return self.fail(entry, outcomes.Reason.DEADLINE, text)
+
     def _reclaim_borrowed(self, model: str) -> list[effects.Effect]:
         """Ask the newest borrower to give its engine back, one at a time."""
         borrowers = [
@@ -227,6 +236,8 @@
         ran = outcomes.Ran.MAY_HAVE_RUN if entry.attempts else outcomes.Ran.NOT_RUN
         self.end(entry)
         self.count(reason)
+        if reason is outcomes.Reason.DEADLINE:
+            self._promise.on_broken(lanes.lane_of(entry.request))
         outcome = outcomes.Failed(reason, detail, ran, FAILURE_RETRY_SECONDS)
         return effects.Fail(entry.request.request_id, outcome)
 
--- a/src/dragonflycove/admission/promise.py
+++ b/src/dragonflycove/admission/promise.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-import math
-from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dragonflycove.admission import lanes
 
 INITIAL_DECODE_TOKENS_PER_SECOND = 30.0
 """Rate at which one stream is generated before any has been observed."""
@@ -17,21 +19,17 @@
 OWN_SHARE_PATIENCE = 0.85
 """Share of the time to the deadline that the estimate may fill within the organisation's share."""
 
-OVER_SHARE_PATIENCE = 0.5
+OVER_SHARE_PATIENCE = 0.6
 """The same for an organisation with more than its share of the waiting tokens."""
 
+LEAST_CONFIDENCE = 0.3
+"""Lowest factor on the patience after broken promises."""
 
-class Waiting(NamedTuple):
-    """What stands before a new request."""
+CONFIDENCE_LOSS = 0.9
+"""Factor on the confidence for each broken promise."""
 
-    tokens: float
-    """Tokens that are served first."""
-    requests: float
-    """Requests that are served first."""
-    rate: float
-    """Prompt tokens that the servers read in a second."""
-    slots: float
-    """Requests that this node may have running."""
+CONFIDENCE_GAIN = 0.004
+"""Growth of the confidence for each kept promise."""
 
 
 class Promise:
@@ -41,6 +39,7 @@
         """Create averages with no observation."""
         self.decode_tokens_per_second = INITIAL_DECODE_TOKENS_PER_SECOND
         self.hold_seconds = INITIAL_HOLD_SECONDS
+        self._confidence_by_lane: dict[lanes.LaneKey, float] = {}
 
     def on_finished(self, held_seconds: float, decode_seconds: float, tokens: int) -> None:
         """Take in a request that ended.
@@ -55,20 +54,33 @@
             rate = tokens / decode_seconds
             self.decode_tokens_per_second += SMOOTHING * (rate - self.decode_tokens_per_second)
 
-    def queue_seconds(self, waiting: Waiting) -> float:
-        """Estimate the wait in the node's queue.
+    def on_kept(self, lane: lanes.LaneKey) -> None:
+        """Take in that an admitted request was answered in time.
+
+        Args:
+            lane: Its lane.
+        """
+        self._confidence_by_lane[lane] = min(1.0, self.confidence(lane) + CONFIDENCE_GAIN)
+
+    def on_broken(self, lane: lanes.LaneKey) -> None:
+        """Take in that an admitted request was not answered in time.
+
+        Args:
+            lane: Its lane.
+        """
+        lowered = self.confidence(lane) * CONFIDENCE_LOSS
+        self._confidence_by_lane[lane] = max(LEAST_CONFIDENCE, lowered)
+
+    def confidence(self, lane: lanes.LaneKey) -> float:
+        """Return the factor on the patience.
 
         Args:
-            waiting: What stands before the request.
+            lane: The lane.
 
         Returns:
-            Seconds; infinite where nothing can be served.
+            At most 1.
         """
-        if waiting.rate <= 0.0 or waiting.slots <= 0.0:
-            return math.inf
-        by_prefill = waiting.tokens / waiting.rate
-        by_slots = waiting.requests * self.hold_seconds / waiting.slots
-        return max(by_prefill, by_slots)
+        return self._confidence_by_lane.get(lane, 1.0)
 
     def run_seconds(self, prompt_seconds: float, max_tokens: int) -> float:
         """Estimate the time from dispatch to the end.
--- a/src/dragonflycove/admission/scheduler.py
+++ b/src/dragonflycove/admission/scheduler.py
@@ -4,13 +4,16 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.admission import lanes
+from dragonflycove.admission import lane_rates, lanes, queue_estimate
+from dragonflycove.routing import digests
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from dragonflycove.admission import entries, promise
+    from dragonflycove.configuration import schema
     from dragonflycove.routing import demands, router
+    from dragonflycove.values import requests
 
 START_MARGIN = 1.5
 """Multiple of its estimated run before its deadline at which a request has to start."""
@@ -39,6 +42,7 @@
             estimates: How requests have run so far.
         """
         self.lanes_by_model: dict[str, lanes.Lanes] = {}
+        self._rates_by_model: dict[str, lane_rates.LaneRates] = {}
         self._book = book
         self._router = servers
         self._promise = estimates
@@ -117,13 +121,86 @@
         lane_set = self.lanes_by_model.get(model)
         return lane_set is not None and lane_set.interactive_waits()
 
-    def queued_tokens(self) -> tuple[int, int]:
-        """Return the tokens that wait, by urgency."""
-        totals = [0, 0]
-        for lane_set in self.lanes_by_model.values():
-            for key, queue in lane_set.queues_by_lane.items():
-                totals[key.urgency] += queue.tokens
-        return (totals[0], totals[1])
+    def on_admitted(self, request: requests.ModelRequest, now: float) -> None:
+        """Take in an admitted request.
+
+        Args:
+            request: The request.
+            now: Time, seconds.
+        """
+        rates = self._rates_by_model.get(request.model)
+        if rates is None:
+            rates = self._rates_by_model[request.model] = lane_rates.LaneRates()
+        rates.on_admitted(lanes.lane_of(request), request.prompt_tokens, now)
+
+    def model_lanes(self, model: str, now: float) -> digests.ModelLanes:
+        """Return what waits in this node for a model.
+
+        Args:
+            model: Name of the model.
+            now: Time, seconds.
+
+        Returns:
+            The tokens that wait and those admitted lately.
+        """
+        lane_set = self.lanes_by_model.get(model)
+        rates = self._rates_by_model.get(model)
+        nothing = (0,) * len(lanes.LANE_ORDER)
+        queued = lane_set.queued_tokens() if lane_set else nothing
+        admitted = tuple(rates.per_second(now)) if rates else nothing
+        return digests.ModelLanes(model, queued, admitted)
+
+    def all_lanes(self, now: float) -> tuple[digests.ModelLanes, ...]:
+        """Return what waits in this node for each model that it has served.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            The models with the most waiting tokens first, of bounded number.
+        """
+        items = [self.model_lanes(model, now) for model in self._rates_by_model]
+        items.sort(key=lambda item: sum(item.queued_tokens), reverse=True)
+        return tuple(items[: digests.MODELS_LIMIT])
+
+    def fleet_lanes(self, model: str, now: float) -> queue_estimate.FleetLanes:
+        """Return what waits for a model in this node and its peers.
+
+        Args:
+            model: Name of the model.
+            now: Time, seconds.
+
+        Returns:
+            The sum.
+        """
+        parts = [self.model_lanes(model, now), *self._router.peers.lanes(model)]
+        return queue_estimate.add_up(parts, 1 + self._router.peers.count)
+
+    def organisation_share(
+        self, request: requests.ModelRequest, configuration: schema.Configuration
+    ) -> tuple[float, float]:
+        """Return what waits for an organisation in a request's lane, and its share of the lane.
+
+        Args:
+            request: The request.
+            configuration: The configuration that is in force.
+
+        Returns:
+            Its waiting tokens, and its share from above 0 to 1.
+        """
+        organisation = configuration.organisations_by_name.get(request.organisation)
+        weight = organisation.weight if organisation else 1.0
+        lane_set = self.lanes_by_model.get(request.model)
+        if lane_set is None:
+            return 0.0, 1.0
+        queue = lane_set.queues_by_lane[lanes.lane_of(request)]
+        tokens = queue.organisation_tokens(request.organisation)
+        others = queue.active_weight if tokens else queue.active_weight + weight
+        return float(tokens), weight / max(weight, others)
+
+    def queued_tokens(self) -> int:
+        """Return the tokens that wait."""
+        return sum(sum(lane_set.queued_tokens()) for lane_set in self.lanes_by_model.values())
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
--- a/src/dragonflycove/routing/digests.py
+++ b/src/dragonflycove/routing/digests.py
@@ -12,6 +12,9 @@
 WORKS_LIMIT = 48
 """Most engines in one digest."""
 
+MODELS_LIMIT = 8
+"""Most models in one digest."""
+
 PEERS_LIMIT = 512
 """Most peers remembered."""
 
@@ -32,6 +35,17 @@
     """Number of requests."""
 
 
+class ModelLanes(NamedTuple):
+    """What waits in a node for one model, and what it has admitted lately."""
+
+    model: str
+    """Name of the model."""
+    queued_tokens: tuple[int, ...]
+    """Tokens that wait, by lane in the order of service."""
+    admitted_per_second: tuple[float, ...]
+    """Prompt tokens admitted in a second, by lane in the order of service."""
+
+
 class PeerDigest(NamedTuple):
     """One node's work, as it tells its peers."""
 
@@ -41,10 +55,8 @@
     """Time since it was made; 0 as it leaves its node."""
     works: tuple[ServerWork, ...]
     """Work sent, the largest of it where there is too much."""
-    queued_tokens: tuple[int, int]
-    """Tokens that wait in the node, by urgency."""
-    queued_requests: int
-    """Requests that wait in the node."""
+    lanes: tuple[ModelLanes, ...]
+    """What waits in the node, by model."""
 
 
 class _Kept(NamedTuple):
@@ -100,17 +112,22 @@
                 self._clear(kept.digest, view)
                 del self._kept_by_node[node]
 
-    def queued_tokens(self, urgency: int) -> int:
-        """Return the tokens that wait in the peers at an urgency or above.
+    @property
+    def count(self) -> int:
+        """Number of peers that have been heard lately."""
+        return len(self._kept_by_node)
+
+    def lanes(self, model: str) -> list[ModelLanes]:
+        """Return what waits in the peers for a model.
 
         Args:
-            urgency: Value of the urgency.
+            model: Name of the model.
 
         Returns:
-            Tokens.
+            One item for each peer that told of the model.
         """
         kept = self._kept_by_node.values()
-        return sum(sum(item.digest.queued_tokens[: urgency + 1]) for item in kept)
+        return [item for k in kept for item in k.digest.lanes if item.model == model]
 
     def _clear(self, digest: PeerDigest, view: load_view.LoadView) -> None:
         for work in digest.works:
