--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -70,6 +70,7 @@
     (send,) = first.follow(log)
     assert second.follow(log) == []
     assert first.table.may_send(send.claim_id, 1.0)
+    assert first.table.give_up(send.claim_id, outcomes.Reason.NO_SERVER, 1.0) == []
     first.table.on_append_done("append-unknown", 1.0)
     answer = records.Answer(201, "text/plain", b"done")
     found = first.table.on_answer(send.claim_id, answer, 1.0) + first.table.tick(1.1)
@@ -163,3 +164,15 @@
 def test_keys_that_outlive_their_claims_in_the_log_are_not_configured():
     with pytest.raises(ValueError, match="215"):
         Node("quito-1", LIMITS._replace(key_rule=keys.KeyRule(200.0, 10.0)))
+
+
+def test_a_call_that_waits_past_its_keys_life_is_not_called_not_run():
+    log, first, second = [], Node("quito-1"), Node("quito-2")
+    old = make_call(key=f"{WALL - 99:.0f}-abcdefgh")
+    log += appended(first.begin(old))
+    second.follow(log)
+    assert second.begin(old._replace(request_id="r-2")) == []
+    log += appended(second.begin(make_call("r-3")))
+    second.follow(log, 2.0, WALL + 2.0)
+    (failed,) = finished(second.table.tick(3.0))
+    assert failed.ran is outcomes.Ran.MAY_HAVE_RUN
