--- a/src/dragonflycove/node/dispatch_task.py
+++ b/src/dragonflycove/node/dispatch_task.py
@@ -12,10 +12,10 @@
 from dragonflycove.node import tasks
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from dragonflycove.configuration import schema
-    from dragonflycove.routing import load_view
+    from dragonflycove.routing import digests, load_view
     from dragonflycove.values import outcomes, requests
 
 
@@ -179,6 +179,20 @@
     """The server."""
 
 
+class DigestWanted(NamedTuple):
+    """Asks for a digest of this node's load."""
+
+    take: Callable[[digests.PeerDigest], None]
+    """Called with the digest."""
+
+
+class DigestTaken(NamedTuple):
+    """A peer's digest came."""
+
+    digest: digests.PeerDigest
+    """The digest."""
+
+
 DispatchMessage = (
     Submit
     | Resubmit
@@ -193,6 +207,8 @@
     | Limited
     | CancelStarted
     | CancelEnded
+    | DigestWanted
+    | DigestTaken
 )
 """What the dispatch task takes."""
 
@@ -302,6 +318,14 @@
         self._cancels_by_server[message.server_id] -= 1
         self._apply_limits(now)
 
+    @_decide.register
+    def _on_digest_wanted(self, message: DigestWanted, now: float) -> None:
+        message.take(self._dispatcher.digest(now))
+
+    @_decide.register
+    def _on_digest_taken(self, message: DigestTaken, now: float) -> None:
+        self._carry_out(self._dispatcher.on_peer_digest(message.digest, now))
+
     def _apply_limits(self, now: float) -> None:
         """Hand on the limits, less the places of attempts that the servers may still run."""
         free = {
--- /dev/null
+++ b/src/dragonflycove/node/fleet_task.py
@@ -0,0 +1,103 @@
+"""The task by which nodes tell each other about backend servers and suspects."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dragonflycove.node import dispatch_task, guard_task
+from dragonflycove.quarantine import records
+from dragonflycove.routing import digests
+from dragonflycove.shares import cold_start
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from dragonflycove.node import peer_task, services
+    from dragonflycove.values import identifiers
+
+DIGEST_SECONDS = 1.0
+"""Time between two digests of this node's load, seconds."""
+
+DIGEST_FAN_OUT = 5
+"""Peers that get each digest; who they are changes from one to the next."""
+
+
+class FleetTask:
+    """Carries cold turns, quarantine records and load digests between the nodes."""
+
+    def __init__(
+        self,
+        context: services.NodeServices,
+        peers: peer_task.PeerTask,
+        read_live_hosts: Callable[[], Iterable[str]],
+    ) -> None:
+        """Create the task and register its messages.
+
+        Args:
+            context: What all tasks of the node share.
+            peers: The connections to the other nodes.
+            read_live_hosts: Gives the other hosts that answer.
+        """
+        self._context = context
+        self._peers = peers
+        self._read_live_hosts = read_live_hosts
+        peers.register("server_cold", 1, cold_start.TellPeersCold)
+        peers.register("quarantine_crash", 1, records.Crash)
+        peers.register("quarantine_trial", 1, records.Trial)
+        peers.register("quarantine_cleared", 1, records.Cleared)
+        peers.register("load_digest", 1, digests.PeerDigest)
+        peers.handle(cold_start.TellPeersCold, self._on_server_cold)
+        peers.handle(records.Crash, self._on_record)
+        peers.handle(records.Trial, self._on_record)
+        peers.handle(records.Cleared, self._on_record)
+        peers.handle(digests.PeerDigest, self._on_digest)
+
+    async def run(self) -> None:
+        """Send digests until cancelled."""
+        while True:
+            await asyncio.sleep(DIGEST_SECONDS)
+            self._context.dispatch.post(dispatch_task.DigestWanted(self._send_digest))
+
+    def tell_cold(self, effect: cold_start.TellPeersCold) -> None:
+        """Tell all peers that a server turned cold.
+
+        Args:
+            effect: Which server, and which start of it.
+        """
+        self._peers.broadcast(effect)
+
+    def tell_record(self, record: records.Record) -> None:
+        """Send a quarantine record to all peers.
+
+        Args:
+            record: The record.
+        """
+        self._peers.broadcast(record)
+
+    def inform(self, host: str, known: Iterable[records.Record]) -> None:
+        """Send a node that has just started what it needs to know of suspects.
+
+        Args:
+            host: Name of its host.
+            known: The records.
+        """
+        for record in known:
+            self._peers.send(host, record)
+
+    def _send_digest(self, digest: digests.PeerDigest) -> None:
+        others = sorted(set(self._read_live_hosts()) - {self._context.identity.host})
+        chosen = self._context.rng.sample(others, min(DIGEST_FAN_OUT, len(others)))
+        for host in chosen:
+            self._peers.send(host, digest)
+
+    def _on_server_cold(
+        self, sender: identifiers.NodeIdentity, message: cold_start.TellPeersCold
+    ) -> None:
+        self._context.guard.post(guard_task.PeerSawCold(message.server_id, message.start_id))
+
+    def _on_record(self, sender: identifiers.NodeIdentity, message: records.Record) -> None:
+        self._context.guard.post(guard_task.PeerRecord(message))
+
+    def _on_digest(self, sender: identifiers.NodeIdentity, message: digests.PeerDigest) -> None:
+        self._context.dispatch.post(dispatch_task.DigestTaken(message))
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from starlette import applications, responses, routing
@@ -11,13 +12,16 @@
 from dragonflycove.backends import engine_client, plain_client
 from dragonflycove.callers import app as caller_app
 from dragonflycove.callers import gateway
-from dragonflycove.configuration import schema
+from dragonflycove.configuration import freshness, schema
+from dragonflycove.membership import digests
 from dragonflycove.node import (
     claim_task,
     configuration_task,
+    control_tasks,
     dispatch_task,
     drain,
     engine_poll_task,
+    fleet_task,
     guard_task,
     host_list_task,
     http_server,
@@ -26,8 +30,10 @@
     plain_calls,
     quarantine_log_task,
     services,
+    status_source,
     tasks,
 )
+from dragonflycove.operators import app as operator_app
 from dragonflycove.platform import host_list_client, log_client
 from dragonflycove.routing import policies
 from dragonflycove.telemetry import logs, metrics
@@ -39,10 +45,8 @@
 
     from starlette import requests as http_requests
 
-    from dragonflycove.quarantine import records as quarantine_records
     from dragonflycove.routing import load_view
     from dragonflycove.settings import node as node_settings
-    from dragonflycove.shares import cold_start
     from dragonflycove.values import requests
 
 
@@ -61,6 +65,7 @@
         """
         incarnation = identifiers.new_id(rng, "start")
         self._broken = asyncio.Event()
+        self._incarnations_by_host: dict[str, str] = {}
         self._core = tasks.TaskGroup(self._broken)
         self._session = sessions.open_pooled()
         dispatcher = dispatching.Dispatcher.from_config(
@@ -76,11 +81,18 @@
             plain_client.PlainClient(self._session),
             self._dispatch.mailbox,
             tasks.Mailbox(),
-            self._broken,
+            tasks.TaskGroup(self._broken),
         )
         self._log = log_client.LogClient(self._session, settings.log_address)
         self._calls = plain_calls.PlainCalls(self._context)
         self._build_tasks(settings)
+        self._status = status_source.NodeStatusSource(
+            self._context,
+            self._configuration,
+            self._control,
+            self._guard,
+            lambda: self._find_fault() is None and not self._context.withdrawn,
+        )
         self._gateway = node_gateway.NodeGateway(
             self._context, self._guard, self._calls, self._run_once, self._find_fault
         )
@@ -100,12 +112,24 @@
             self._context.rng,
         )
         self._configuration.subscribe(self._on_configuration)
+        self._control = control_tasks.ControlTasks(
+            control_tasks.ControlSettings(
+                self._context.identity, settings.peer_address, time.time()
+            ),
+            self._configuration,
+            self._context.rng,
+            self._context.metrics,
+            self._on_member_changed,
+        )
+        self._fleet = fleet_task.FleetTask(
+            self._context, self._control.peers, self._control.membership.members.live_hosts
+        )
         self._claims = claim_task.ClaimTask(
             self._log, self._context.plain, self._context.identity, self._context.rng
         )
         self._quarantine_log = quarantine_log_task.QuarantineLogTask(self._log, self._context.guard)
         links = guard_task.GuardLinks(
-            self._tell_peers_cold, self._tell_peers_record, self._quarantine_log.append
+            self._fleet.tell_cold, self._fleet.tell_record, self._quarantine_log.append
         )
         self._guard = guard_task.GuardTask(self._context, links)
         self._engines = engine_poll_task.EnginePollTask(self._context, self._on_report)
@@ -127,6 +151,7 @@
         logs.event("node_started", host=settings.host, address=settings.caller_address)
         await _first_of(stop, self._broken)
         if not self._broken.is_set():
+            self._control.announce_leaving()
             draining = asyncio.create_task(drain.Drain(self._context).run())
             hurrying = asyncio.create_task(hurry.wait())
             await asyncio.wait({draining, hurrying}, return_when=asyncio.FIRST_COMPLETED)
@@ -138,7 +163,8 @@
 
     def _start_tasks(self) -> None:
         self._core.start("dispatch", self._dispatch.run())
-        self._core.start("configuration", self._configuration.run())
+        self._core.start("control", self._control.run())
+        self._core.start("fleet", self._fleet.run())
         self._core.start("claims", self._claims.run())
         self._core.start("guard", self._guard.run())
         self._core.start("quarantine-log", self._quarantine_log.run())
@@ -181,6 +207,7 @@
         if own is not None and own.address != self._context.settings.caller_address:
             names -= {own.name}
         self._context.guard.post(guard_task.HostsRead(names, age_seconds))
+        self._control.on_hosts(hosts)
 
     def _on_report(self, report: load_view.EngineReport) -> None:
         """Take in a load report."""
@@ -188,11 +215,17 @@
         self._context.free_tokens_by_server[report.server_id] = free
         self._context.guard.post(guard_task.ReportRead(report))
 
-    def _tell_peers_cold(self, effect: cold_start.TellPeersCold) -> None:
-        """Tell all peers that a server turned cold."""
-
-    def _tell_peers_record(self, record: quarantine_records.Record) -> None:
-        """Send a quarantine record to all peers."""
+    def _on_member_changed(self, digest: digests.Digest) -> None:
+        """Tell a node that has just started what it cannot know yet."""
+        self._context.silent_hosts = frozenset(
+            name
+            for name, member in self._control.membership.members.digests_by_host.items()
+            if member.leaving or member.health is digests.Health.SILENT
+        )
+        known = self._incarnations_by_host.get(digest.host)
+        self._incarnations_by_host[digest.host] = digest.incarnation
+        if digest.incarnation != known and digest.host != self._context.identity.host:
+            self._fleet.inform(digest.host, self._guard.known_records())
 
     async def _run_once(
         self,
@@ -213,8 +246,10 @@
         return gateway.ServiceAnswer(called.outcome, answer.status, headers, answer.body)
 
     def _find_fault(self) -> str | None:
-        if self._context.configuration.version == 0:
+        if self._context.configuration.version == 0 or not self._configuration.is_ready:
             return "no configuration is in force at this node yet"
+        if self._configuration.evaluate_freshness() is freshness.Freshness.STALE:
+            return "this node is cut off and can't know which configuration is in force"
         return None
 
     def _build_app(self) -> applications.Starlette:
@@ -222,6 +257,7 @@
         routes = caller_app.build_routes(
             self._gateway, settings.default_deadline_seconds, settings.heartbeat_seconds
         )
+        routes.extend(operator_app.build_routes(self._status))
         routes.extend(
             [
                 routing.Route("/healthz", self._show_health),
--- a/src/dragonflycove/node/node_gateway.py
+++ b/src/dragonflycove/node/node_gateway.py
@@ -236,7 +236,9 @@
             Live hosts in zones that are not out, the caller's zone first, others in random order.
         """
         out = self._context.configuration.zones_out
-        entries = [entry for entry in self._context.hosts_by_name.values() if not entry.leaving]
+        listed = [entry for entry in self._context.hosts_by_name.values() if not entry.leaving]
+        silent = self._context.silent_hosts
+        entries = [entry for entry in listed if entry.name not in silent] or listed
         if self._context.withdrawn:
             entries = [entry for entry in entries if entry.name != self._context.identity.host]
         allowed = [entry for entry in entries if entry.zone not in out] or entries
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 import result
@@ -28,72 +29,71 @@
 """Wait between two tries to cancel an attempt, seconds."""
 
 
+@dataclasses.dataclass(eq=False)
 class NodeServices:
     """The context that a node hands to its tasks."""
 
-    def __init__(
-        self,
-        settings: node_settings.NodeSettings,
-        identity: identifiers.NodeIdentity,
-        rng: random.Random,
-        metrics: node_metrics.Metrics,
-        engines: engine_client.EngineClient,
-        plain: plain_client.PlainClient,
-        dispatch: tasks.Mailbox[dispatch_task.DispatchMessage],
-        guard: tasks.Mailbox[guard_task.GuardMessage],
-        broken: asyncio.Event,
-    ) -> None:
-        """Create the context.
+    settings: node_settings.NodeSettings
+    """The node's settings."""
 
-        Args:
-            settings: The node's settings.
-            identity: The node's identity.
-            rng: Generator for identifiers and choices.
-            metrics: The node's metrics.
-            engines: Client of model engines.
-            plain: Client of plain services.
-            dispatch: Mailbox of the dispatch task.
-            guard: Mailbox of the guard task.
-            broken: Set when an invariant is broken.
-        """
-        self.settings = settings
-        """The node's settings."""
-        self.identity = identity
-        """The node's identity."""
-        self.rng = rng
-        """Generator for identifiers and choices."""
-        self.metrics = metrics
-        """The node's metrics."""
-        self.engines = engines
-        """Client of model engines."""
-        self.plain = plain
-        """Client of plain services."""
-        self.dispatch = dispatch
-        """Mailbox of the dispatch task."""
-        self.guard = guard
-        """Mailbox of the guard task."""
-        self.groups_by_request: dict[str, group_task.GroupTask] = {}
-        """Memory groups that hold or may hold memory."""
-        self.group_id_by_request: dict[str, str] = {}
-        """Identifiers of the memory groups that are ready."""
-        self.free_tokens_by_server: dict[str, int] = {}
-        """KV memory free at each engine by its last report, tokens."""
-        self.configuration: schema.Configuration = schema.EMPTY
-        """The configuration in force."""
-        self.hosts_by_name: dict[str, host_list_client.HostEntry] = {}
-        """Hosts by the newest host list."""
-        self.leaving = False
-        """Whether this node refuses new work because it is stopping."""
-        self.withdrawn = False
-        """Whether lookups no longer name this node."""
-        self.background = tasks.TaskGroup(broken)
-        """Work that no request waits for."""
-        self.requests_by_id: dict[str, model_request_task.ModelRequestTask] = {}
-        """Model requests under way."""
-        self.work_ended = asyncio.Event()
-        """Set whenever a request or call ends; cleared by who waits for it."""
-        self.calls_running = 0
-        """Calls to plain services under way."""
+    identity: identifiers.NodeIdentity
+    """The node's identity."""
+
+    rng: random.Random
+    """Generator for identifiers and choices."""
+
+    metrics: node_metrics.Metrics
+    """The node's metrics."""
+
+    engines: engine_client.EngineClient
+    """Client of model engines."""
+
+    plain: plain_client.PlainClient
+    """Client of plain services."""
+
+    dispatch: tasks.Mailbox[dispatch_task.DispatchMessage]
+    """Mailbox of the dispatch task."""
+
+    guard: tasks.Mailbox[guard_task.GuardMessage]
+    """Mailbox of the guard task."""
+
+    background: tasks.TaskGroup
+    """Work that no request waits for."""
+
+    groups_by_request: dict[str, group_task.GroupTask] = dataclasses.field(default_factory=dict)
+    """Memory groups that hold or may hold memory."""
+
+    group_id_by_request: dict[str, str] = dataclasses.field(default_factory=dict)
+    """Identifiers of the memory groups that are ready."""
+
+    free_tokens_by_server: dict[str, int] = dataclasses.field(default_factory=dict)
+    """KV memory free at each engine by its last report, tokens."""
+
+    configuration: schema.Configuration = schema.EMPTY
+    """The configuration in force."""
+
+    hosts_by_name: dict[str, host_list_client.HostEntry] = dataclasses.field(default_factory=dict)
+    """Hosts by the newest host list."""
+
+    silent_hosts: frozenset[str] = frozenset()
+    """Hosts that do not answer their peers or are stopping."""
+
+    leaving: bool = False
+    """Whether this node refuses new work because it is stopping."""
+
+    withdrawn: bool = False
+    """Whether lookups no longer name this node."""
+
+    requests_by_id: dict[str, model_request_task.ModelRequestTask] = dataclasses.field(
+        default_factory=dict
+    )
+    """Model requests under way."""
+
+    work_ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    """Set whenever a request or call ends; cleared by who waits for it."""
+
+    calls_running: int = 0
+    """Calls to plain services under way."""
 
     def server_address(self, server_id: str) -> str | None:
         """Return a backend server's address, `None` for an unknown one."""
@@ -105,7 +105,7 @@
         others = [
             entry
             for name, entry in self.hosts_by_name.items()
-            if name != self.identity.host and not entry.leaving
+            if name != self.identity.host and not entry.leaving and name not in self.silent_hosts
         ]
         allowed = [entry for entry in others if entry.zone not in self.configuration.zones_out]
         near = [entry for entry in allowed if entry.zone == self.settings.zone]
