Bound the memory of operations by offset; survive any record

Cause: a test of malformed records found that a kind that is a list raised in records.from_value; comparing versions would have rejected a new zone change after 1024 operations that changed nothing.

--- a/src/dragonflycove/cli/zone_commands.py
+++ b/src/dragonflycove/cli/zone_commands.py
@@ -83,8 +83,8 @@
     if isinstance(caught_up, result.Err):
         return publications.report(caught_up.err_value, is_retry=is_retry)
     operation_id = edit.operation_id or publisher.new_operation_id()
-    version = caught_up.ok_value.snapshot.version
-    proposal = records.ZoneChanged(operation_id, version, edit.author, edit.zone, edit.out)
+    seen_offset = caught_up.ok_value.next_offset
+    proposal = records.ZoneChanged(operation_id, seen_offset, edit.author, edit.zone, edit.out)
     return publications.report(await publisher.publish(proposal), is_retry=is_retry)
 
 
--- a/src/dragonflycove/configuration/_rules.py
+++ b/src/dragonflycove/configuration/_rules.py
@@ -106,7 +106,7 @@
 def _(
     proposal: records.ZoneChanged, snapshot: records.Snapshot, parsed: text.ParsedText
 ) -> _Change | str:
-    if proposal.seen_version <= snapshot.forgotten_version:
+    if proposal.seen_offset <= snapshot.forgotten_offset:
         return "too old to tell from a repeat; send it again"
     zones_out = set(snapshot.zones_out)
     if proposal.zone not in parsed.zones and proposal.zone not in zones_out:
@@ -139,8 +139,8 @@
 
 def _remember(snapshot: records.Snapshot, outcome: records.OperationOutcome) -> records.Snapshot:
     outcomes = (*snapshot.outcomes, outcome)
-    forgotten_version = snapshot.forgotten_version
+    forgotten_offset = snapshot.forgotten_offset
     if len(outcomes) > MAX_OUTCOMES:
-        forgotten_version = outcomes[0].version
+        forgotten_offset = outcomes[0].offset
         outcomes = outcomes[1:]
-    return snapshot._replace(outcomes=outcomes, forgotten_version=forgotten_version)
+    return snapshot._replace(outcomes=outcomes, forgotten_offset=forgotten_offset)
--- a/src/dragonflycove/configuration/records.py
+++ b/src/dragonflycove/configuration/records.py
@@ -32,8 +32,8 @@
     operation_id: str
     """Identifier made before the first try; a repeat carries the same."""
 
-    seen_version: int
-    """Version that the operator's client had read; tells a repeat too old to be remembered."""
+    seen_offset: int
+    """Offset up to which the client had read; tells a repeat too old to be remembered."""
 
     author: str
     """Who changes it."""
@@ -101,8 +101,8 @@
     outcomes: tuple[OperationOutcome, ...]
     """Outcomes of the latest operations, the oldest first."""
 
-    forgotten_version: int
-    """Version in force at the latest operation no longer among the outcomes; -1 for none."""
+    forgotten_offset: int
+    """Offset of the latest operation no longer among the outcomes; -1 for none."""
 
 
 class Restated(NamedTuple):
@@ -158,7 +158,8 @@
     """
     if not isinstance(value, dict):
         return None
-    record_type = _TYPE_BY_KIND.get(value.get("kind", ""))
+    kind = value.get("kind")
+    record_type = _TYPE_BY_KIND.get(kind) if isinstance(kind, str) else None
     if record_type is None:
         return None
     return _convert({key: inner for key, inner in value.items() if key != "kind"}, record_type)
--- a/tests/configuration/test_acceptance.py
+++ b/tests/configuration/test_acceptance.py
@@ -6,10 +6,19 @@
 from typing import NamedTuple
 
 import hypothesis
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from dragonflycove.configuration import acceptance, records, restatement, schema
+from dragonflycove.configuration import (
+    _rules,
+    acceptance,
+    records,
+    restatement,
+    schema,
+    text,
+    verdicts,
+)
 
 ZONES = ("cayambe", "riobamba")
 
@@ -87,7 +96,7 @@
     @stateful.rule(zone=st.sampled_from([*ZONES, "unknown"]), out=st.booleans())
     def change_zone(self, zone: str, out: bool) -> None:
         """An operator takes a zone out or brings it back."""
-        seen = Oracle.from_log(self.log).version
+        seen = len(self.log)
         self.sent.append(records.ZoneChanged(f"op-{len(self.sent)}", seen, "ana", zone, out))
         self.append(self.sent[-1])
 
@@ -173,5 +182,98 @@
             assert state.configuration.version == oracle.version
 
 
+class ForgetfulReaders(Readers):
+    """The same, with readers that remember the outcomes of few operations."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(_rules, "MAX_OUTCOMES", 2)
+
+    def teardown(self) -> None:
+        """Check as the others do."""
+        try:
+            super().teardown()
+        finally:
+            self.patch.undo()
+
+
 TestReaders = Readers.TestCase
 TestReaders.settings = hypothesis.settings(max_examples=150, stateful_step_count=40)
+
+TestForgetfulReaders = ForgetfulReaders.TestCase
+TestForgetfulReaders.settings = hypothesis.settings(max_examples=100, stateful_step_count=40)
+
+
+def test_outcomes_are_bounded() -> None:
+    """However many operations come, the snapshot stays bounded, and zones can still be changed."""
+    state = apply_all(acceptance.begin(), [propose("op-0", 0)])
+    for offset in range(1, _rules.MAX_OUTCOMES + 50):
+        idle = records.ZoneChanged(f"op-{offset}", offset, "ana", "cayambe", False)
+        state = acceptance.apply(state, offset, idle).state
+    assert len(state.snapshot.outcomes) == _rules.MAX_OUTCOMES
+    out = records.ZoneChanged("op-out", state.next_offset, "ana", "cayambe", True)
+    assert isinstance(acceptance.apply(state, state.next_offset, out).verdict, verdicts.Accepted)
+
+
+@pytest.mark.parametrize(
+    ("value", "is_known"),
+    [
+        (None, False),
+        ([], False),
+        ({"kind": "later"}, False),
+        ({"kind": "text"}, False),
+        ({"kind": ["text"]}, False),
+        (
+            {"kind": "text", "operation_id": "o", "base_version": "1", "author": "a", "text": ""},
+            False,
+        ),
+        ({"kind": "restated", "operation_id": "o", "snapshot": {}}, False),
+        ({"kind": "rule", "operation_id": "o", "author": "a", "rule": 2, "more": 1}, True),
+    ],
+)
+def test_malformed_records_are_unknown(value: object, is_known: bool) -> None:
+    """A value of another form gives no record; further fields of later releases are passed over."""
+    assert (records.from_value(value) is not None) is is_known
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=6,
+)
+
+
+@hypothesis.given(st.data(), st.sampled_from([records.TextProposed, records.Restated]))
+def test_no_value_crashes_a_reader(data: st.DataObject, record_type: type[records.Record]) -> None:
+    """A record with any of its fields replaced by anything is applied, rejected or ignored."""
+    whole: dict[type[records.Record], records.Record] = {
+        records.TextProposed: propose("op", 0),
+        records.Restated: records.Restated("re", acceptance.begin().snapshot),
+    }
+    value = records.to_value(whole[record_type])
+    target = value["snapshot"] if record_type is records.Restated else value
+    for name in data.draw(st.lists(st.sampled_from(sorted(target)), min_size=1, max_size=2)):
+        target[name] = data.draw(JSON_VALUES)
+    applied = acceptance.apply(acceptance.begin(3), 3, records.from_value(value))
+    assert applied.state.next_offset == 4
+    for fault in text.parse(json.dumps(data.draw(JSON_VALUES))).err() or []:
+        assert fault.reason
+
+
+def test_rule_unknown_to_this_release_stops_the_reader() -> None:
+    """After a rule that it does not know, a reader keeps its version and counts what it ignores."""
+    state = apply_all(
+        acceptance.begin(), [propose("op-0", 0), records.RuleRaised("op-1", "ana", 2)]
+    )
+    assert state.snapshot.rule == 2
+    after = acceptance.apply(state, 2, propose("op-2", 1, "b"))
+    assert isinstance(after.verdict, verdicts.Ignored)
+    assert (after.state.configuration.version, after.state.ignored_records) == (1, 1)
+
+
+def test_rules_are_raised_by_one() -> None:
+    """A rule can't be skipped or put back."""
+    for rule in (0, 1, 3):
+        applied = acceptance.apply(acceptance.begin(), 0, records.RuleRaised("op", "ana", rule))
+        assert isinstance(applied.verdict, verdicts.Rejected)
