--- a/src/dragonflycove/shares/_views.py
+++ b/src/dragonflycove/shares/_views.py
@@ -24,11 +24,13 @@
         Args:
             host: Name of this node's host.
             lag_seconds: Greatest age of a host list that may be acted on.
-            reclaim_seconds: Longest time for which a unit stays in use after its holder lost it.
+            reclaim_seconds: Time in which a holder gives up its excess, and in which the uses of
+                one that died or paused are ended.
         """
         self.names: frozenset[str] = frozenset()
         """Hosts of the newest list."""
-        self.wait_seconds = 2 * lag_seconds + reclaim_seconds
+        # A holder may see a change late, give up its excess late, and die right before that is due.
+        self.wait_seconds = 2 * (lag_seconds + reclaim_seconds)
         """Time between a change of the host list and the growth of a share."""
         self._host = host
         self._lag_seconds = lag_seconds
--- a/src/dragonflycove/shares/share_table.py
+++ b/src/dragonflycove/shares/share_table.py
@@ -45,8 +45,8 @@
         Args:
             host: Name of this node's host.
             host_list_lag_seconds: Greatest age of a host list that may be acted on.
-            reclaim_seconds: Longest time for which a unit stays in use after its holder lost it,
-                be the holder alive or dead.
+            reclaim_seconds: Time in which a living holder gives up its excess, and in which the
+                uses of one that died or paused are ended at the servers.
         """
         self._host = host
         self._reclaim_seconds = reclaim_seconds
--- a/tests/shares/test_share_table.py
+++ b/tests/shares/test_share_table.py
@@ -9,7 +9,7 @@
 
 LAG_SECONDS = 5.0
 RECLAIM_SECONDS = 20.0
-WAIT_SECONDS = 2 * LAG_SECONDS + RECLAIM_SECONDS
+WAIT_SECONDS = 2 * (LAG_SECONDS + RECLAIM_SECONDS)
 HOSTS = frozenset(f"entry-{number}" for number in range(6))
 LIMIT = share_table.Limit("cold/engine-1", 2)
 
