Queue requests for memory groups in turn; estimate waits per lane; homes for the lower priority

Cause: at 5 times the load short prompts starved the lower engine priority for good, group requests bypassed the queue, and an organisation with nothing waiting was promised a wait of zero. Change: 30% of a model's engines are home to the lower priority (half of them to long prompts), short prompts use them only while they are free; groups wait in their lane; waits are estimated from all nodes' lanes and the rate that is left for the lane, with the request's own tokens counted.

--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -177,6 +177,9 @@
             The digest, of bounded size.
         """
         self.router.peers.expire(self.router.view, now)
+        for item in self._scheduler.all_lanes(now):
+            admitted = self._scheduler.fleet_lanes(item.model, now).admitted_per_second[0]
+            self.router.set_first_rate(item.model, admitted)
         works = digests.collect_works(self.router.view.loads_by_id.values())
         return digests.PeerDigest(self._host, 0.0, works, self._scheduler.all_lanes(now))
 
--- a/src/dragonflycove/admission/entries.py
+++ b/src/dragonflycove/admission/entries.py
@@ -71,6 +71,7 @@
         """Create an empty book."""
         self.by_id: dict[str, Entry] = {}
         self.borrowers_by_id: dict[str, Entry] = {}
+        self.awaiting_group: set[str] = set()
         self._deadlines: SortedList[tuple[float, str]] = SortedList()
 
     def add(self, entry: Entry) -> None:
--- a/src/dragonflycove/admission/gate.py
+++ b/src/dragonflycove/admission/gate.py
@@ -86,18 +86,18 @@
         lane = lanes.lane_of(request)
         fleet = self._scheduler.fleet_lanes(request.model, now)
         tokens, share = self._scheduler.organisation_share(request, configuration)
-        wait = queue_estimate.wait_seconds(fleet, lane, rate, tokens, share)
+        wait = queue_estimate.wait_seconds(fleet, lane, rate, tokens + request.prompt_tokens, share)
         demand = entries.demand_of(request, self._policy, frozenset())
         first_token = self._router.first_token_seconds(demand, now)
         if demand.priority:
             first_token *= rate / max(rate - fleet.admitted_per_second[0], LEAST_SHARE * rate)
-        needed = wait + self._promise.run_seconds(first_token, request.max_tokens)
+        run = self._promise.run_seconds(first_token, request.max_tokens)
         is_over = tokens > share * fleet.queued_tokens[lanes.LANE_ORDER.index(lane)] / fleet.nodes
         patience = promise.OVER_SHARE_PATIENCE if is_over else promise.OWN_SHARE_PATIENCE
-        left = request.deadline - now
-        if needed <= left * patience * self._promise.confidence(lane):
+        spare = (request.deadline - now) * promise.RUN_MARGIN - run
+        if wait <= spare * patience * self._promise.confidence(lane) and spare >= 0.0:
             return None
-        retry_after = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, needed - left))
+        retry_after = min(RETRY_CEILING_SECONDS, max(RETRY_FLOOR_SECONDS, wait - spare))
         return outcomes.Refused(
             outcomes.Reason.OVERLOADED, "It would not end by its deadline.", retry_after
         )
--- a/src/dragonflycove/admission/lanes.py
+++ b/src/dragonflycove/admission/lanes.py
@@ -36,9 +36,6 @@
 FIRST_BATCH_INDEX = 3
 """Index of the first batch lane in the order of service."""
 
-BATCH_FIRST_ORDER = LANE_ORDER[FIRST_BATCH_INDEX:] + LANE_ORDER[:FIRST_BATCH_INDEX]
-"""The order while batch requests are owed their share."""
-
 
 def lane_of(request: requests.ModelRequest) -> LaneKey:
     """Return the lane of a request.
@@ -59,6 +56,7 @@
         """Create empty lanes."""
         self.queues_by_lane = {key: fair_queue.FairQueue() for key in LANE_ORDER}
         self._batch_credit = 0.0
+        self._served_by_batch_lane = dict.fromkeys(LANE_ORDER[FIRST_BATCH_INDEX:], 0.0)
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -75,7 +73,9 @@
             A lane with a request that has to start by now; else a batch lane that is owed its
             share; else the first in order; `None` where nothing waits that can be served.
         """
-        order = BATCH_FIRST_ORDER if self._batch_is_owed() else LANE_ORDER
+        batch = sorted(self._served_by_batch_lane, key=self._served_by_batch_lane.__getitem__)
+        interactive = LANE_ORDER[:FIRST_BATCH_INDEX]
+        order = [*batch, *interactive] if self._batch_is_owed() else [*interactive, *batch]
         waiting = [key for key in order if self.queues_by_lane[key] and key not in blocked]
         for key in waiting:
             if self.queues_by_lane[key].has_urgent(now):
@@ -95,10 +95,23 @@
         """
         if lane.urgency is requests.Urgency.BATCH:
             self._batch_credit = max(0.0, self._batch_credit - tokens)
+            self._served_by_batch_lane[lane] += tokens
+            self._level_idle_lanes()
         elif self._batch_waits():
             credit = self._batch_credit + tokens * BATCH_SHARE / (1 - BATCH_SHARE)
             self._batch_credit = min(credit, BATCH_CREDIT_LIMIT_TOKENS)
 
+    def _level_idle_lanes(self) -> None:
+        """Let no batch lane save up a claim while nothing waits in it."""
+        served = self._served_by_batch_lane
+        waiting = [served[key] for key in served if self.queues_by_lane[key]]
+        if not waiting:
+            return
+        least = min(waiting)
+        for key in served:
+            if not self.queues_by_lane[key]:
+                served[key] = max(served[key], least)
+
     def queued_tokens(self) -> tuple[int, ...]:
         """Return the waiting tokens by lane, in the order of service."""
         return tuple(self.queues_by_lane[key].tokens for key in LANE_ORDER)
--- a/src/dragonflycove/admission/lifecycle.py
+++ b/src/dragonflycove/admission/lifecycle.py
@@ -51,7 +51,7 @@
     def enqueue(
         self, entry: entries.Entry, configuration: schema.Configuration, now: float
     ) -> list[effects.Effect]:
-        """Let a request wait for an engine, or ask for a memory group.
+        """Let a request wait for an engine or a memory group.
 
         Args:
             entry: The request.
@@ -62,11 +62,6 @@
             What becomes possible.
         """
         request = entry.request
-        if entry.demand.memory_tokens > self._router.capacity(request.model).largest_memory_tokens:
-            entry.state = entries.State.AWAITING_GROUP
-            candidates = self._router.candidates(request.model)
-            allowed = tuple(c for c in candidates if c not in entry.demand.excluded)
-            return [effects.NeedsGroup(request, allowed)]
         entry.state = entries.State.QUEUED
         organisation = configuration.organisations_by_name.get(request.organisation)
         self._scheduler.push(entry, organisation.weight if organisation else 1.0)
@@ -131,7 +126,12 @@
             Dispatches and preemptions.
         """
         drained: list[effects.Effect] = []
-        for entry, choice in self._scheduler.placements(model, now):
+        for entry, choice, candidates in self._scheduler.placements(model, now):
+            if choice is None:
+                entry.state = entries.State.AWAITING_GROUP
+                self._book.awaiting_group.add(entry.request.request_id)
+                drained.append(effects.NeedsGroup(entry.request, candidates))
+                continue
             entry.is_borrower = choice.is_borrowed
             uncached = entry.demand.prompt_tokens - choice.cached_tokens
             rate = self._router.capacity(model).mean_prefill_tokens_per_second
@@ -175,6 +175,7 @@
         Returns:
             The dispatch.
         """
+        self._book.awaiting_group.discard(entry.request.request_id)
         entry.state = entries.State.RUNNING
         entry.servers = servers
         entry.sent_at = now
@@ -208,6 +209,7 @@
             entry: The request.
         """
         self._book.borrowers_by_id.pop(entry.request.request_id, None)
+        self._book.awaiting_group.discard(entry.request.request_id)
         if entry.state is entries.State.RUNNING:
             self._router.release(entry.servers, entry.request.request_id)
         elif entry.state is entries.State.QUEUED:
--- a/src/dragonflycove/admission/promise.py
+++ b/src/dragonflycove/admission/promise.py
@@ -16,10 +16,13 @@
 SMOOTHING = 0.05
 """Weight of a new observation in the moving averages."""
 
-OWN_SHARE_PATIENCE = 0.85
-"""Share of the time to the deadline that the estimate may fill within the organisation's share."""
+RUN_MARGIN = 0.95
+"""Share of the time to the deadline that waiting and running may fill."""
 
-OVER_SHARE_PATIENCE = 0.6
+OWN_SHARE_PATIENCE = 0.6
+"""Share of the spare time that the wait may fill for an organisation within its share."""
+
+OVER_SHARE_PATIENCE = 0.4
 """The same for an organisation with more than its share of the waiting tokens."""
 
 LEAST_CONFIDENCE = 0.3
--- a/src/dragonflycove/admission/queue_estimate.py
+++ b/src/dragonflycove/admission/queue_estimate.py
@@ -5,15 +5,19 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.admission import lanes
-from dragonflycove.values import requests
+from dragonflycove.routing import rooms
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dragonflycove.routing import digests
 
-LEAST_RATE_SHARE = 0.05
-"""Least share of the engines' rate that a lane is taken to get."""
+GUARANTEED_SHARES = (
+    (slice(0, 1), 1.0 - rooms.LOWER_HOME_SHARE),
+    (slice(1, lanes.FIRST_BATCH_INDEX), rooms.LOWER_HOME_SHARE - lanes.BATCH_SHARE),
+    (slice(lanes.FIRST_BATCH_INDEX, len(lanes.LANE_ORDER)), lanes.BATCH_SHARE),
+)
+"""Groups of lanes and the share of the engines' rate that each gets at least."""
 
 
 class FleetLanes(NamedTuple):
@@ -49,6 +53,9 @@
 def lane_rate(fleet: FleetLanes, lane: lanes.LaneKey, rate: float) -> float:
     """Estimate the rate that is left for a lane.
 
+    Groups that are served first take what they admit; the others take what they are guaranteed,
+    where they use it.
+
     Args:
         fleet: What waits in all nodes.
         lane: The lane.
@@ -58,12 +65,18 @@
         Tokens a second.
     """
     index = lanes.LANE_ORDER.index(lane)
-    left = rate - sum(fleet.admitted_per_second[:index])
-    if lane.urgency is requests.Urgency.BATCH:
-        return max(lanes.BATCH_SHARE * rate, left)
-    if any(fleet.queued_tokens[lanes.FIRST_BATCH_INDEX :]):
-        left -= lanes.BATCH_SHARE * rate
-    return max(LEAST_RATE_SHARE * rate, left)
+    left = rate
+    guaranteed = rate
+    for group, share in GUARANTEED_SHARES:
+        admitted = fleet.admitted_per_second[group]
+        if index in range(group.start, group.stop):
+            left -= sum(fleet.admitted_per_second[group.start : index])
+            guaranteed = share * rate / (group.stop - group.start)
+        elif group.start < index:
+            left -= sum(admitted)
+        else:
+            left -= min(share * rate, sum(admitted))
+    return max(guaranteed, left)
 
 
 def wait_seconds(
@@ -79,7 +92,8 @@
         fleet: What waits in all nodes.
         lane: The request's lane.
         rate: Prompt tokens that all engines read in a second, above 0.
-        organisation_tokens: Tokens of its organisation that wait in its lane at this node.
+        organisation_tokens: Tokens of its organisation that wait in its lane at this node, and its
+            own.
         organisation_share: Share of the lane's rate that its organisation gets.
 
     Returns:
--- a/src/dragonflycove/admission/scheduler.py
+++ b/src/dragonflycove/admission/scheduler.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.admission import lane_rates, lanes, queue_estimate
-from dragonflycove.routing import digests
+from dragonflycove.routing import digests, groups
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,8 +24,10 @@
 
     entry: entries.Entry
     """The request, no longer waiting."""
-    choice: demands.Choice
-    """The server."""
+    choice: demands.Choice | None
+    """The server; `None` where the request needs a memory group."""
+    candidates: tuple[str, ...]
+    """Engines for the memory group, the best first; empty where it needs none."""
 
 
 class Scheduler:
@@ -99,16 +101,27 @@
             item = queue.peek(now)
             assert item is not None, "a lane that is served has a request"
             entry = self._book.by_id[item.request_id]
-            choice = self._router.choose(entry.demand, now)
-            if choice is None:
+            placement = self._pair(entry, item.latest_start <= now, now)
+            if placement is None:
                 blocked.add(lane)
                 continue
             queue.take(item.request_id)
             lane_set.charge(lane, item.cost_tokens)
-            yield Placement(entry, choice)
+            yield placement
         if not lane_set:
             del self.lanes_by_model[model]
 
+    def _pair(self, entry: entries.Entry, is_urgent: bool, now: float) -> Placement | None:
+        demand = entry.demand
+        largest = self._router.capacity(demand.model).largest_memory_tokens
+        if not groups.needs_group(demand.memory_tokens, largest):
+            choice = self._router.choose(demand, now)
+            return None if choice is None else Placement(entry, choice, ())
+        if self._book.awaiting_group:
+            return None
+        candidates = self._router.group_candidates(demand, is_urgent, now)
+        return Placement(entry, None, candidates) if candidates else None
+
     def interactive_waits(self, model: str) -> bool:
         """Tell whether a short or medium interactive request waits.
 
--- a/src/dragonflycove/routing/rooms.py
+++ b/src/dragonflycove/routing/rooms.py
@@ -10,11 +10,17 @@
 from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from dragonflycove.routing import demands, load_view
 
-LONG_HOME_SHARE = 0.3
+PARTITION_LONG_SHARE = 0.4
+"""Share of a model's engines that a static partition gives to long prompts."""
+
+LOWER_HOME_SHARE = 0.3
+"""Share of a model's engines on which prompts of the lower priority have a right to run."""
+
+LONG_HOME_SHARE = 0.15
 """Share of a model's engines on which long prompts have a right to run."""
 
 RESERVED_SLOTS_SHARE = 0.25
@@ -26,6 +32,9 @@
 BACKLOG_LIMIT_SECONDS = (1.0, 2.0)
 """Prompt reading ahead of a request beyond which it waits in the node instead, by priority."""
 
+FULL_UTILISATION = 0.8
+"""Share of the other engines taken by the higher priority above which the lower stays at home."""
+
 
 class Room(enum.Enum):
     """Whether an engine can take a request now."""
@@ -38,27 +47,61 @@
     """It can, out of idle capacity of the other class."""
 
 
-def pick_long_homes(model: str, server_ids: Sequence[str]) -> frozenset[str]:
-    """Pick the engines on which long prompts have a right to run; every node picks the same.
+class Home(enum.Enum):
+    """Whose right an engine is."""
+
+    SHORT = "short"
+    """Of prompts of the higher priority."""
+    LOWER = "lower"
+    """Of prompts of the lower priority that are not long."""
+    LONG = "long"
+    """Of long prompts."""
+
+
+def pick_homes(policy: policies.Policy, model: str, server_ids: Sequence[str]) -> dict[str, Home]:
+    """Divide the engines of a model between the classes; every node divides them alike.
 
     Args:
+        policy: The routing policy.
         model: Name of the model.
         server_ids: Engines that serve it.
 
     Returns:
-        Some of them, at least one; none of a single engine, which everything shares.
+        Homes by engine; empty for a single engine, which everything shares.
+    """
+    count = len(server_ids)
+    if count < 2:
+        return {}
+    ranked = identifiers.rendezvous_rank(model, server_ids)
+    if policy is policies.Policy.STATIC_PARTITION:
+        longs = lowers = max(1, round(PARTITION_LONG_SHARE * count))
+    else:
+        longs = max(1, round(LONG_HOME_SHARE * count))
+        lowers = max(longs, round(LOWER_HOME_SHARE * count))
+    homes = [Home.LONG] * longs + [Home.LOWER] * (lowers - longs) + [Home.SHORT] * (count - lowers)
+    return dict(zip(ranked, homes, strict=True))
+
+
+def short_share(homes: Mapping[str, Home]) -> float:
+    """Return the share of the engines that are the right of short prompts.
+
+    Args:
+        homes: Whose right each engine is.
+
+    Returns:
+        From 0 to 1; 1 where everything is shared.
     """
-    if len(server_ids) < 2:
-        return frozenset()
-    count = max(1, round(LONG_HOME_SHARE * len(server_ids)))
-    return frozenset(identifiers.rendezvous_rank(model, server_ids)[:count])
+    if not homes:
+        return 1.0
+    return sum(home is Home.SHORT for home in homes.values()) / len(homes)
 
 
 def find_room(
     policy: policies.Policy,
     load: load_view.EngineLoad,
     demand: demands.Demand,
-    is_home: bool,
+    homes: Mapping[str, Home],
+    first_utilisation: float,
     now: float,
 ) -> Room:
     """Tell whether an engine can take a request now.
@@ -67,7 +110,8 @@
         policy: The routing policy.
         load: What is believed of the engine.
         demand: What the request needs.
-        is_home: Whether long prompts have a right to run there.
+        homes: Whose right each engine is; empty where everything is shared.
+        first_utilisation: Share of the short prompts' engines that the higher priority takes.
         now: Time, seconds.
 
     Returns:
@@ -81,22 +125,28 @@
         return Room.NONE
     if load.backlog_seconds(demand.priority, now) > BACKLOG_LIMIT_SECONDS[demand.priority]:
         return Room.NONE
-    if policy is policies.Policy.STATIC_PARTITION:
-        return Room.OWN if demand.is_long == is_home else Room.NONE
-    if policy is policies.Policy.PRIORITIES_ONLY or demand.priority == 0:
+    if policy is policies.Policy.PRIORITIES_ONLY or not homes:
         return Room.OWN
-    return _find_lower_room(load, demand, is_home, now)
+    home = homes[load.server.server_id]
+    if policy is policies.Policy.STATIC_PARTITION:
+        return Room.OWN if demand.is_long == (home is Home.LONG) else Room.NONE
+    if demand.priority == 0:
+        is_free = home is Home.SHORT or load.backlog_seconds(1, now) <= 0.0
+        return Room.OWN if is_free else Room.NONE
+    if home is Home.SHORT and first_utilisation > FULL_UTILISATION:
+        return Room.NONE
+    return _find_lower_room(load, demand, home, now)
 
 
 def _find_lower_room(
-    load: load_view.EngineLoad, demand: demands.Demand, is_home: bool, now: float
+    load: load_view.EngineLoad, demand: demands.Demand, home: Home, now: float
 ) -> Room:
     """Tell whether a request of the lower priority may use, or borrow, an engine."""
     reserved = math.ceil(RESERVED_SLOTS_SHARE * load.limit) if load.limit > 1 else 0
     memory_left = load.memory_free() - demand.memory_tokens
     keeps_slots = load.in_flight < load.limit - reserved
     keeps_memory = memory_left >= RESERVED_MEMORY_SHARE * load.server.memory_tokens
-    if demand.is_long and is_home and keeps_slots:
+    if demand.is_long and home is Home.LONG and keeps_slots:
         return Room.OWN
     if not demand.is_long and keeps_slots and keeps_memory:
         return Room.OWN
--- a/src/dragonflycove/routing/router.py
+++ b/src/dragonflycove/routing/router.py
@@ -7,6 +7,7 @@
 from dragonflycove.routing import (
     demands,
     digests,
+    groups,
     load_view,
     open_set,
     policies,
@@ -28,13 +29,16 @@
 class _ModelServers:
     """The engines of one model."""
 
-    def __init__(self, model: str, loads: list[load_view.EngineLoad]) -> None:
+    def __init__(
+        self, policy: policies.Policy, model: str, loads: list[load_view.EngineLoad]
+    ) -> None:
         self.loads = loads
         self.server_ids = tuple(load.server.server_id for load in loads)
         self.eligible = frozenset(self.server_ids)
-        self.homes = rooms.pick_long_homes(model, self.server_ids)
+        self.homes = rooms.pick_homes(policy, model, self.server_ids)
         self.opened = open_set.OpenSet()
         self.capacity = demands.NO_CAPACITY
+        self.first_utilisation = 0.0
 
     def refresh(self) -> None:
         """Compute again what follows from the limits."""
@@ -85,7 +89,8 @@
                 for model in server.models:
                     by_model.setdefault(model, []).append(load)
         self._servers_by_model = {
-            model: _ModelServers(model, loads) for model, loads in by_model.items()
+            model: _ModelServers(self._selector.policy, model, loads)
+            for model, loads in by_model.items()
         }
         self._apply_limits()
 
@@ -143,6 +148,7 @@
             return None
         if self._selector.policy.is_baseline:
             return self._selector.choose(demand, servers.loads, servers.homes, now)
+        self._selector.first_utilisation = servers.first_utilisation
         held = self.prefixes.find(demand.prefix_hashes) if demand.prefix_hashes else {}
         return self._selector.choose_best(
             demand, servers.opened, self.view.loads_by_id, held, servers.homes, now
@@ -166,6 +172,26 @@
             loads = self._rng.sample(loads, selection.SAMPLE_SIZE)
         return min(selection.estimate_first_token(load, demand, 0, now) for load in loads)
 
+    def group_candidates(
+        self, demand: demands.Demand, is_urgent: bool, now: float
+    ) -> tuple[str, ...]:
+        """Find engines for a memory group.
+
+        Args:
+            demand: What the request needs.
+            is_urgent: Whether it has to start by now.
+            now: Time, seconds.
+
+        Returns:
+            Engines that may be members, the best first; empty where there are too few now.
+        """
+        servers = self._servers_by_model.get(demand.model)
+        if servers is None:
+            return ()
+        return groups.find_candidates(
+            demand, servers.loads, servers.homes, servers.first_utilisation, is_urgent, now
+        )
+
     def occupy(
         self,
         server_ids: tuple[str, ...],
@@ -229,6 +255,18 @@
                 load.in_flight = max(0, load.in_flight - 1)
                 self._refresh_open(load)
 
+    def set_first_rate(self, model: str, tokens_per_second: float) -> None:
+        """Take in how many tokens of the higher priority are admitted.
+
+        Args:
+            model: Name of the model.
+            tokens_per_second: Prompt tokens a second, of all nodes.
+        """
+        servers = self._servers_by_model.get(model)
+        if servers is not None:
+            own = rooms.short_share(servers.homes) * servers.capacity.prefill_tokens_per_second
+            servers.first_utilisation = tokens_per_second / max(1.0, own)
+
     def block(self, server_id: str, until: float) -> None:
         """Send nothing to an engine for a while.
 
--- a/src/dragonflycove/routing/selection.py
+++ b/src/dragonflycove/routing/selection.py
@@ -68,6 +68,7 @@
             rng: The generator to draw from.
         """
         self.policy = policy
+        self.first_utilisation = 0.0
         self._rng = rng
         self._cursor = 0
 
@@ -75,7 +76,7 @@
         self,
         demand: demands.Demand,
         loads: Sequence[load_view.EngineLoad],
-        homes: frozenset[str],
+        homes: Mapping[str, rooms.Home],
         now: float,
     ) -> demands.Choice | None:
         """Choose by a scan of every engine; only for the baselines.
@@ -83,7 +84,7 @@
         Args:
             demand: What the request needs.
             loads: The engines that may be chosen.
-            homes: Engines on which long prompts have a right to run.
+            homes: Whose right each engine is.
             now: Time, seconds.
 
         Returns:
@@ -105,7 +106,7 @@
         opened: open_set.OpenSet,
         loads_by_id: Mapping[str, load_view.EngineLoad],
         held: Mapping[str, prefix_map.Holding],
-        homes: frozenset[str],
+        homes: Mapping[str, rooms.Home],
         now: float,
     ) -> demands.Choice | None:
         """Choose at random among the best of a sample and of the engines with the prefix.
@@ -115,7 +116,7 @@
             opened: Engines with a free slot.
             loads_by_id: What is believed of the engines.
             held: What engines hold of the prompt.
-            homes: Engines on which long prompts have a right to run.
+            homes: Whose right each engine is.
             now: Time, seconds.
 
         Returns:
@@ -123,8 +124,6 @@
         """
         sampled = opened.sample(SAMPLE_SIZE, self._rng)
         sampled += [server_id for server_id in held if server_id in opened]
-        if demand.is_long:
-            sampled += [server_id for server_id in sorted(homes) if server_id in opened]
         loads = [loads_by_id[server_id] for server_id in dict.fromkeys(sampled)]
         choices = self._assess(demand, loads, held, homes, now)
         own = [choice for choice in choices if not choice.is_borrowed]
@@ -139,7 +138,7 @@
         demand: demands.Demand,
         loads: Iterable[load_view.EngineLoad],
         held: Mapping[str, prefix_map.Holding],
-        homes: frozenset[str],
+        homes: Mapping[str, rooms.Home],
         now: float,
     ) -> list[demands.Choice]:
         choices = []
@@ -147,8 +146,7 @@
             server_id = load.server.server_id
             if server_id in demand.excluded:
                 continue
-            is_home = server_id in homes if homes else demand.is_long
-            room = rooms.find_room(self.policy, load, demand, is_home, now)
+            room = rooms.find_room(self.policy, load, demand, homes, self.first_utilisation, now)
             if room is rooms.Room.NONE:
                 continue
             cached = 0
