--- a/src/dragonflycove/node/claim_task.py
+++ b/src/dragonflycove/node/claim_task.py
@@ -140,9 +140,11 @@
 
     async def _follow_log(self) -> None:
         offset = 0
+        # No waiting for news before the end was reached once: calls are refused until then.
+        wait_seconds = 0.0
         while True:
             page = await self._log.read(
-                records.STREAM, offset, PAGE_RECORDS, POLL_SECONDS, CALL_SECONDS
+                records.STREAM, offset, PAGE_RECORDS, wait_seconds, CALL_SECONDS
             )
             if isinstance(page, result.Err):
                 logs.warning("claims_read_failed", reason=page.err_value.reason)
@@ -153,6 +155,7 @@
             offset = page.ok_value.next_offset
             if len(page.ok_value.records) < PAGE_RECORDS:
                 self.table.on_end_reached()
+                wait_seconds = POLL_SECONDS
 
     def _take_record(self, record: log_client.LogRecord) -> None:
         found = self.table.on_record(record.offset, record.appended_at, record.value, _now())
