Work with a subset of the servers, and share the log's append rate

Cause: every node polled every engine, which at 600 servers and 320 nodes is 768,000 readings a second; and each node took a fixed 20 appends a second whatever the others did. Change: the subset task hands the dispatcher, the guard and the load readings the servers that rendezvous ranking gives this host; the guard sets the claims' append rate to this host's share.

--- a/src/dragonflycove/node/engine_poll_task.py
+++ b/src/dragonflycove/node/engine_poll_task.py
@@ -47,7 +47,7 @@
             await asyncio.sleep(self._context.settings.report_seconds)
 
     def _engines(self) -> list[schema.Server]:
-        configuration = self._context.configuration
+        configuration = self._context.subset
         return [
             server
             for server in configuration.servers_by_id.values()
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -20,6 +20,9 @@
     from dragonflycove.routing import load_view
     from dragonflycove.values import requests
 
+APPEND_WINDOW_SECONDS = 10.0
+"""Time over which appends to the log are divided, seconds."""
+
 REVIEW_SECONDS = 0.25
 """Time between two computations of this node's limits, seconds."""
 
@@ -182,6 +185,9 @@
 class GuardLinks(NamedTuple):
     """Where the guard's effects go."""
 
+    set_append_rate: Callable[[float], None]
+    """Told this node's share of the log's append rate, appends a second."""
+
     tell_peers_cold: Callable[[cold_start.TellPeersCold], None]
     """Tells all peers that a server turned cold."""
 
@@ -265,6 +271,7 @@
 
     def _review(self, now: float) -> None:
         limits = self._cold.node_limits(self.shares, now)
+        self._share_appends(now)
         if limits != self._last_limits:
             self._last_limits = limits
             self._context.dispatch.post(dispatch_task.Limited(limits))
@@ -274,6 +281,16 @@
             if now < waiting.asked.request.deadline:
                 self._on_start_asked(waiting.asked, now)
 
+    def _share_appends(self, now: float) -> None:
+        """Set this node's part of the log's append rate.
+
+        The log refuses what is too much, so an old host list is good enough. Units are counted
+        over a window, so that more nodes than appends a second get a part each.
+        """
+        units = int(self._context.settings.log_appends_per_second * APPEND_WINDOW_SECONDS)
+        share = self.shares.last_units(share_table.Limit("log-appends", units), now)
+        self._links.set_append_rate(share / APPEND_WINDOW_SECONDS)
+
     @functools.singledispatchmethod
     def _handle(self, message: object, now: float) -> None:
         raise TypeError(f"unknown message {message!r}")
@@ -307,7 +324,7 @@
         message.receiver.post(StartGranted())
 
     def _candidates(self, request: requests.ModelRequest) -> frozenset[str]:
-        configuration = self._context.configuration
+        configuration = self._context.subset
         return frozenset(
             server.server_id
             for server in configuration.servers_by_id.values()
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -31,6 +31,7 @@
     quarantine_log_task,
     services,
     status_source,
+    subset_task,
     tasks,
 )
 from dragonflycove.operators import app as operator_app
@@ -111,6 +112,7 @@
             ),
             self._context.rng,
         )
+        self._subset = subset_task.SubsetTask(self._context)
         self._configuration.subscribe(self._on_configuration)
         self._control = control_tasks.ControlTasks(
             control_tasks.ControlSettings(
@@ -129,7 +131,10 @@
         )
         self._quarantine_log = quarantine_log_task.QuarantineLogTask(self._log, self._context.guard)
         links = guard_task.GuardLinks(
-            self._fleet.tell_cold, self._fleet.tell_record, self._quarantine_log.append
+            self._claims.table.set_rate,
+            self._fleet.tell_cold,
+            self._fleet.tell_record,
+            self._quarantine_log.append,
         )
         self._guard = guard_task.GuardTask(self._context, links)
         self._engines = engine_poll_task.EnginePollTask(self._context, self._on_report)
@@ -168,6 +173,7 @@
         self._core.start("claims", self._claims.run())
         self._core.start("guard", self._guard.run())
         self._core.start("quarantine-log", self._quarantine_log.run())
+        self._core.start("subset", self._subset.run())
         self._core.start("engines", self._engines.run())
         self._core.start("hosts", self._hosts.run())
         self._core.start("http", self._server.run())
@@ -183,8 +189,7 @@
 
     def _on_configuration(self, configuration: schema.Configuration) -> None:
         self._context.configuration = configuration
-        self._context.dispatch.post(dispatch_task.Configured(configuration))
-        self._context.guard.post(guard_task.ConfigurationChanged(configuration))
+        self._subset.mailbox.post(subset_task.ConfigurationInForce(configuration))
         logs.event(
             "configuration_in_force",
             version=configuration.version,
@@ -207,6 +212,8 @@
         if own is not None and own.address != self._context.settings.caller_address:
             names -= {own.name}
         self._context.guard.post(guard_task.HostsRead(names, age_seconds))
+        zone_by_host = {name: entry.zone for name, entry in hosts.hosts_by_name.items()}
+        self._subset.mailbox.post(subset_task.HostsChanged(zone_by_host))
         self._control.on_hosts(hosts)
 
     def _on_report(self, report: load_view.EngineReport) -> None:
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -72,6 +72,9 @@
     configuration: schema.Configuration = schema.EMPTY
     """The configuration in force."""
 
+    subset: schema.Configuration = schema.EMPTY
+    """The configuration in force with the backend servers that this node works with."""
+
     hosts_by_name: dict[str, host_list_client.HostEntry] = dataclasses.field(default_factory=dict)
     """Hosts by the newest host list."""
 
--- a/src/dragonflycove/settings/node.py
+++ b/src/dragonflycove/settings/node.py
@@ -66,5 +66,8 @@
     log_retention_seconds: Seconds = 3600.0
     """Time for which the log service keeps a record, seconds."""
 
+    log_appends_per_second: Annotated[int, msgspec.Meta(ge=1)] = 200
+    """Appends a second that the log service takes from all nodes together."""
+
     log_path: str = ""
     """File for the logs; empty for the standard error."""
