--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -233,6 +233,9 @@
     ) -> list[effects.Effect]:
         """Dispatch a request on the memory group that was built for it.
 
+        A group with a member that may get no new work any more is not used: the request waits
+        again, and the caller gives the group up, as it does whenever no dispatch follows.
+
         Args:
             request_id: The request.
             engines: Members of the group, the lead first.
@@ -244,6 +247,9 @@
         entry = self._book.by_id.get(request_id)
         if entry is None or entry.state is not entries.State.AWAITING_GROUP:
             return []
+        if not set(engines) <= set(self.router.candidates(entry.request.model)):
+            self._lifecycle.unplace(entry)
+            return self._lifecycle.enqueue(entry, self.configuration, now)
         return [self._lifecycle.place(entry, engines, entry.demand.prompt_tokens, now)]
 
     def on_first_token(self, request_id: str, now: float) -> list[effects.Effect]:
@@ -361,7 +367,7 @@
             Time, seconds; infinite where nothing is to come.
         """
         deadline = self._book.next_deadline()
-        if self._scheduler.lanes_by_model:
+        if len(self._scheduler):
             return min(deadline, now + QUEUE_TICK_SECONDS)
         return deadline
 
--- a/src/dragonflycove/admission/fair_queue.py
+++ b/src/dragonflycove/admission/fair_queue.py
@@ -209,6 +209,9 @@
             heapq.heapify(self._urgent)
         while self._urgent and not self._waits(self._urgent[0][2]):
             heapq.heappop(self._urgent)
+        if len(self._order) > 2 * len(self._active_by_name) + STALE_ENTRIES_LIMIT:
+            self._order = [(state.finish, name) for name, state in self._active_by_name.items()]
+            heapq.heapify(self._order)
         while self._order:
             finish, name = self._order[0]
             state = self._active_by_name.get(name)
@@ -224,9 +227,11 @@
             self._forget_finished()
 
     def _forget_finished(self) -> None:
-        """Forget idle organisations whose share the others have caught up with."""
-        self._finish_by_name = {
-            name: finish
+        """Forget idle organisations, those that the others have caught up with before the rest."""
+        ahead = [
+            (finish, name)
             for name, finish in self._finish_by_name.items()
             if finish > self._virtual_time
-        }
+        ]
+        limit = len(self._active_by_name) + STALE_ENTRIES_LIMIT // 2
+        self._finish_by_name = {name: finish for finish, name in heapq.nlargest(limit, ahead)}
--- a/src/dragonflycove/admission/lanes.py
+++ b/src/dragonflycove/admission/lanes.py
@@ -60,7 +60,7 @@
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return sum(len(queue) for queue in self.queues_by_lane.values())
+        return sum(map(len, self.queues_by_lane.values()))
 
     def next_lane(self, now: float, blocked: Collection[LaneKey]) -> LaneKey | None:
         """Return the lane to serve next.
--- a/src/dragonflycove/admission/lifecycle.py
+++ b/src/dragonflycove/admission/lifecycle.py
@@ -110,8 +110,6 @@
         Returns:
             Dispatches and preemptions.
         """
-        if not self._scheduler.lanes_by_model:
-            return []
         models = list(self._scheduler.lanes_by_model)
         return [effect for model in models for effect in self.drain_model(model, now)]
 
--- a/src/dragonflycove/admission/queue_estimate.py
+++ b/src/dragonflycove/admission/queue_estimate.py
@@ -32,10 +32,10 @@
 
 
 def add_up(parts: Sequence[digests.ModelLanes], nodes: int) -> FleetLanes:
-    """Add up what waits in each node.
+    """Add up what waits in several nodes.
 
     Args:
-        parts: What waits in this node and in its peers.
+        parts: What waits in each.
         nodes: Number of nodes.
 
     Returns:
@@ -47,7 +47,24 @@
         for index in range(len(lanes.LANE_ORDER)):
             queued[index] += part.queued_tokens[index]
             admitted[index] += part.admitted_per_second[index]
-    return FleetLanes(queued, admitted, max(1, nodes))
+    return FleetLanes(queued, admitted, nodes)
+
+
+def add_own(peers: FleetLanes, own: digests.ModelLanes) -> FleetLanes:
+    """Add what waits in this node to what waits in its peers.
+
+    Args:
+        peers: What waits in the peers.
+        own: What waits in this node.
+
+    Returns:
+        The sum.
+    """
+    queued = [a + b for a, b in zip(peers.queued_tokens, own.queued_tokens, strict=True)]
+    admitted = [
+        a + b for a, b in zip(peers.admitted_per_second, own.admitted_per_second, strict=True)
+    ]
+    return FleetLanes(queued, admitted, peers.nodes + 1)
 
 
 def lane_rate(fleet: FleetLanes, lane: lanes.LaneKey, rate: float) -> float:
--- a/src/dragonflycove/admission/scheduler.py
+++ b/src/dragonflycove/admission/scheduler.py
@@ -15,6 +15,12 @@
     from dragonflycove.routing import demands, router
     from dragonflycove.values import requests
 
+PEERS_SECONDS = 0.25
+"""Interval between sums over the peers' lanes."""
+
+NO_PEERS = queue_estimate.add_up((), 0)
+"""What waits in no peers."""
+
 START_MARGIN = 1.5
 """Multiple of its estimated run before its deadline at which a request has to start."""
 
@@ -45,6 +51,7 @@
         """
         self.lanes_by_model: dict[str, lanes.Lanes] = {}
         self._rates_by_model: dict[str, lane_rates.LaneRates] = {}
+        self._peers_by_model: dict[str, tuple[float, queue_estimate.FleetLanes]] = {}
         self._book = book
         self._router = servers
         self._promise = estimates
@@ -93,7 +100,7 @@
             A request and its server; the caller sends it before it asks for the next.
         """
         lane_set = self.lanes_by_model.get(model)
-        if lane_set is None:
+        if not lane_set:
             return
         blocked: set[lanes.LaneKey] = set()
         while (lane := lane_set.next_lane(now, blocked)) is not None:
@@ -108,8 +115,6 @@
             queue.take(item.request_id)
             lane_set.charge(lane, item.cost_tokens)
             yield placement
-        if not lane_set:
-            del self.lanes_by_model[model]
 
     def _pair(self, entry: entries.Entry, is_urgent: bool, now: float) -> Placement | None:
         demand = entry.demand
@@ -186,8 +191,11 @@
         Returns:
             The sum.
         """
-        parts = [self.model_lanes(model, now), *self._router.peers.lanes(model)]
-        return queue_estimate.add_up(parts, 1 + self._router.peers.count)
+        summed_at, peers = self._peers_by_model.get(model, (-PEERS_SECONDS, NO_PEERS))
+        if now - summed_at >= PEERS_SECONDS:
+            peers = queue_estimate.add_up(self._router.peers.lanes(model), self._router.peers.count)
+            self._peers_by_model[model] = (now, peers)
+        return queue_estimate.add_own(peers, self.model_lanes(model, now))
 
     def organisation_share(
         self, request: requests.ModelRequest, configuration: schema.Configuration
--- /dev/null
+++ b/src/dragonflycove/measure/decision.py
@@ -0,0 +1,93 @@
+"""Measures the CPU time of one decision."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from typing import NamedTuple
+
+from dragonflycove.admission import dispatcher
+from dragonflycove.measure import workload
+from dragonflycove.routing import digests, load_view, policies
+
+WARM_UP_DECISIONS = 500
+"""Decisions that are not counted."""
+
+PREFIXES = 200
+"""Different prompt prefixes."""
+
+PEERS = 40
+"""Peers whose digests are known."""
+
+IN_FLIGHT_SHARE = 0.5
+"""Share of the node's slots that are taken while it is measured."""
+
+
+class DecisionTimes(NamedTuple):
+    """CPU time of decisions."""
+
+    servers: int
+    """Engines."""
+    decisions: int
+    """Decisions measured."""
+    median_microseconds: float
+    """Median."""
+    p99_microseconds: float
+    """99th percentile."""
+
+
+def measure(servers: int, decisions: int, seed: int) -> DecisionTimes:
+    """Measure submissions, each of which is dispatched at once.
+
+    Args:
+        servers: Number of engines.
+        decisions: Number of decisions.
+        seed: Seed.
+
+    Returns:
+        The times.
+    """
+    rng = random.Random(seed)
+    size = workload.COOPERATIVE._replace(model_servers=servers)
+    configuration = workload.make_configuration(size)
+    subject = dispatcher.Dispatcher.from_config(
+        configuration, size.zones[0], policies.Policy.BORROWING, rng, "node-0"
+    )
+    server_ids = list(configuration.servers_by_id)
+    subject.set_limits(dict.fromkeys(server_ids, 4), 0.0)
+    for index in range(PEERS):
+        works = tuple(digests.ServerWork(s, (500, 0), 800, 1) for s in rng.sample(server_ids, 8))
+        waiting = (digests.ModelLanes(workload.MODEL, (1_000,) * 6, (500.0,) * 6),)
+        subject.on_peer_digest(digests.PeerDigest(f"peer-{index}", 0.0, works, waiting), 0.0)
+    prefixes = [tuple(rng.getrandbits(64) for _ in range(8)) for _ in range(PREFIXES)]
+    arrivals = workload.make_arrivals(size, 0.5, 1.0, seed, workload.KINDS[:2])
+    running: list[str] = []
+    times = []
+    now = 0.0
+    for index in range(WARM_UP_DECISIONS + decisions):
+        now += 0.001
+        _report(subject, rng.choice(server_ids), rng, now)
+        drawn = rng.choice(arrivals).request
+        request = drawn._replace(
+            request_id=str(index), prefix_hashes=rng.choice(prefixes), deadline=now + 60.0
+        )
+        before = time.thread_time_ns()
+        subject.submit(request, now)
+        times.append((time.thread_time_ns() - before) / 1_000)
+        running.append(request.request_id)
+        if len(running) > IN_FLIGHT_SHARE * 4 * servers:
+            done = running.pop(rng.randrange(len(running)))
+            subject.on_first_token(done, now)
+            subject.on_finished(done, now)
+    counted = sorted(times[WARM_UP_DECISIONS:])
+    p99 = counted[int(0.99 * len(counted))]
+    return DecisionTimes(servers, decisions, statistics.median(counted), p99)
+
+
+def _report(subject: dispatcher.Dispatcher, server_id: str, rng: random.Random, now: float) -> None:
+    backlog = rng.randrange(0, 4_000)
+    report = load_view.EngineReport(
+        server_id, 0.2, "start", 4, 0, (0, 0), (backlog, 0), 20_000, 400_000, 100, (workload.MODEL,)
+    )
+    subject.on_report(report, now)
--- a/src/dragonflycove/routing/groups.py
+++ b/src/dragonflycove/routing/groups.py
@@ -69,7 +69,7 @@
     for load in allowed:
         server_id = load.server.server_id
         home = homes.get(server_id, rooms.Home.LONG)
-        backlog = load.backlog_seconds(1, now)
+        backlog = load.backlog_seconds(now)[1]
         is_full = home is rooms.Home.SHORT and first_utilisation > rooms.FULL_UTILISATION
         is_busy = backlog > BACKLOG_LIMIT_SECONDS or is_full or load.limit <= 0
         if load.memory_free() >= part and (is_urgent or not is_busy):
--- a/src/dragonflycove/routing/load_view.py
+++ b/src/dragonflycove/routing/load_view.py
@@ -99,7 +99,7 @@
         self.start_id = ""
         self.running = 0
         self.memory_used = 0
-        self.reported_tokens = [0] * PRIORITIES
+        self.reported_tokens = [0.0] * PRIORITIES
         self.pending: deque[Pending] = deque()
         self.peers: dict[str, Pending] = {}
         self.pending_tokens = [0] * PRIORITIES
@@ -197,25 +197,28 @@
         self.pending_memory -= work.memory_tokens
         self.pending_requests -= work.requests
 
-    def backlog_seconds(self, priority: int, now: float) -> float:
-        """Estimate how long the engine reads prompts at this priority or above.
+    def backlog_seconds(self, now: float) -> tuple[float, float]:
+        """Estimate how long the engine reads the prompts that it has.
 
         Args:
-            priority: Engine priority of the request that would wait.
             now: Time, seconds.
 
         Returns:
-            Seconds.
+            Seconds for those of the higher priority, and for those of both.
         """
-        reported = self.reported_tokens[0]
-        pending = self.pending_tokens[0]
-        if priority:
-            reported += self.reported_tokens[1]
-            pending += self.pending_tokens[1]
-        if reported:
+        first, second = self.reported_tokens
+        if first or second:
             drained = self.rate * (now - self.measured_at)
-            return (max(0.0, reported - drained) + pending) / self.rate
-        return pending / self.rate
+            both = first + second - drained
+            first = first - drained if first > drained else 0.0
+            both = both if both > 0.0 else 0.0
+        else:
+            both = 0.0
+        pending_first, pending_second = self.pending_tokens
+        return (
+            (first + pending_first) / self.rate,
+            (both + pending_first + pending_second) / self.rate,
+        )
 
     def memory_free(self) -> int:
         """Return the KV memory that is believed free, tokens."""
--- a/src/dragonflycove/routing/rooms.py
+++ b/src/dragonflycove/routing/rooms.py
@@ -102,9 +102,9 @@
     demand: demands.Demand,
     homes: Mapping[str, Home],
     first_utilisation: float,
-    now: float,
+    backlog: tuple[float, float],
 ) -> Room:
-    """Tell whether an engine can take a request now.
+    """Tell whether an engine with a free slot can take a request now.
 
     Args:
         policy: The routing policy.
@@ -112,34 +112,31 @@
         demand: What the request needs.
         homes: Whose right each engine is; empty where everything is shared.
         first_utilisation: Share of the short prompts' engines that the higher priority takes.
-        now: Time, seconds.
+        backlog: Seconds of prompt reading of the higher priority, and of both.
 
     Returns:
         The room.
     """
-    if load.in_flight >= load.limit or load.blocked_until > now:
+    priority = demand.priority
+    if backlog[priority] > BACKLOG_LIMIT_SECONDS[priority]:
         return Room.NONE
-    if policy.is_baseline:
-        return Room.OWN
     if demand.memory_tokens > load.memory_free():
         return Room.NONE
-    if load.backlog_seconds(demand.priority, now) > BACKLOG_LIMIT_SECONDS[demand.priority]:
-        return Room.NONE
     if policy is policies.Policy.PRIORITIES_ONLY or not homes:
         return Room.OWN
     home = homes[load.server.server_id]
     if policy is policies.Policy.STATIC_PARTITION:
         return Room.OWN if demand.is_long == (home is Home.LONG) else Room.NONE
-    if demand.priority == 0:
-        is_free = home is Home.SHORT or load.backlog_seconds(1, now) <= 0.0
+    if priority == 0:
+        is_free = home is Home.SHORT or backlog[1] <= 0.0
         return Room.OWN if is_free else Room.NONE
     if home is Home.SHORT and first_utilisation > FULL_UTILISATION:
         return Room.NONE
-    return _find_lower_room(load, demand, home, now)
+    return _find_lower_room(load, demand, home, backlog[1])
 
 
 def _find_lower_room(
-    load: load_view.EngineLoad, demand: demands.Demand, home: Home, now: float
+    load: load_view.EngineLoad, demand: demands.Demand, home: Home, backlog: float
 ) -> Room:
     """Tell whether a request of the lower priority may use, or borrow, an engine."""
     reserved = math.ceil(RESERVED_SLOTS_SHARE * load.limit) if load.limit > 1 else 0
@@ -150,5 +147,4 @@
         return Room.OWN
     if not demand.is_long and keeps_slots and keeps_memory:
         return Room.OWN
-    is_idle = load.backlog_seconds(1, now) <= 0.0
-    return Room.BORROWED if demand.is_long and is_idle else Room.NONE
+    return Room.BORROWED if demand.is_long and backlog <= 0.0 else Room.NONE
--- a/src/dragonflycove/routing/router.py
+++ b/src/dragonflycove/routing/router.py
@@ -22,6 +22,9 @@
 
     from dragonflycove.configuration import schema
 
+ADMISSION_SAMPLE = 4
+"""Engines that one admission looks at, where there are many."""
+
 OWN_BLOCKS_LIMIT = 64
 """Most leading blocks of a prompt that are remembered from a request of this node."""
 
@@ -168,9 +171,13 @@
         if servers is None:
             return float("inf")
         loads: Sequence[load_view.EngineLoad] = servers.loads
-        if len(loads) > selection.SAMPLE_SIZE:
-            loads = self._rng.sample(loads, selection.SAMPLE_SIZE)
-        return min(selection.estimate_first_token(load, demand, 0, now) for load in loads)
+        if len(loads) > selection.FEW_SERVERS:
+            size = len(loads)
+            loads = [loads[int(self._rng.random() * size)] for _ in range(ADMISSION_SAMPLE)]
+        return min(
+            selection.estimate_first_token(load, demand, 0, load.backlog_seconds(now))
+            for load in loads
+        )
 
     def group_candidates(
         self, demand: demands.Demand, is_urgent: bool, now: float
--- a/src/dragonflycove/routing/selection.py
+++ b/src/dragonflycove/routing/selection.py
@@ -13,8 +13,11 @@
 
     from dragonflycove.routing import load_view, open_set
 
-SAMPLE_SIZE = 16
-"""Engines with a free slot that one decision looks at."""
+SAMPLE_SIZES = (8, 16)
+"""Engines with a free slot that one decision looks at, by priority, where there are many."""
+
+FEW_SERVERS = 24
+"""Number of engines up to which one decision looks at all of them."""
 
 TOLERANCE_SECONDS = 0.02
 """Estimates that differ by less count as equal; the choice between them is random."""
@@ -38,7 +41,10 @@
 
 
 def estimate_first_token(
-    load: load_view.EngineLoad, demand: demands.Demand, cached: int, now: float
+    load: load_view.EngineLoad,
+    demand: demands.Demand,
+    cached: int,
+    backlog: tuple[float, float],
 ) -> float:
     """Estimate the time from dispatch to the first token.
 
@@ -46,15 +52,17 @@
         load: What is believed of the engine.
         demand: What the request needs.
         cached: Prompt tokens in the engine's prefix cache.
-        now: Time, seconds.
+        backlog: Seconds of prompt reading of the higher priority, and of both.
 
     Returns:
         Seconds.
     """
-    seconds = load.backlog_seconds(demand.priority, now)
-    if demand.priority == 0 and load.backlog_seconds(1, now) > seconds:
+    seconds = (demand.prompt_tokens - cached) / load.rate
+    if demand.priority:
+        return backlog[1] + seconds
+    if backlog[1] > backlog[0]:
         seconds += 0.5 * CHUNK_TOKENS / load.rate
-    return seconds + (demand.prompt_tokens - cached) / load.rate
+    return backlog[0] + seconds
 
 
 class Selector:
@@ -122,7 +130,8 @@
         Returns:
             The choice; `None` where no engine of the sample can take the request now.
         """
-        sampled = opened.sample(SAMPLE_SIZE, self._rng)
+        count = FEW_SERVERS if len(loads_by_id) <= FEW_SERVERS else SAMPLE_SIZES[demand.priority]
+        sampled = opened.sample(count, self._rng)
         sampled += [server_id for server_id in held if server_id in opened]
         loads = [loads_by_id[server_id] for server_id in dict.fromkeys(sampled)]
         choices = self._assess(demand, loads, held, homes, now)
@@ -142,17 +151,26 @@
         now: float,
     ) -> list[demands.Choice]:
         choices = []
+        is_baseline = self.policy.is_baseline
         for load in loads:
             server_id = load.server.server_id
+            if load.in_flight >= load.limit or load.blocked_until > now:
+                continue
             if server_id in demand.excluded:
                 continue
-            room = rooms.find_room(self.policy, load, demand, homes, self.first_utilisation, now)
+            if is_baseline:
+                choices.append(demands.Choice(server_id, 0.0, 0, False))
+                continue
+            backlog = load.backlog_seconds(now)
+            room = rooms.find_room(
+                self.policy, load, demand, homes, self.first_utilisation, backlog
+            )
             if room is rooms.Room.NONE:
                 continue
             cached = 0
             if server_id in held:
                 cached = cached_tokens(held[server_id], demand.prompt_tokens)
-            seconds = estimate_first_token(load, demand, cached, now)
+            seconds = estimate_first_token(load, demand, cached, backlog)
             is_borrowed = room is rooms.Room.BORROWED
             choices.append(demands.Choice(server_id, seconds, cached, is_borrowed))
         return choices
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,118 @@
+"""The router: no herding, affinity without overload, homes and borrowing."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import fleet
+import pytest
+
+from dragonflycove.routing import demands, load_view, policies, rooms, router
+
+CHAIN = tuple(range(100, 108))
+
+
+def make(count, policy=policies.Policy.BORROWING, **changes):
+    subject = router.Router(policy, random.Random(3))
+    servers = [fleet.make_server(f"s{i}", concurrency=1_000, **changes) for i in range(count)]
+    subject.set_configuration(fleet.make_configuration(*servers))
+    return subject
+
+
+def demand(tokens=1_000, priority=0, is_long=False, prefix=(), excluded=frozenset()):
+    return demands.Demand(fleet.MODEL, tokens, tokens + 30, priority, prefix, is_long, excluded)
+
+
+def report(server_id, first=0, second=0, memory=0):
+    return load_view.EngineReport(
+        server_id, 0.0, "1", 1, 0, (0, 0), (first, second), memory, 100_000, 9, (fleet.MODEL,)
+    )
+
+
+def test_nodes_with_the_same_view_do_not_herd():
+    chosen = collections.Counter()
+    for seed in range(200):
+        subject = router.Router(policies.Policy.BORROWING, random.Random(seed))
+        servers = [fleet.make_server(f"s{i}") for i in range(10)]
+        subject.set_configuration(fleet.make_configuration(*servers))
+        chosen[subject.choose(demand(), 0.0).server_id] += 1
+    assert len(chosen) == 10
+    assert max(chosen.values()) <= 40
+
+
+def test_own_dispatches_count_before_any_report():
+    subject = make(4, policies.Policy.PRIORITIES_ONLY)
+    chosen = []
+    for index in range(8):
+        chosen.append(subject.choose(demand(), 0.0).server_id)
+        subject.occupy((chosen[-1],), str(index), demand(), 1_000, 0.0)
+    assert set(collections.Counter(chosen).values()) == {2}
+
+
+@pytest.mark.parametrize(("backlog", "is_taken"), [(0, True), (6_000, True), (9_000, False)])
+def test_prefix_attracts_only_while_it_saves_time(backlog, is_taken):
+    subject = make(4, policies.Policy.PRIORITIES_ONLY)
+    for block in CHAIN:
+        subject.prefixes.store("s2", block)
+    subject.on_report(report("s2", backlog), 0.0)
+    choice = subject.choose(demand(8_000, prefix=CHAIN), 0.0)
+    assert (choice.server_id == "s2") == is_taken
+
+
+@pytest.mark.parametrize(
+    ("home", "reported", "wanted", "utilisation", "expected"),
+    [
+        (rooms.Home.SHORT, (0, 9_000), demand(), 0.0, rooms.Room.OWN),
+        (rooms.Home.LOWER, (0, 9_000), demand(), 0.0, rooms.Room.NONE),
+        (rooms.Home.LOWER, (9_000, 0), demand(), 0.0, rooms.Room.NONE),
+        (rooms.Home.SHORT, (11_000, 0), demand(), 0.0, rooms.Room.NONE),
+        (rooms.Home.SHORT, (0, 0), demand(30_000, 1), 0.0, rooms.Room.OWN),
+        (rooms.Home.SHORT, (0, 0), demand(30_000, 1), 0.9, rooms.Room.NONE),
+        (rooms.Home.LONG, (0, 0), demand(30_000, 1), 0.9, rooms.Room.OWN),
+        (rooms.Home.LONG, (0, 30_000), demand(30_000, 1), 0.0, rooms.Room.NONE),
+        (rooms.Home.SHORT, (0, 0), demand(90_000, 1), 0.0, rooms.Room.NONE),
+        (rooms.Home.LONG, (0, 0), demand(60_000, 1, True), 0.0, rooms.Room.OWN),
+        (rooms.Home.SHORT, (0, 0), demand(60_000, 1, True), 0.0, rooms.Room.BORROWED),
+        (rooms.Home.SHORT, (0, 9_000), demand(60_000, 1, True), 0.0, rooms.Room.NONE),
+        (rooms.Home.LONG, (0, 0), demand(120_000, 1, True), 0.0, rooms.Room.NONE),
+    ],
+)
+def test_room(home, reported, wanted, utilisation, expected):
+    load = load_view.EngineLoad(fleet.make_server("s1"), 4)
+    load.on_report(report("s1", *reported), 0.0)
+    found = rooms.find_room(
+        policies.Policy.BORROWING,
+        load,
+        wanted,
+        {"s1": home},
+        utilisation,
+        load.backlog_seconds(0.0),
+    )
+    assert found is expected
+
+
+@pytest.mark.parametrize("policy", list(policies.Policy))
+def test_excluded_and_blocked_engines_are_not_chosen(policy):
+    subject = make(3, policy)
+    subject.block("s1", 5.0)
+    excluded = frozenset({"s0"})
+    chosen = {subject.choose(demand(excluded=excluded), 0.0) for _ in range(20)}
+    assert {choice.server_id for choice in chosen if choice} <= {"s2"}
+
+
+def test_every_class_has_an_engine_however_few_there_are():
+    for policy in policies.Policy:
+        for count in range(1, 8):
+            subject = make(count, policy)
+            for wanted in (demand(), demand(30_000, 1), demand(60_000, 1, True)):
+                assert subject.choose(wanted, 0.0) is not None, (policy, count, wanted)
+
+
+def test_a_wide_fleet_is_searched_by_sample():
+    subject = make(600)
+    for index in range(2_000):
+        choice = subject.choose(demand(), 0.0)
+        subject.occupy((choice.server_id,), str(index), demand(), 1_000, 0.0)
+    used = collections.Counter(load.in_flight for load in subject.view.loads_by_id.values())
+    assert max(used) <= 6
