Let the holder of a suspect's unit give another node leave to run it

Change: the node asks the holder for leave over the peer connection; the holder keeps the trial as that node's until word of its end or a bound. Requests are no longer sent to another node for it. Conclusion: exclusivity stays with the holder, and streams stay where they are.

--- a/src/dragonflycove/node/fleet_task.py
+++ b/src/dragonflycove/node/fleet_task.py
@@ -46,11 +46,15 @@
         peers.register("quarantine_crash", 1, records.Crash)
         peers.register("quarantine_trial", 1, records.Trial)
         peers.register("quarantine_cleared", 1, records.Cleared)
+        peers.register("leave_asked", 1, records.LeaveAsked)
+        peers.register("leave_answered", 1, records.LeaveAnswered)
         peers.register("load_digest", 1, digests.PeerDigest)
         peers.handle(cold_start.TellPeersCold, self._on_server_cold)
         peers.handle(records.Crash, self._on_record)
         peers.handle(records.Trial, self._on_record)
         peers.handle(records.Cleared, self._on_record)
+        peers.handle(records.LeaveAsked, self._on_leave_asked)
+        peers.handle(records.LeaveAnswered, self._on_leave_answered)
         peers.handle(digests.PeerDigest, self._on_digest)
 
     async def run(self) -> None:
@@ -75,6 +79,24 @@
         """
         self._peers.broadcast(record)
 
+    def ask_leave(self, host: str, asked: records.LeaveAsked) -> None:
+        """Ask a host's node for leave to run a suspect.
+
+        Args:
+            host: Name of the host.
+            asked: What is asked.
+        """
+        self._peers.send(host, asked)
+
+    def answer_leave(self, host: str, answered: records.LeaveAnswered) -> None:
+        """Answer such a question.
+
+        Args:
+            host: Name of the asking node's host.
+            answered: The answer.
+        """
+        self._peers.send(host, answered)
+
     def inform(self, host: str, known: Iterable[records.Record]) -> None:
         """Send a node that has just started what it needs to know of suspects.
 
@@ -99,5 +121,15 @@
     def _on_record(self, sender: identifiers.NodeIdentity, message: records.Record) -> None:
         self._context.guard.post(guard_task.PeerRecord(message))
 
+    def _on_leave_asked(
+        self, sender: identifiers.NodeIdentity, message: records.LeaveAsked
+    ) -> None:
+        self._context.guard.post(guard_task.PeerAsksLeave(message))
+
+    def _on_leave_answered(
+        self, sender: identifiers.NodeIdentity, message: records.LeaveAnswered
+    ) -> None:
+        self._context.guard.post(guard_task.PeerAnswersLeave(message))
+
     def _on_digest(self, sender: identifiers.NodeIdentity, message: digests.PeerDigest) -> None:
         self._context.dispatch.post(dispatch_task.DigestTaken(message))
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -9,6 +9,7 @@
 from dragonflycove.configuration import schema
 from dragonflycove.node import dispatch_task
 from dragonflycove.quarantine import quarantine, verdicts
+from dragonflycove.quarantine import records as quarantine_records
 from dragonflycove.shares import cold_start, share_table
 from dragonflycove.telemetry import logs
 
@@ -16,13 +17,15 @@
     from collections.abc import Callable
 
     from dragonflycove.node import services
-    from dragonflycove.quarantine import records
     from dragonflycove.routing import load_view
     from dragonflycove.values import requests
 
 APPEND_WINDOW_SECONDS = 10.0
 """Time over which appends to the log are divided, seconds."""
 
+ASK_AGAIN_SECONDS = 0.5
+"""Time after which a question for leave without an answer is asked again, seconds."""
+
 REVIEW_SECONDS = 0.25
 """Time between two computations of this node's limits, seconds."""
 
@@ -38,13 +41,6 @@
     """The servers that may take it."""
 
 
-class StartMoved(NamedTuple):
-    """The request may run only at another node."""
-
-    hosts: tuple[str, ...]
-    """Hosts of the nodes, the best first."""
-
-
 class StartRefused(NamedTuple):
     """The request may not run."""
 
@@ -59,7 +55,7 @@
     """Where the attempt runs."""
 
 
-StartAnswer = StartGranted | StartElsewhere | StartMoved | StartRefused | Suspended
+StartAnswer = StartGranted | StartElsewhere | StartRefused | Suspended
 """What a request's task is told."""
 
 
@@ -150,14 +146,28 @@
 class PeerRecord(NamedTuple):
     """A peer sent a quarantine record."""
 
-    record: records.Record
+    record: quarantine_records.Record
     """The record."""
 
 
+class PeerAsksLeave(NamedTuple):
+    """A peer asks for leave to run a suspect."""
+
+    asked: quarantine_records.LeaveAsked
+    """What it asks."""
+
+
+class PeerAnswersLeave(NamedTuple):
+    """A peer answered this node's question for leave."""
+
+    answered: quarantine_records.LeaveAnswered
+    """Its answer."""
+
+
 class LoggedRecord(NamedTuple):
     """A quarantine record was read from the log."""
 
-    record: records.Record
+    record: quarantine_records.Record
     """The record."""
 
     offset: int
@@ -177,6 +187,8 @@
     | ConfigurationChanged
     | PeerSawCold
     | PeerRecord
+    | PeerAsksLeave
+    | PeerAnswersLeave
     | LoggedRecord
 )
 """What the guard task takes."""
@@ -191,10 +203,16 @@
     tell_peers_cold: Callable[[cold_start.TellPeersCold], None]
     """Tells all peers that a server turned cold."""
 
-    tell_peers_record: Callable[[records.Record], None]
+    tell_peers_record: Callable[[quarantine_records.Record], None]
     """Sends a quarantine record to all peers."""
 
-    append_record: Callable[[records.Record], None]
+    ask_leave: Callable[[str, quarantine_records.LeaveAsked], None]
+    """Asks a host's node for leave to run a suspect."""
+
+    answer_leave: Callable[[str, quarantine_records.LeaveAnswered], None]
+    """Answers such a question."""
+
+    append_record: Callable[[quarantine_records.Record], None]
     """Appends a quarantine record to the log."""
 
 
@@ -258,7 +276,7 @@
             return StartRefused(verdict.retry_after_seconds)
         return None
 
-    def known_records(self) -> list[records.Record]:
+    def known_records(self) -> list[quarantine_records.Record]:
         """Return the records that a peer which just started needs to know."""
         return list(self._quarantine.known_records(asyncio.get_running_loop().time()))
 
@@ -306,7 +324,7 @@
         elif isinstance(verdict, verdicts.Refused):
             message.receiver.post(StartRefused(verdict.retry_after_seconds))
         elif isinstance(verdict, verdicts.Elsewhere):
-            message.receiver.post(StartMoved(verdict.hosts))
+            self._ask_leave(message, verdict.hosts[0], now)
         elif isinstance(verdict, verdicts.Alone) and message.server_id not in verdict.servers:
             message.receiver.post(StartElsewhere(verdict.servers))
         else:
@@ -323,6 +341,52 @@
         )
         message.receiver.post(StartGranted())
 
+    def _ask_leave(self, message: StartAsked, host: str, now: float) -> None:
+        """Ask the node that may try the suspect for leave, and again unless an answer comes."""
+        request = message.request
+        self._links.ask_leave(
+            host,
+            quarantine_records.LeaveAsked(
+                request.fingerprint,
+                request.request_id,
+                message.server_id,
+                self._context.identity.host,
+            ),
+        )
+        self._waiting.append(_Waiting(message, now + ASK_AGAIN_SECONDS))
+
+    @_handle.register
+    def _on_peer_asks_leave(self, message: PeerAsksLeave, now: float) -> None:
+        asked = message.asked
+        granted = self._quarantine.grant_peer(asked, now)
+        answered = quarantine_records.LeaveAnswered(
+            asked.fingerprint, asked.request_id, asked.server_id, granted
+        )
+        self._links.answer_leave(asked.node, answered)
+
+    @_handle.register
+    def _on_peer_answers_leave(self, message: PeerAnswersLeave, now: float) -> None:
+        answered = message.answered
+        if not answered.granted:
+            return
+        waiting = self._take_waiting(answered.request_id)
+        for asked in waiting:
+            if asked.server_id == answered.server_id:
+                self._grant(asked, now)
+                return
+        # The request no longer wants the leave, so the holder gets it back.
+        self._links.tell_peers_record(
+            quarantine_records.Trial(
+                answered.fingerprint, answered.server_id, self._context.identity.host, False
+            )
+        )
+
+    def _take_waiting(self, request_id: str) -> list[StartAsked]:
+        """Take a request's starts out of those that were put off."""
+        taken = [w.asked for w in self._waiting if w.asked.request.request_id == request_id]
+        self._waiting = [w for w in self._waiting if w.asked.request.request_id != request_id]
+        return taken
+
     def _candidates(self, request: requests.ModelRequest) -> frozenset[str]:
         configuration = self._context.subset
         return frozenset(
@@ -336,11 +400,7 @@
     @_handle.register
     def _on_attempt_ended(self, message: AttemptEnded, now: float) -> None:
         self._receivers_by_request.pop(message.request_id, None)
-        self._waiting = [
-            waiting
-            for waiting in self._waiting
-            if waiting.asked.request.request_id != message.request_id
-        ]
+        self._take_waiting(message.request_id)
         self._carry_out(self._quarantine.on_end(message.request_id, message.whole, now))
 
     @_handle.register
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -216,15 +216,6 @@
         )
         self._context.dispatch.post(dispatch_task.Resubmit(self.request, others, reason))
 
-    @_handle.register
-    def _on_start_moved(self, message: guard_task.StartMoved, now: float) -> None:
-        address = self._context.address_of(message.hosts)
-        if address is None or self._life.delivered_count:
-            detail = "a like request has crashed a server; send this one again"
-            self._deny(outcomes.Reason.QUARANTINED, detail, 1.0, now)
-            return
-        self._hand_over_to(address)
-
     @_handle.register
     def _on_start_refused(self, message: guard_task.StartRefused, now: float) -> None:
         detail = "requests like this one have crashed backend servers"
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -134,6 +134,8 @@
             self._claims.table.set_rate,
             self._fleet.tell_cold,
             self._fleet.tell_record,
+            self._fleet.ask_leave,
+            self._fleet.answer_leave,
             self._quarantine_log.append,
         )
         self._guard = guard_task.GuardTask(self._context, links)
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -160,14 +160,6 @@
         self.calls_running -= 1
         self.work_ended.set()
 
-    def address_of(self, hosts: tuple[str, ...]) -> str | None:
-        """Return the caller address of the first of these hosts that is live."""
-        for name in hosts:
-            entry = self.hosts_by_name.get(name)
-            if entry is not None and not entry.leaving:
-                return entry.address
-        return None
-
     def server_crashed(self, server_id: str) -> None:
         """Take note that a server broke off everything at once.
 
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -25,6 +25,9 @@
 GRANT_SECONDS = 5.0
 """Time for which leave to run alone is kept for a request that has not started."""
 
+LEAVE_SECONDS = 2 * GRANT_SECONDS
+"""Time for which the holder keeps a peer's leave that has not become a trial."""
+
 TRIAL_SECONDS = 900.0
 """Time after which no word of a peer's trial is awaited."""
 
@@ -187,6 +190,29 @@
             return verdicts.Wait(suspicion.since + SPREAD_SECONDS)
         return self._grant(suspicion, request_id, candidates, now)
 
+    def grant_peer(self, asked: records.LeaveAsked, now: float) -> bool:
+        """Give a peer leave to run a suspect alone, as the holder of the fingerprint's one unit.
+
+        Args:
+            asked: What the peer asks.
+            now: Time of the loop's clock.
+
+        Returns:
+            Whether it may; the leave lapses unless word of the trial's start comes.
+        """
+        suspicion = self._book.find(asked.fingerprint, now)
+        if suspicion is None or not 0 < suspicion.crashes < MOST_CRASHES:
+            return False
+        limit = share_table.Limit(f"suspect/{asked.fingerprint}", 1)
+        if self._shares.units(limit, now) == 0 or now < suspicion.since + SPREAD_SECONDS:
+            return False
+        if suspicion.trial is not None or suspicion.grant is not None:
+            return False
+        if asked.server_id in self._book.servers_in_trial(now):
+            return False
+        suspicion.trial = _suspicion.RunningTrial(asked.server_id, asked.node, now + LEAVE_SECONDS)
+        return True
+
     def servers_in_trial(self, now: float) -> frozenset[str]:
         """Return the backend servers that run a suspect, which others had better avoid.
 
--- a/src/dragonflycove/quarantine/records.py
+++ b/src/dragonflycove/quarantine/records.py
@@ -50,6 +50,38 @@
     """Host of the node that ran it."""
 
 
+class LeaveAsked(NamedTuple):
+    """A node asks the holder of a fingerprint's one unit for leave to run the suspect alone."""
+
+    fingerprint: str
+    """Fingerprint of the suspect."""
+
+    request_id: str
+    """Identifier of the request at the asking node."""
+
+    server_id: str
+    """Identifier of the backend server that would run it."""
+
+    node: str
+    """Host of the asking node."""
+
+
+class LeaveAnswered(NamedTuple):
+    """The holder's answer."""
+
+    fingerprint: str
+    """Fingerprint of the suspect."""
+
+    request_id: str
+    """Identifier of the request at the asking node."""
+
+    server_id: str
+    """Identifier of the backend server that may run it."""
+
+    granted: bool
+    """Whether the request may be sent there, within `GRANT_SECONDS` of the answer."""
+
+
 Record = Crash | Trial | Cleared
 """Records between nodes; the log keeps `Crash` and `Cleared`."""
 
