--- a/src/dragonflycove/admission/scheduler.py
+++ b/src/dragonflycove/admission/scheduler.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.admission import lane_rates, lanes, queue_estimate
-from dragonflycove.routing import digests
+from dragonflycove.routing import digests, groups
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -15,6 +15,12 @@
     from dragonflycove.routing import demands, router
     from dragonflycove.values import requests
 
+PEERS_SECONDS = 0.25
+"""Interval between sums over the peers' lanes."""
+
+NO_PEERS = queue_estimate.add_up((), 0)
+"""What waits in no peers."""
+
 START_MARGIN = 1.5
 """Multiple of its estimated run before its deadline at which a request has to start."""
 
@@ -24,8 +30,10 @@
 
     entry: entries.Entry
     """The request, no longer waiting."""
-    choice: demands.Choice
-    """The server."""
+    choice: demands.Choice | None
+    """The server; `None` where the request needs a memory group."""
+    candidates: tuple[str, ...]
+    """Engines for the memory group, the best first; empty where it needs none."""
 
 
 class Scheduler:
@@ -43,6 +51,7 @@
         """
         self.lanes_by_model: dict[str, lanes.Lanes] = {}
         self._rates_by_model: dict[str, lane_rates.LaneRates] = {}
+        self._peers_by_model: dict[str, tuple[float, queue_estimate.FleetLanes]] = {}
         self._book = book
         self._router = servers
         self._promise = estimates
@@ -91,7 +100,7 @@
             A request and its server; the caller sends it before it asks for the next.
         """
         lane_set = self.lanes_by_model.get(model)
-        if lane_set is None:
+        if not lane_set:
             return
         blocked: set[lanes.LaneKey] = set()
         while (lane := lane_set.next_lane(now, blocked)) is not None:
@@ -99,15 +108,24 @@
             item = queue.peek(now)
             assert item is not None, "a lane that is served has a request"
             entry = self._book.by_id[item.request_id]
-            choice = self._router.choose(entry.demand, now)
-            if choice is None:
+            placement = self._pair(entry, item.latest_start <= now, now)
+            if placement is None:
                 blocked.add(lane)
                 continue
             queue.take(item.request_id)
             lane_set.charge(lane, item.cost_tokens)
-            yield Placement(entry, choice)
-        if not lane_set:
-            del self.lanes_by_model[model]
+            yield placement
+
+    def _pair(self, entry: entries.Entry, is_urgent: bool, now: float) -> Placement | None:
+        demand = entry.demand
+        largest = self._router.capacity(demand.model).largest_memory_tokens
+        if not groups.needs_group(demand.memory_tokens, largest):
+            choice = self._router.choose(demand, now)
+            return None if choice is None else Placement(entry, choice, ())
+        if self._book.awaiting_group:
+            return None
+        candidates = self._router.group_candidates(demand, is_urgent, now)
+        return Placement(entry, None, candidates) if candidates else None
 
     def interactive_waits(self, model: str) -> bool:
         """Tell whether a short or medium interactive request waits.
@@ -173,8 +191,11 @@
         Returns:
             The sum.
         """
-        parts = [self.model_lanes(model, now), *self._router.peers.lanes(model)]
-        return queue_estimate.add_up(parts, 1 + self._router.peers.count)
+        summed_at, peers = self._peers_by_model.get(model, (-PEERS_SECONDS, NO_PEERS))
+        if now - summed_at >= PEERS_SECONDS:
+            peers = queue_estimate.add_up(self._router.peers.lanes(model), self._router.peers.count)
+            self._peers_by_model[model] = (now, peers)
+        return queue_estimate.add_own(peers, self.model_lanes(model, now))
 
     def organisation_share(
         self, request: requests.ModelRequest, configuration: schema.Configuration
