--- a/src/dragonflycove/placement/memory_groups.py
+++ b/src/dragonflycove/placement/memory_groups.py
@@ -100,8 +100,9 @@
         """
         self.phase = Phase.BUILDING
         """Phase of the builder."""
+        self.owner = owner
+        """`host/incarnation` of the node that builds."""
         self._request = request
-        self._owner = owner
         self._rng = rng
         self._round = 0
         self._retry_at = float("inf")
--- a/tests/placement/test_memory_groups.py
+++ b/tests/placement/test_memory_groups.py
@@ -52,3 +52,37 @@
     assert builder.on_tick(6.0) == [memory_groups.Release("e3", "r1.1")]
     builder.on_released("e3", "r1.1")
     assert builder.is_done
+
+
+def test_a_running_group_is_renewed_for_as_long_as_it_runs() -> None:
+    builder = make()
+    build(builder)
+    renewals = []
+    for second in range(95):
+        effects = builder.on_tick(float(second))
+        renewals += [effect for effect in effects if isinstance(effect, memory_groups.Reserve)]
+        for effect in effects:
+            assert isinstance(effect, memory_groups.Reserve)
+            builder.on_granted(effect.server_id, effect.group_id, float(second))
+    assert len(renewals) == 3 * 9
+    assert builder.phase is memory_groups.Phase.READY
+
+
+def test_a_grant_that_comes_after_the_end_is_released() -> None:
+    builder = make()
+    builder.on_start(CANDIDATES, 0.0)
+    assert builder.on_request_ended(1.0) == [memory_groups.Release("e1", "r1.1")]
+    builder.on_released("e1", "r1.1")
+    assert builder.on_granted("e1", "r1.1", 2.0) == [memory_groups.Release("e1", "r1.1")]
+    assert not builder.is_done
+
+
+def test_a_late_answer_counts_from_the_first_order_that_it_may_answer() -> None:
+    builder = make()
+    build(builder)
+    assert len(builder.on_tick(10.0)) == len(builder.on_tick(20.0)) == 3
+    for server_id in ("e1", "e2", "e3"):
+        builder.on_granted(server_id, "r1.1", 21.0)
+    assert isinstance(
+        builder.on_tick(10.0 + memory_groups.EXPIRY_SECONDS)[0], memory_groups.GroupFailed
+    )
