--- a/src/dragonflycove/attempts/model_life.py
+++ b/src/dragonflycove/attempts/model_life.py
@@ -176,7 +176,8 @@
         if kind in attempts.RESUMABLE_KINDS and current.may_resume:
             return self._resume_after(current, reason)
         if kind in attempts.NOT_RUN_KINDS and current.connection == 0 and not current.has_frames:
-            return self._leave_not_run(current, reason, now)
+            self._retries.exclude_refused(current.server_id, now)
+            return self._replace_current(reason, now)
         first_reason = current.break_reason or reason
         leave = self._leave_broken(current, first_reason, now)
         is_error = kind is effects.BreakKind.ERROR
@@ -352,13 +353,6 @@
         self._retries.retries_by_reason[reason] += 1
         return [current.resume(self._delivery.count, reason)]
 
-    def _leave_not_run(
-        self, current: attempts.Attempt, reason: outcomes.Reason, now: float
-    ) -> list[effects.Effect]:
-        """Give up an attempt that did not run."""
-        self._retries.exclude_refused(current.server_id, now)
-        return self._replace_current(reason, now)
-
     def _leave_broken(
         self, current: attempts.Attempt, reason: outcomes.Reason, now: float
     ) -> list[effects.Effect]:
