Fit reclaim into the time that shares allow for it; suspect crashed starts

Change: ReclaimRules.from_config divides the reclaim time; a replaced owner counts as dead since its successor was heard; on_resume_unknown after a broken connection makes the server suspect with or without frames.

--- a/src/dragonflycove/attempts/model_life.py
+++ b/src/dragonflycove/attempts/model_life.py
@@ -201,9 +201,9 @@
         if current is None:
             return []
         reason = current.break_reason or outcomes.Reason.STREAM_GAP
-        if not current.has_frames:
-            return self._leave_broken(current, reason, now)
         crashed = outcomes.Reason.BACKEND_CRASHED
+        if not current.has_frames and reason is not crashed:
+            return self._leave_broken(current, reason, now)
         suspect = effects.SuspectServer(current.server_id, attempt, crashed)
         return [suspect, *self._leave_broken(current, crashed, now)]
 
--- a/src/dragonflycove/reclaim/owners.py
+++ b/src/dragonflycove/reclaim/owners.py
@@ -39,6 +39,7 @@
         self._listed_at_by_host: dict[str, float] = {}
         self._heard_at_by_host: dict[str, float] = {}
         self._incarnation_by_host: dict[str, str] = {}
+        self._since_by_host: dict[str, float] = {}
 
     def on_members(
         self,
@@ -60,7 +61,9 @@
             self._listed_at_by_host[host] = now
         for host, incarnation in incarnation_by_host.items():
             self._heard_at_by_host[host] = now
-            self._incarnation_by_host[host] = incarnation
+            if self._incarnation_by_host.get(host) != incarnation:
+                self._incarnation_by_host[host] = incarnation
+                self._since_by_host[host] = now
         self._forget_old(now)
 
     def dead_since(
@@ -82,7 +85,7 @@
         incarnation = self._incarnation_by_host.get(owner.host, owner.incarnation)
         is_replaced = heard_at is not None and heard_at >= seen_at + REPLACED_SECONDS
         if is_replaced and incarnation != owner.incarnation:
-            return seen_at + REPLACED_SECONDS
+            return max(seen_at + REPLACED_SECONDS, self._since_by_host[owner.host])
         if owner.host in self._hosts:
             dead_at = self._silent_at(owner.host)
         else:
@@ -112,3 +115,4 @@
             del self._listed_at_by_host[host]
             self._heard_at_by_host.pop(host, None)
             self._incarnation_by_host.pop(host, None)
+            self._since_by_host.pop(host, None)
--- a/src/dragonflycove/reclaim/reclaimer.py
+++ b/src/dragonflycove/reclaim/reclaimer.py
@@ -20,10 +20,10 @@
     silent_seconds: float = 30.0
     """Time without a sign of life after which a listed host counts as dead, seconds."""
 
-    grace_seconds: float = 5.0
+    grace_seconds: float = 2.0
     """Time after an owner's death in which its callers may resume at another node, seconds."""
 
-    rank_seconds: float = 5.0
+    rank_seconds: float = 1.0
     """Time by which each lower ranked node waits longer, seconds."""
 
     orphan_seconds: float = 10.0
@@ -32,6 +32,21 @@
     ranks: int = 3
     """Nodes that look after one engine."""
 
+    @classmethod
+    def from_config(cls, lag_seconds: float, reclaim_seconds: float) -> ReclaimRules:
+        """Divide the time that shares allow for reclaim among its steps.
+
+        Args:
+            lag_seconds: Bound on the host list's lag, seconds.
+            reclaim_seconds: Time within which what a dead node left is given back, one reading of
+                the engine included, seconds.
+
+        Returns:
+            The rules.
+        """
+        part = reclaim_seconds / 5.0
+        return cls(lag_seconds, grace_seconds=2.0 * part, rank_seconds=part)
+
     @property
     def bound_seconds(self) -> float:
         """Time from a listed owner's death after which the last ranked node has acted, seconds."""
