--- a/src/dragonflycove/node/group_task.py
+++ b/src/dragonflycove/node/group_task.py
@@ -94,6 +94,11 @@
         )
         self._builder = memory_groups.GroupBuilder(wanted, str(context.identity), context.rng)
 
+    @property
+    def group_id(self) -> str:
+        """Identifier of the present try's group at the engines."""
+        return self._builder.group_id
+
     async def run(self) -> None:
         """Build the group, keep it while the request runs, and release it."""
         loop = asyncio.get_running_loop()
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -20,8 +20,8 @@
     from dragonflycove.routing import load_view
     from dragonflycove.values import requests
 
-APPEND_WINDOW_SECONDS = 10.0
-"""Time over which appends to the log are divided, seconds."""
+RATE_WINDOW_SECONDS = 10.0
+"""Time over which the units of a rate are divided, seconds."""
 
 ASK_AGAIN_SECONDS = 0.5
 """Time after which a question for leave without an answer is asked again, seconds."""
@@ -200,6 +200,9 @@
     set_append_rate: Callable[[float], None]
     """Told this node's share of the log's append rate, appends a second."""
 
+    set_weight_rate: Callable[[float], None]
+    """Told this node's share of the weight store's rate, units a second."""
+
     tell_peers_cold: Callable[[cold_start.TellPeersCold], None]
     """Tells all peers that a server turned cold."""
 
@@ -289,7 +292,7 @@
 
     def _review(self, now: float) -> None:
         limits = self._cold.node_limits(self.shares, now)
-        self._share_appends(now)
+        self._share_rates(now)
         if limits != self._last_limits:
             self._last_limits = limits
             self._context.dispatch.post(dispatch_task.Limited(limits))
@@ -299,15 +302,19 @@
             if now < waiting.asked.request.deadline:
                 self._on_start_asked(waiting.asked, now)
 
-    def _share_appends(self, now: float) -> None:
-        """Set this node's part of the log's append rate.
+    def _share_rates(self, now: float) -> None:
+        """Set this node's parts of the log's and the weight store's rates.
 
-        The log refuses what is too much, so an old host list is good enough. Units are counted
-        over a window, so that more nodes than appends a second get a part each.
+        The log refuses what is too much, so an old host list is good enough for it. Units are
+        counted over a window, so that more nodes than units a second get a part each.
         """
-        units = int(self._context.settings.log_appends_per_second * APPEND_WINDOW_SECONDS)
-        share = self.shares.last_units(share_table.Limit("log-appends", units), now)
-        self._links.set_append_rate(share / APPEND_WINDOW_SECONDS)
+        settings = self._context.settings
+        appends = int(settings.log_appends_per_second * RATE_WINDOW_SECONDS)
+        share = self.shares.last_units(share_table.Limit("log-appends", appends), now)
+        self._links.set_append_rate(share / RATE_WINDOW_SECONDS)
+        weights = int(settings.weight_units_per_second * RATE_WINDOW_SECONDS)
+        share = self.shares.units(share_table.Limit("weight-store", weights), now)
+        self._links.set_weight_rate(share / RATE_WINDOW_SECONDS)
 
     @functools.singledispatchmethod
     def _handle(self, message: object, now: float) -> None:
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -162,6 +162,10 @@
         self.current_server = point.server_id
         self._carry_out(self._life.on_taken_over(point, now))
 
+    def attempts(self) -> tuple[str, ...]:
+        """Return the attempts that this request still reads."""
+        return tuple(self._readers_by_attempt)
+
     def runs_attempt(self, attempt: str) -> bool:
         """Tell whether an attempt is this request's current one."""
         point = self._life.resume_point
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -25,10 +25,12 @@
     guard_task,
     host_list_task,
     http_server,
+    lease_task,
     model_request_task,
     node_gateway,
     plain_calls,
     quarantine_log_task,
+    reclaim_task,
     services,
     status_source,
     subset_task,
@@ -36,6 +38,7 @@
 )
 from dragonflycove.operators import app as operator_app
 from dragonflycove.platform import host_list_client, log_client
+from dragonflycove.reclaim import reclaimer
 from dragonflycove.routing import policies
 from dragonflycove.telemetry import logs, metrics
 from dragonflycove.transport import sessions
@@ -46,6 +49,7 @@
 
     from starlette import requests as http_requests
 
+    from dragonflycove.peering import messages
     from dragonflycove.routing import load_view
     from dragonflycove.settings import node as node_settings
     from dragonflycove.values import requests
@@ -70,7 +74,7 @@
         self._core = tasks.TaskGroup(self._broken)
         self._session = sessions.open_pooled()
         dispatcher = dispatching.Dispatcher.from_config(
-            schema.EMPTY, settings.zone, policies.Policy.BORROWING, rng
+            schema.EMPTY, settings.zone, policies.Policy.BORROWING, rng, settings.host
         )
         self._dispatch = dispatch_task.DispatchTask(dispatcher)
         self._context = services.NodeServices(
@@ -130,8 +134,28 @@
             self._log, self._context.plain, self._context.identity, self._context.rng
         )
         self._quarantine_log = quarantine_log_task.QuarantineLogTask(self._log, self._context.guard)
+        self._reclaim = reclaim_task.ReclaimTask(
+            self._context.engines,
+            self._context.identity,
+            lambda: self._context.configuration,
+            self._context.known_ids,
+            self._context.servers_with_leftovers,
+            reclaimer.ReclaimRules.from_config(
+                settings.host_list_lag_seconds, settings.reclaim_seconds
+            ),
+        )
+        self._control.peers.observe_headers(self._on_peer_heard)
+        self._leases = lease_task.LeaseTask(
+            self._log,
+            self._context.engines,
+            self._context.identity,
+            self._context.rng,
+            lambda: self._context.configuration,
+            self._context.waiting_by_model,
+        )
         links = guard_task.GuardLinks(
             self._claims.table.set_rate,
+            self._leases.set_rate,
             self._fleet.tell_cold,
             self._fleet.tell_record,
             self._fleet.ask_leave,
@@ -159,6 +183,7 @@
         await _first_of(stop, self._broken)
         if not self._broken.is_set():
             self._control.announce_leaving()
+            self._context.background.start("release-leases", self._leases.release())
             draining = asyncio.create_task(drain.Drain(self._context).run())
             hurrying = asyncio.create_task(hurry.wait())
             await asyncio.wait({draining, hurrying}, return_when=asyncio.FIRST_COMPLETED)
@@ -176,6 +201,8 @@
         self._core.start("guard", self._guard.run())
         self._core.start("quarantine-log", self._quarantine_log.run())
         self._core.start("subset", self._subset.run())
+        self._core.start("reclaim", self._reclaim.run())
+        self._core.start("leases", self._leases.run())
         self._core.start("engines", self._engines.run())
         self._core.start("hosts", self._hosts.run())
         self._core.start("http", self._server.run())
@@ -217,6 +244,10 @@
         zone_by_host = {name: entry.zone for name, entry in hosts.hosts_by_name.items()}
         self._subset.mailbox.post(subset_task.HostsChanged(zone_by_host))
         self._control.on_hosts(hosts)
+        if age_seconds <= self._context.settings.host_list_lag_seconds:
+            self._reclaim.on_hosts(frozenset(hosts.hosts_by_name))
+        live = {name for name, entry in hosts.hosts_by_name.items() if not entry.leaving}
+        self._leases.on_hosts(frozenset(live))
 
     def _on_report(self, report: load_view.EngineReport) -> None:
         """Take in a load report."""
@@ -224,6 +255,9 @@
         self._context.free_tokens_by_server[report.server_id] = free
         self._context.guard.post(guard_task.ReportRead(report))
 
+    def _on_peer_heard(self, header: messages.Header) -> None:
+        self._reclaim.on_host_heard(identifiers.NodeIdentity.parse(header.sender))
+
     def _on_member_changed(self, digest: digests.Digest) -> None:
         """Tell a node that has just started what it cannot know yet."""
         self._context.silent_hosts = frozenset(
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,9 @@
 CANCEL_TRIES = 5
 """Tries to cancel an attempt before it is left to reclaim."""
 
+LEFTOVER_SECONDS = 120.0
+"""Time for which a server is looked after where a cancellation was given up, seconds."""
+
 CANCEL_RETRY_SECONDS = 0.5
 """Wait between two tries to cancel an attempt, seconds."""
 
@@ -69,6 +73,9 @@
     free_tokens_by_server: dict[str, int] = dataclasses.field(default_factory=dict)
     """KV memory free at each engine by its last report, tokens."""
 
+    left_at_by_server: dict[str, float] = dataclasses.field(default_factory=dict)
+    """When a cancellation was last given up, by server, seconds of the loop's clock."""
+
     configuration: schema.Configuration = schema.EMPTY
     """The configuration in force."""
 
@@ -130,17 +137,18 @@
 
     async def _cancel_and_tell(self, address: str, attempt: str, server_id: str) -> None:
         try:
-            await self._cancel(address, attempt)
+            await self._cancel(address, attempt, server_id)
         finally:
             self.dispatch.post(dispatch_task.CancelEnded(server_id))
 
-    async def _cancel(self, address: str, attempt: str) -> None:
+    async def _cancel(self, address: str, attempt: str, server_id: str) -> None:
         for _ in range(CANCEL_TRIES):
             answer = await self.engines.cancel(address, attempt, model_request_task.CANCEL_SECONDS)
             if isinstance(answer, result.Ok):
                 return
             await asyncio.sleep(CANCEL_RETRY_SECONDS)
         self.metrics.count("cancel_left_to_reclaim")
+        self.left_at_by_server[server_id] = asyncio.get_running_loop().time()
         logs.warning("cancel_given_up", attempt=attempt, address=address)
 
     def request_over(self, request_id: str) -> None:
@@ -160,6 +168,27 @@
         self.calls_running -= 1
         self.work_ended.set()
 
+    def known_ids(self) -> frozenset[str]:
+        """Return the attempts and memory groups that this node uses."""
+        attempts = {attempt for task in self.requests_by_id.values() for attempt in task.attempts()}
+        groups = {group.group_id for group in self.groups_by_request.values()}
+        return frozenset(attempts | groups)
+
+    def servers_with_leftovers(self) -> frozenset[str]:
+        """Return the servers at which a cancellation was given up a while ago."""
+        since = asyncio.get_running_loop().time() - LEFTOVER_SECONDS
+        self.left_at_by_server = {
+            server_id: at for server_id, at in self.left_at_by_server.items() if at > since
+        }
+        return frozenset(self.left_at_by_server)
+
+    def waiting_by_model(self) -> dict[str, int]:
+        """Return how many requests have no server yet, by model."""
+        waiting = collections.Counter(
+            task.request.model for task in self.requests_by_id.values() if not task.current_server
+        )
+        return dict(waiting)
+
     def server_crashed(self, server_id: str) -> None:
         """Take note that a server broke off everything at once.
 
--- a/src/dragonflycove/settings/node.py
+++ b/src/dragonflycove/settings/node.py
@@ -60,7 +60,7 @@
     host_list_lag_seconds: Seconds = 3.0
     """Bound on the lag of the host list, seconds."""
 
-    reclaim_seconds: Seconds = 5.0
+    reclaim_seconds: Seconds = 15.0
     """Time within which what a dead node left on an engine is given back, seconds."""
 
     log_retention_seconds: Seconds = 3600.0
@@ -69,5 +69,8 @@
     log_appends_per_second: Annotated[int, msgspec.Meta(ge=1)] = 200
     """Appends a second that the log service takes from all nodes together."""
 
+    weight_units_per_second: Annotated[int, msgspec.Meta(ge=1)] = 4
+    """Units a second that the weight store gives to all nodes together."""
+
     log_path: str = ""
     """File for the logs; empty for the standard error."""
