--- a/src/dragonflycove/node/http_server.py
+++ b/src/dragonflycove/node/http_server.py
@@ -14,6 +14,9 @@
 KEEP_ALIVE_SECONDS = 30
 """Time for which an idle connection of a caller stays open, seconds."""
 
+LISTEN_BACKLOG = 1024
+"""Connections that wait to be accepted."""
+
 GRACE_SECONDS = 5
 """Time for responses under way when the server stops, seconds."""
 
@@ -44,6 +47,8 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, int(port)))
+        # Connections that come before `run` wait instead of being refused.
+        self._socket.listen(LISTEN_BACKLOG)
         self._server = _Server(
             uvicorn.Config(
                 app,
@@ -55,6 +60,12 @@
             )
         )
 
+    @property
+    def address(self) -> str:
+        """Where it listens, `a.b.c.d:port`."""
+        host, port = self._socket.getsockname()
+        return f"{host}:{port}"
+
     async def run(self) -> None:
         """Serve until `stop` is called."""
         await self._server.serve(sockets=[self._socket])
