Claim again where a holder withdrew, instead of refusing

Change: such a call makes a claim of its own; reading it back tells who is first. Conclusion: a refusal in that case now speaks of the read back log only.

--- a/src/dragonflycove/claims/answers.py
+++ b/src/dragonflycove/claims/answers.py
@@ -74,15 +74,14 @@
 
     Args:
         call: The call.
-        state: State of the key; `None` where the claim was withdrawn.
+        state: State of the key; `None` where the key is too old to be remembered.
         now: Time of the loop's clock, seconds.
 
     Returns:
         The effect, or `None` to wait on.
     """
     if state is None:
-        detail = "the claim on the key was withdrawn before anything was sent"
-        return refuse(call, outcomes.Reason.NO_SERVER, detail, RETRY_AFTER_SECONDS)
+        return may_have_run(call, outcomes.Reason.OUTCOME_UNKNOWN)
     if state.outcome is not None:
         return from_plain(call, state.outcome.answer)
     if state.is_overdue(now):
--- a/src/dragonflycove/claims/claim_table.py
+++ b/src/dragonflycove/claims/claim_table.py
@@ -106,7 +106,7 @@
         Returns:
             The effects.
         """
-        local = calls.LocalCall(call, identifiers.new_id(self._rng, "claim"), now)
+        local = calls.LocalCall(call, self._new_claim_id(), now)
         refused = self._limits.key_rule.check(local.key, wall)
         refused = refused or self._limits.key_rule.check_age(local.key, self._book.log_time)
         if refused is not None:
@@ -125,16 +125,7 @@
             return [
                 answers.refuse(call, outcomes.Reason.OVERLOADED, "too many claims are waiting", 1.0)
             ]
-        self._calls_by_claim[local.claim_id] = local
-        wait_seconds = min(self._limits.outcome_seconds, max(0.0, call.deadline - now))
-        claim = records.Claim(
-            local.claim_id,
-            local.key,
-            self._owner,
-            calls.hash_call(call),
-            wait_seconds + self._limits.claim_seconds,
-        )
-        self._queue(claim)
+        self._claim(local, now)
         return self._take(now)
 
     def on_record(
@@ -301,6 +292,23 @@
                 result.append(answers.may_have_run(local.call, outcomes.Reason.DEADLINE))
         return [*result, *self._take(now)]
 
+    def _claim(self, local: calls.LocalCall, now: float) -> None:
+        """Queue a claim for a call."""
+        self._calls_by_claim[local.claim_id] = local
+        wait_seconds = min(self._limits.outcome_seconds, max(0.0, local.call.deadline - now))
+        claim = records.Claim(
+            local.claim_id,
+            local.key,
+            self._owner,
+            calls.hash_call(local.call),
+            wait_seconds + self._limits.claim_seconds,
+        )
+        self._queue(claim)
+
+    def _new_claim_id(self) -> str:
+        """Return a fresh identifier of a claim."""
+        return identifiers.new_id(self._rng, "claim")
+
     def _send_limit(self, local: calls.LocalCall) -> float:
         """Return the time from which a call must not be sent."""
         return min(local.call.deadline, local.began_at + self._limits.claim_seconds)
@@ -336,14 +344,20 @@
     def _check_waiting(self, local: calls.LocalCall, now: float) -> list[effects.Effect]:
         """Answer a waiting call if its key's outcome is known or need not be waited for."""
         state = self._book.get(local.key)
+        if state is None and self._book.remembers(local.key):
+            return self._claim_again(local, now)
         finish = answers.answer_waiting(local.call, state, now)
         if finish is None:
             return []
-        if not self._book.remembers(local.key):
-            finish = answers.may_have_run(local.call, outcomes.Reason.OUTCOME_UNKNOWN)
         del self._calls_by_claim[local.claim_id]
         return [finish]
 
+    def _claim_again(self, local: calls.LocalCall, now: float) -> list[effects.Effect]:
+        """Claim a key whose holder withdrew; another node may have done so already."""
+        del self._calls_by_claim[local.claim_id]
+        self._claim(calls.LocalCall(local.call, self._new_claim_id(), now), now)
+        return []
+
     def _wake(self, key: keys.ClaimKey, now: float) -> list[effects.Effect]:
         """Look again at the calls that wait for a key."""
         result: list[effects.Effect] = []
--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -176,3 +176,21 @@
     second.follow(log, 2.0, WALL + 2.0)
     (failed,) = finished(second.table.tick(3.0))
     assert failed.ran is outcomes.Ran.MAY_HAVE_RUN
+
+
+def test_a_call_whose_holder_withdrew_claims_again_and_follows_who_was_first():
+    log, first, second, third = [], Node("quito-1"), Node("quito-2"), Node("quito-3")
+    (append,) = first.begin(make_call())
+    log += append.records
+    second.follow(log)
+    assert second.begin(make_call("r-2")) == []
+    first.table.on_append_done(append.operation_id, 5.0)
+    log += appended(first.table.tick(5.0))
+    third.follow(log, 5.0)
+    log += appended(third.begin(make_call("r-3"), 5.0))
+    (send,) = third.follow(log, 5.0)
+    assert third.table.may_send(send.claim_id, 5.0)
+    found = second.follow(log, 6.0)
+    assert finished(found) == []
+    log += appended(found)
+    assert second.follow(log, 6.0) == []
