--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -371,6 +371,11 @@
             return min(deadline, now + QUEUE_TICK_SECONDS)
         return deadline
 
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait in this node."""
+        return len(self._scheduler)
+
     def snapshot(self) -> Snapshot:
         """Return the state in figures."""
         states = [entry.state for entry in self._book.by_id.values()]
--- a/src/dragonflycove/measure/decision.py
+++ b/src/dragonflycove/measure/decision.py
@@ -20,8 +20,17 @@
 PEERS = 40
 """Peers whose digests are known."""
 
+SLOTS = 4
+"""Requests that the node may have running at each engine."""
+
 IN_FLIGHT_SHARE = 0.5
-"""Share of the node's slots that are taken while it is measured."""
+"""Most of the node's slots that are taken while it is measured."""
+
+REQUESTS_PER_SECOND = 1_000.0
+"""Rate of requests where none is asked for."""
+
+RUN_SECONDS = 5.0
+"""Time for which a request runs."""
 
 
 class DecisionTimes(NamedTuple):
@@ -33,17 +42,22 @@
     """Decisions measured."""
     median_microseconds: float
     """Median."""
+    mean_microseconds: float
+    """Mean."""
     p99_microseconds: float
     """99th percentile."""
 
 
-def measure(servers: int, decisions: int, seed: int) -> DecisionTimes:
+def measure(
+    servers: int, decisions: int, seed: int, rate: float = REQUESTS_PER_SECOND
+) -> DecisionTimes:
     """Measure submissions, each of which is dispatched at once.
 
     Args:
         servers: Number of engines.
         decisions: Number of decisions.
         seed: Seed.
+        rate: Requests in a second of the loop's clock.
 
     Returns:
         The times.
@@ -55,7 +69,7 @@
         configuration, size.zones[0], policies.Policy.BORROWING, rng, "node-0"
     )
     server_ids = list(configuration.servers_by_id)
-    subject.set_limits(dict.fromkeys(server_ids, 4), 0.0)
+    subject.set_limits(dict.fromkeys(server_ids, SLOTS), 0.0)
     for index in range(PEERS):
         works = tuple(digests.ServerWork(s, (500, 0), 800, 1) for s in rng.sample(server_ids, 8))
         waiting = (digests.ModelLanes(workload.MODEL, (1_000,) * 6, (500.0,) * 6),)
@@ -66,7 +80,7 @@
     times = []
     now = 0.0
     for index in range(WARM_UP_DECISIONS + decisions):
-        now += 0.001
+        now += 1.0 / rate
         _report(subject, rng.choice(server_ids), rng, now)
         drawn = rng.choice(arrivals).request
         request = drawn._replace(
@@ -76,13 +90,14 @@
         subject.submit(request, now)
         times.append((time.thread_time_ns() - before) / 1_000)
         running.append(request.request_id)
-        if len(running) > IN_FLIGHT_SHARE * 4 * servers:
+        if len(running) > min(rate * RUN_SECONDS, IN_FLIGHT_SHARE * SLOTS * servers):
             done = running.pop(rng.randrange(len(running)))
             subject.on_first_token(done, now)
             subject.on_finished(done, now)
     counted = sorted(times[WARM_UP_DECISIONS:])
     p99 = counted[int(0.99 * len(counted))]
-    return DecisionTimes(servers, decisions, statistics.median(counted), p99)
+    median, mean = statistics.median(counted), statistics.fmean(counted)
+    return DecisionTimes(servers, decisions, median, mean, p99)
 
 
 def _report(subject: dispatcher.Dispatcher, server_id: str, rng: random.Random, now: float) -> None:
--- /dev/null
+++ b/src/dragonflycove/measure/experiments.py
@@ -0,0 +1,307 @@
+"""The experiments: the real dispatchers under every policy, in the same seeded run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+from dragonflycove.measure import figures, simulation, workload
+from dragonflycove.routing import policies
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DRAIN_SECONDS = 950.0
+"""Time after the last arrival by which every deadline has passed."""
+
+ARRIVAL_SECONDS = 300.0
+"""Time over which requests come."""
+
+OVERLOAD_SECONDS = 240.0
+"""The same under overload."""
+
+MODERATE_LOAD = 0.6
+"""Offered prompt tokens against what the engines read, of most experiments."""
+
+BLOCKING_LOADS = (0.6, 0.8)
+"""Loads, with the long prompts in the mix, at which blocking is measured."""
+
+OVERLOADS = (2.0, 5.0)
+"""Loads of the overload experiment."""
+
+OUT_AT_SECONDS = 100.0
+"""Time at which a zone goes out or turns cold."""
+
+BACK_AT_SECONDS = 200.0
+"""Time at which the zone comes back."""
+
+SETTLING_SECONDS = 60.0
+"""Time after a zone's change that is looked at by itself."""
+
+
+class PolicyFigures(TypedDict, total=False):
+    """Figures of one policy in one run."""
+
+    policy: str
+    load: float
+    lengths: list[figures.FirstToken]
+    ends: list[figures.Ends]
+    short_p95: float
+    short_p95_without_long: float
+    blocking_ratio: float
+    long_in_time: float
+    idle_with_work: float
+    preemptions: int
+    goodput: float
+    kept_promises: float
+    phases: list[PhaseFigures]
+    crashes: int
+    last_new_work_in_zone_seconds: float
+
+
+class PhaseFigures(TypedDict):
+    """Figures of the requests that came in one phase."""
+
+    phase: str
+    answered_in_time: float
+    short_answered_in_time: float
+    short_p95: float
+
+
+class ExperimentFigures(TypedDict):
+    """Figures of one experiment."""
+
+    experiment: str
+    size: str
+    seed: int
+    arrival_seconds: float
+    runs: list[PolicyFigures]
+
+
+def _run(
+    size: workload.Size,
+    policy: policies.Policy,
+    load: float,
+    seed: int,
+    seconds: float,
+    kinds: tuple[workload.Kind, ...] = workload.KINDS,
+    keeps_cold_limits: bool = True,
+    plan: Callable[[simulation.Simulation], None] | None = None,
+) -> simulation.Simulation:
+    arrivals = workload.make_arrivals(size, load, seconds, seed, kinds)
+    run = simulation.Simulation(size, policy, arrivals, seed, keeps_cold_limits)
+    if plan is not None:
+        plan(run)
+    run.run(seconds + DRAIN_SECONDS)
+    assert len(run.records_by_id) == len(arrivals), "every request has an end"
+    return run
+
+
+def _short_p95(run: simulation.Simulation) -> float:
+    records = [r for r in run.records_by_id.values() if r.arrival.kind == "short"]
+    return figures.first_token("short", records)["p95"]
+
+
+def _long_in_time(run: simulation.Simulation) -> float:
+    return figures.answered_share(r for r in run.records_by_id.values() if r.arrival.kind == "long")
+
+
+def _idle_with_work(run: simulation.Simulation) -> float:
+    return round(run.idle_with_work_samples / max(1, run.samples), 4)
+
+
+def _all_ends(run: simulation.Simulation) -> list[figures.Ends]:
+    records = list(run.records_by_id.values())
+    return [figures.ends(kind.name, records) for kind in workload.KINDS]
+
+
+def measure_lengths(size: workload.Size, seed: int) -> list[PolicyFigures]:
+    """Measure the time to first token by prompt length.
+
+    Args:
+        size: The user's fleet.
+        seed: Seed.
+
+    Returns:
+        Figures of each policy.
+    """
+    found = []
+    for policy in policies.Policy:
+        run = _run(size, policy, MODERATE_LOAD, seed, ARRIVAL_SECONDS)
+        lengths = figures.by_length(run.records_by_id.values())
+        entry = PolicyFigures(policy=policy.value, load=MODERATE_LOAD, lengths=lengths)
+        entry["ends"] = _all_ends(run)
+        found.append(entry)
+    return found
+
+
+def measure_blocking(size: workload.Size, seed: int) -> list[PolicyFigures]:
+    """Measure what long prompts do to short ones.
+
+    Args:
+        size: The user's fleet.
+        seed: Seed.
+
+    Returns:
+        Figures of each policy and load; both runs have the same other requests.
+    """
+    others = tuple(kind for kind in workload.KINDS if kind.name != "long")
+    found = []
+    for load in BLOCKING_LOADS:
+        for policy in policies.Policy:
+            mixed = _run(size, policy, load, seed, ARRIVAL_SECONDS)
+            plain = _run(size, policy, load, seed, ARRIVAL_SECONDS, others)
+            with_long, without = _short_p95(mixed), _short_p95(plain)
+            entry = PolicyFigures(policy=policy.value, load=load, short_p95=with_long)
+            entry["short_p95_without_long"] = without
+            entry["blocking_ratio"] = round(with_long / without, 3)
+            entry["long_in_time"] = _long_in_time(mixed)
+            entry["idle_with_work"] = _idle_with_work(mixed)
+            entry["preemptions"] = sum(n.dispatcher.snapshot().preemptions for n in mixed.nodes)
+            entry["ends"] = _all_ends(mixed)
+            found.append(entry)
+    return found
+
+
+def measure_overload(size: workload.Size, seed: int) -> list[PolicyFigures]:
+    """Measure goodput and kept promises under overload.
+
+    Args:
+        size: The user's fleet.
+        seed: Seed.
+
+    Returns:
+        Figures of each policy and load.
+    """
+    found = []
+    for load in OVERLOADS:
+        for policy in policies.Policy:
+            run = _run(size, policy, load, seed, OVERLOAD_SECONDS)
+            entry = PolicyFigures(policy=policy.value, load=load)
+            entry["goodput"] = figures.goodput(run, OVERLOAD_SECONDS / 3, OVERLOAD_SECONDS)
+            admitted = [r for r in run.records_by_id.values() if r.was_admitted]
+            entry["kept_promises"] = figures.answered_share(admitted)
+            entry["ends"] = _all_ends(run)
+            found.append(entry)
+    return found
+
+
+def _phases(
+    run: simulation.Simulation, bounds: list[tuple[str, float, float]]
+) -> list[PhaseFigures]:
+    found = []
+    for name, start, end in bounds:
+        records = [r for r in run.records_by_id.values() if start <= r.arrival.at < end]
+        short = [r for r in records if r.arrival.kind == "short"]
+        found.append(
+            PhaseFigures(
+                phase=name,
+                answered_in_time=figures.answered_share(records),
+                short_answered_in_time=figures.answered_share(short),
+                short_p95=figures.first_token(name, short)["p95"],
+            )
+        )
+    return found
+
+
+def measure_zone_move(size: workload.Size, seed: int) -> list[PolicyFigures]:
+    """Measure service while a zone is taken out and comes back cold.
+
+    Args:
+        size: The user's fleet.
+        seed: Seed.
+
+    Returns:
+        Figures of each policy.
+    """
+    zone = size.zones[0]
+
+    def plan(run: simulation.Simulation) -> None:
+        run.timeline.after(OUT_AT_SECONDS, run.set_zones_out, frozenset({zone}))
+        run.timeline.after(BACK_AT_SECONDS - 1.0, run.restart_zone, zone)
+        run.timeline.after(BACK_AT_SECONDS, run.set_zones_out, frozenset())
+
+    bounds = [
+        ("before", 0.0, OUT_AT_SECONDS),
+        ("out", OUT_AT_SECONDS, BACK_AT_SECONDS),
+        ("back", BACK_AT_SECONDS, ARRIVAL_SECONDS),
+    ]
+    found = []
+    for policy in policies.Policy:
+        run = _run(size, policy, MODERATE_LOAD, seed, ARRIVAL_SECONDS, plan=plan)
+        entry = PolicyFigures(policy=policy.value, load=MODERATE_LOAD)
+        entry["phases"] = _phases(run, bounds)
+        servers = run.configuration.servers_by_id
+        late = [
+            at - OUT_AT_SECONDS
+            for at, server_id in run.dispatches
+            if servers[server_id].zone == zone and OUT_AT_SECONDS <= at < BACK_AT_SECONDS
+        ]
+        entry["last_new_work_in_zone_seconds"] = round(max(late, default=0.0), 3)
+        entry["crashes"] = sum(engine.crashes for engine in run.engines_by_id.values())
+        found.append(entry)
+    return found
+
+
+def measure_cold_zone(size: workload.Size, seed: int) -> list[PolicyFigures]:
+    """Measure service while every engine of a zone turns cold at once.
+
+    Args:
+        size: The user's fleet.
+        seed: Seed.
+
+    Returns:
+        Figures of each policy, and of borrowing without the division of cold limits.
+    """
+    zone = size.zones[0]
+
+    def plan(run: simulation.Simulation) -> None:
+        run.timeline.after(OUT_AT_SECONDS, run.restart_zone, zone)
+
+    bounds = [
+        ("before", 0.0, OUT_AT_SECONDS),
+        ("cold", OUT_AT_SECONDS, OUT_AT_SECONDS + SETTLING_SECONDS),
+        ("after", OUT_AT_SECONDS + SETTLING_SECONDS, ARRIVAL_SECONDS),
+    ]
+    found = []
+    cases = [(policy, True) for policy in policies.Policy]
+    for policy, keeps in [*cases, (policies.Policy.BORROWING, False)]:
+        run = _run(
+            size, policy, MODERATE_LOAD, seed, ARRIVAL_SECONDS, keeps_cold_limits=keeps, plan=plan
+        )
+        name = policy.value if keeps else f"{policy.value}, no cold limits"
+        entry = PolicyFigures(policy=name, load=MODERATE_LOAD)
+        entry["phases"] = _phases(run, bounds)
+        entry["crashes"] = sum(engine.crashes for engine in run.engines_by_id.values())
+        found.append(entry)
+    return found
+
+
+MEASURES_BY_EXPERIMENT: dict[str, Callable[[workload.Size, int], list[PolicyFigures]]] = {
+    "lengths": measure_lengths,
+    "blocking": measure_blocking,
+    "zone-move": measure_zone_move,
+    "overload": measure_overload,
+    "cold-zone": measure_cold_zone,
+}
+"""Experiments by name."""
+
+
+def measure(experiment: str, size: workload.Size, seed: int) -> ExperimentFigures:
+    """Run an experiment.
+
+    Args:
+        experiment: Its name.
+        size: The user's fleet.
+        seed: Seed.
+
+    Returns:
+        Its figures.
+    """
+    seconds = OVERLOAD_SECONDS if experiment == "overload" else ARRIVAL_SECONDS
+    return ExperimentFigures(
+        experiment=experiment,
+        size=size.name,
+        seed=seed,
+        arrival_seconds=seconds,
+        runs=MEASURES_BY_EXPERIMENT[experiment](size, seed),
+    )
--- /dev/null
+++ b/src/dragonflycove/measure/figures.py
@@ -0,0 +1,145 @@
+"""Figures of a run."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, TypedDict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dragonflycove.measure import simulation
+
+LENGTH_BUCKETS = (1_000, 8_192, 32_000, 100_000, 400_000, 1_000_001)
+"""Bounds of the length buckets, prompt tokens."""
+
+
+class FirstToken(TypedDict):
+    """Time to first token of some requests."""
+
+    name: str
+    answered: int
+    p50: float
+    p95: float
+    p99: float
+
+
+class Ends(TypedDict):
+    """How the requests of one kind ended."""
+
+    kind: str
+    offered: int
+    admitted: int
+    answered: int
+    failed_after_admission: int
+    reasons: dict[str, int]
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return a percentile by nearest rank.
+
+    Args:
+        values: The values.
+        share: From 0 to 1.
+
+    Returns:
+        The percentile, rounded to milliseconds; -1 without values.
+    """
+    ordered = sorted(values)
+    if not ordered:
+        return -1.0
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 3)
+
+
+def first_token(name: str, records: Iterable[simulation.Record]) -> FirstToken:
+    """Return the times to first token.
+
+    Args:
+        name: Name for the figures.
+        records: The requests; those without a first token are left out.
+
+    Returns:
+        The figures.
+    """
+    times = [r.first_token_seconds for r in records if r.first_token_seconds is not None]
+    return FirstToken(
+        name=name,
+        answered=len(times),
+        p50=percentile(times, 0.5),
+        p95=percentile(times, 0.95),
+        p99=percentile(times, 0.99),
+    )
+
+
+def by_length(records: Iterable[simulation.Record]) -> list[FirstToken]:
+    """Return the times to first token by length bucket.
+
+    Args:
+        records: The requests.
+
+    Returns:
+        The figures of each bucket.
+    """
+    everything = list(records)
+    found = []
+    for low, high in zip(LENGTH_BUCKETS, LENGTH_BUCKETS[1:], strict=False):
+        bucket = [r for r in everything if low <= r.arrival.request.prompt_tokens < high]
+        found.append(first_token(f"{low // 1_000}k-{high // 1_000}k", bucket))
+    return found
+
+
+def ends(kind: str, records: Iterable[simulation.Record]) -> Ends:
+    """Return how the requests of a kind ended.
+
+    Args:
+        kind: Name of the kind.
+        records: The requests.
+
+    Returns:
+        The figures.
+    """
+    chosen = [r for r in records if r.arrival.kind == kind]
+    reasons = collections.Counter(r.reason.value for r in chosen if r.reason is not None)
+    return Ends(
+        kind=kind,
+        offered=len(chosen),
+        admitted=sum(r.was_admitted for r in chosen),
+        answered=sum(r.reason is None for r in chosen),
+        failed_after_admission=sum(r.was_admitted and r.reason is not None for r in chosen),
+        reasons=dict(sorted(reasons.items())),
+    )
+
+
+def answered_share(records: Iterable[simulation.Record]) -> float:
+    """Return the share of requests that were answered in time.
+
+    Args:
+        records: The requests.
+
+    Returns:
+        From 0 to 1; 1 without requests.
+    """
+    chosen = list(records)
+    if not chosen:
+        return 1.0
+    return round(sum(r.reason is None for r in chosen) / len(chosen), 4)
+
+
+def goodput(run: simulation.Simulation, start: float, end: float) -> float:
+    """Return prompt tokens answered in time against what the engines read in that time.
+
+    Args:
+        run: The run.
+        start: Begin of the time, seconds.
+        end: End of the time, seconds.
+
+    Returns:
+        The share; a request counts where it ends.
+    """
+    tokens = sum(
+        record.arrival.request.prompt_tokens
+        for record in run.records_by_id.values()
+        if record.reason is None and start <= record.ended_at < end
+    )
+    rates = [e.server.prefill_tokens_per_second for e in run.engines_by_id.values()]
+    return round(tokens / (sum(rates) * (end - start)), 4)
--- /dev/null
+++ b/src/dragonflycove/measure/main.py
@@ -0,0 +1,90 @@
+"""The command `measure`: experiments on the dispatchers in virtual time, and their costs."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import sys
+from typing import TYPE_CHECKING
+
+from absl import flags
+
+from dragonflycove.measure import capacity, decision, experiments, plots, workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SIZES_BY_NAME = {size.name: size for size in (workload.COOPERATIVE, workload.TENGRI)}
+"""The users' fleets by name."""
+
+DECISION_SERVERS = (14, 150, 600)
+"""Numbers of engines at which decisions are measured."""
+
+DECISIONS = 5_000
+"""Decisions that are measured at each."""
+
+
+def _make_flags() -> flags.FlagValues:
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_integer("seed", 1, "Seed of everything random.", flag_values=values)
+    flags.DEFINE_string("out", "out", "Folder for the results.", flag_values=values)
+    flags.DEFINE_enum(
+        "size", "both", ["both", *SIZES_BY_NAME], "The fleet to run.", flag_values=values
+    )
+    return values
+
+
+def _write(values: flags.FlagValues, name: str, found: object) -> pathlib.Path:
+    folder = pathlib.Path(values.out)
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{name}.json"
+    path.write_text(json.dumps(found, indent=1) + "\n")
+    print(path)
+    return path
+
+
+def _run_experiment(values: flags.FlagValues, name: str) -> None:
+    sizes = list(SIZES_BY_NAME.values()) if values.size == "both" else [SIZES_BY_NAME[values.size]]
+    for size in sizes:
+        found = experiments.measure(name, size, values.seed)
+        path = _write(values, f"{name}-{size.name}", found)
+        plots.write(found, path.with_suffix(".png"))
+
+
+def _run_decision(values: flags.FlagValues, name: str) -> None:
+    found = [decision.measure(n, DECISIONS, values.seed)._asdict() for n in DECISION_SERVERS]
+    _write(values, name, found)
+
+
+def _run_capacity(values: flags.FlagValues, name: str) -> None:
+    _write(values, name, capacity.measure(values.seed))
+
+
+COMMANDS_BY_NAME: dict[str, Callable[[flags.FlagValues, str], None]] = {
+    **dict.fromkeys(experiments.MEASURES_BY_EXPERIMENT, _run_experiment),
+    "decision": _run_decision,
+    "capacity": _run_capacity,
+}
+"""What can be measured."""
+
+
+def run(argv: list[str]) -> int:
+    """Run one experiment.
+
+    Args:
+        argv: Name of the command, name of the experiment, flags.
+
+    Returns:
+        Exit status: 0, or 2 for a wrong command line.
+    """
+    values = _make_flags()
+    try:
+        names = values(argv)[1:]
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        return 2
+    if len(names) != 1 or names[0] not in COMMANDS_BY_NAME:
+        print(f"usage: measure {{{','.join(COMMANDS_BY_NAME)}}} [--seed N] [--out DIR]")
+        return 2
+    COMMANDS_BY_NAME[names[0]](values, names[0])
+    return 0
--- a/src/dragonflycove/measure/node_model.py
+++ b/src/dragonflycove/measure/node_model.py
@@ -106,6 +106,7 @@
                 members.on_end,
             )
             engine = self._simulation.engines_by_id[server_id]
+            self._simulation.dispatches.append((self._timeline.now, server_id))
             self._timeline.after(self._latency(server_id), engine.submit, stream)
 
     @_perform.register
--- /dev/null
+++ b/src/dragonflycove/measure/plots.py
@@ -0,0 +1,57 @@
+"""Plots of the experiments' figures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import matplotlib as mpl
+
+mpl.use("Agg")
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from dragonflycove.measure import experiments
+
+
+def _bars(run: experiments.PolicyFigures) -> dict[str, float]:
+    """Return the bars that tell most about a run."""
+    if "lengths" in run:
+        return {item["name"]: item["p95"] for item in run["lengths"]}
+    if "blocking_ratio" in run:
+        return {
+            "short p95 without long (s)": run["short_p95_without_long"],
+            "short p95 with long (s)": run["short_p95"],
+        }
+    if "goodput" in run:
+        return {"goodput": run["goodput"], "kept promises": run["kept_promises"]}
+    return {f"short p95, {item['phase']} (s)": item["short_p95"] for item in run["phases"]}
+
+
+def write(found: experiments.ExperimentFigures, path: pathlib.Path) -> None:
+    """Write a bar chart of an experiment.
+
+    Args:
+        found: The figures.
+        path: PNG file to write.
+    """
+    figure, axes = plt.subplots(figsize=(10, 5))
+    runs = found["runs"]
+    names = list(_bars(runs[0]))
+    width = 0.8 / len(names)
+    for offset, name in enumerate(names):
+        heights = [max(0.0, _bars(run)[name]) for run in runs]
+        places = [index + offset * width for index in range(len(runs))]
+        axes.bar(places, heights, width, label=name)
+    axes.set_xticks(range(len(runs)))
+    labels = [f"{run['policy']}\nload {run['load']}" for run in runs]
+    axes.set_xticklabels(labels, fontsize=6, rotation=30)
+    if "goodput" not in runs[0]:
+        axes.set_yscale("log")
+    axes.set_title(f"{found['experiment']}, {found['size']}, seed {found['seed']}")
+    axes.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100, metadata={"Software": None})
+    plt.close(figure)
--- a/src/dragonflycove/measure/simulation.py
+++ b/src/dragonflycove/measure/simulation.py
@@ -89,6 +89,8 @@
         self.timeline = clock.Timeline()
         self.arrivals_by_id = {a.request.request_id: a for a in arrivals}
         self.records_by_id: dict[str, Record] = {}
+        self.dispatches: list[tuple[float, str]] = []
+        self._last_arrival_at = max((a.at for a in arrivals), default=0.0)
         self.idle_samples = 0
         self.idle_with_work_samples = 0
         self.samples = 0
@@ -135,6 +137,16 @@
         for node in self.nodes:
             node.carry_out(node.dispatcher.set_configuration(self.configuration, self.timeline.now))
 
+    def restart_zone(self, zone: str) -> None:
+        """Restart every engine of a zone, so that it is cold.
+
+        Args:
+            zone: Name of the zone.
+        """
+        for engine in self.engines_by_id.values():
+            if engine.server.zone == zone:
+                engine.restart()
+
     def find_group(
         self, request: requests.ModelRequest, candidates: tuple[str, ...]
     ) -> tuple[str, ...]:
@@ -212,11 +224,12 @@
 
     def _sample(self) -> None:
         """Count engines that idle, and those of them that could take what waits."""
-        waits = any(node.dispatcher.snapshot().queued for node in self.nodes)
+        waits = any(node.dispatcher.queued for node in self.nodes)
         for server_id, engine in self.engines_by_id.items():
             self.samples += 1
             if engine.is_idle and self.configuration.accepts_new_work(server_id):
                 self.idle_samples += 1
                 has_room = engine.occupied < engine.server.concurrency and not engine.is_cold
                 self.idle_with_work_samples += waits and has_room
-        self.timeline.after(SAMPLE_SECONDS, self._sample)
+        if self.timeline.now < self._last_arrival_at:
+            self.timeline.after(SAMPLE_SECONDS, self._sample)
--- /dev/null
+++ b/tests/measure/test_experiments.py
@@ -0,0 +1,82 @@
+"""Experiments: the same seed gives the same figures, and the engine model keeps its books."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflycove.measure import engine_model, experiments, main, simulation, workload
+from dragonflycove.routing import policies
+from dragonflycove.values import outcomes
+
+
+def run(policy, load=0.6, seconds=20.0, seed=1):
+    arrivals = workload.make_arrivals(workload.COOPERATIVE, load, seconds, seed)
+    simulated = simulation.Simulation(workload.COOPERATIVE, policy, arrivals, seed)
+    simulated.run(seconds + experiments.DRAIN_SECONDS)
+    return simulated
+
+
+@pytest.mark.parametrize("policy", list(policies.Policy))
+@pytest.mark.parametrize("load", [0.6, 5.0])
+def test_every_request_ends_by_its_deadline_and_no_engine_keeps_memory(policy, load):
+    simulated = run(policy, load)
+    assert len(simulated.records_by_id) == len(simulated.arrivals_by_id)
+    for record in simulated.records_by_id.values():
+        assert record.ended_at <= record.arrival.request.deadline + 1e-6
+        if not record.was_admitted:
+            assert record.ended_at == record.arrival.at
+    for engine in simulated.engines_by_id.values():
+        assert (engine.occupied, engine.memory_free) == (0, workload.MEMORY_TOKENS)
+
+
+def test_same_seed_gives_the_same_run():
+    first, second = (run(policies.Policy.BORROWING) for _ in range(2))
+    assert first.records_by_id == second.records_by_id
+    assert first.dispatches == second.dispatches
+    assert run(policies.Policy.BORROWING, seed=2).records_by_id != first.records_by_id
+
+
+def test_kinds_that_are_left_out_do_not_change_the_others():
+    everything = workload.make_arrivals(workload.TENGRI, 0.6, 60.0, 1)
+    short = workload.make_arrivals(workload.TENGRI, 0.6, 60.0, 1, workload.KINDS[:1])
+    assert [a for a in everything if a.kind == "short"] == short
+
+
+def test_engine_reads_the_higher_priority_first_and_falls_over_when_cold():
+    simulated = run(policies.Policy.BORROWING, seconds=0.0)
+    engine = simulated.engines_by_id["engine-00"]
+    told = []
+
+    def stream(name, priority):
+        return engine_model.Stream(
+            name, priority, 10_000, 10_100, 40, (), lambda: told.append(name),
+            lambda is_whole: told.append((name, is_whole)),
+        )  # fmt: skip
+
+    engine.submit(stream("low", 1))
+    engine.submit(stream("high", 0))
+    simulated.run(simulated.timeline.now + 10.0)
+    assert told == ["high", "low", ("high", True), ("low", True)]
+    engine.restart()
+    for index in range(workload.COLD_CONCURRENCY + 1):
+        engine.submit(stream(str(index), 0))
+    assert engine.crashes == 1
+    assert told[-1] == (str(workload.COLD_CONCURRENCY), False)
+
+
+@pytest.mark.parametrize("arguments", [[], ["nothing"], ["lengths", "--size=x"], ["a", "b"]])
+def test_wrong_command_line(arguments, capsys):
+    assert main.run(["measure", *arguments]) == 2
+    assert capsys.readouterr()
+
+
+def test_divided_limits_add_up():
+    for limit in range(30):
+        shares = simulation.divide_limit(limit, "engine", [f"n{i}" for i in range(6)])
+        assert sum(shares.values()) == limit
+
+
+def test_records_tell_refused_from_failed():
+    simulated = run(policies.Policy.BORROWING, load=5.0, seconds=60.0)
+    refused = [r for r in simulated.records_by_id.values() if not r.was_admitted]
+    assert {r.reason for r in refused} == {outcomes.Reason.OVERLOADED}
