Hand a running stream to the next node before this one lets go of it

Cause: a stopping node told its caller to resume elsewhere while the engine's stream still belonged to the stopping node, so that reclaim could cancel it before the caller came. Change: the stopping node offers each stream to another node over the peer connection; that node owns the engine's stream and has its frames before the caller is told. Messages of the guard and of requests moved to modules of their own. Conclusion: the stream has a living owner at every moment of a planned stop.

--- a/src/dragonflycove/attempts/delivery.py
+++ b/src/dragonflycove/attempts/delivery.py
@@ -47,6 +47,11 @@
         """Whether the caller has frames that are not known here."""
         return self._emitted > len(self._tokens)
 
+    @property
+    def tokens(self) -> tuple[str, ...]:
+        """Texts of all the frames."""
+        return tuple(self._tokens)
+
     @property
     def text(self) -> str:
         """Text of all the frames."""
--- a/src/dragonflycove/attempts/model_life.py
+++ b/src/dragonflycove/attempts/model_life.py
@@ -56,6 +56,11 @@
         current = self._pair.current
         return None if current is None else current.resume_point
 
+    @property
+    def delivered(self) -> tuple[str, ...]:
+        """Frames taken in so far."""
+        return self._delivery.tokens
+
     @property
     def delivered_count(self) -> int:
         """Frames taken in so far."""
--- a/src/dragonflycove/node/drain.py
+++ b/src/dragonflycove/node/drain.py
@@ -6,11 +6,10 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from dragonflycove.node import model_request_task
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
-    from dragonflycove.node import services
+    from dragonflycove.node import handover, services
 
 HAND_OVER_SECONDS = 2.0
 """Longest time for callers to be told where to go on, seconds."""
@@ -24,13 +23,15 @@
     that is handed over: its caller is told to resume at another node.
     """
 
-    def __init__(self, context: services.NodeServices) -> None:
+    def __init__(self, context: services.NodeServices, streams: handover.Handover) -> None:
         """Create the drain.
 
         Args:
             context: What all tasks of the node share.
+            streams: Hands running streams over.
         """
         self._context = context
+        self._handover = streams
 
     async def run(self) -> None:
         """Drain the node; returns when nothing runs any more."""
@@ -42,7 +43,7 @@
         logs.event("drain_refuses_new_work", running=self._running())
         await self._wait_for_end(settings.drain_seconds)
         if self._running():
-            self._hand_over()
+            await self._handover.run_all()
             await self._wait_for_end(HAND_OVER_SECONDS)
         logs.event("drain_ended", running=self._running())
 
@@ -57,12 +58,3 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(ends_at):
                     await self._context.work_ended.wait()
-
-    def _hand_over(self) -> None:
-        address = self._context.other_address()
-        if address is None:
-            logs.warning("hand_over_without_address", running=self._running())
-            return
-        for task in list(self._context.requests_by_id.values()):
-            task.mailbox.post(model_request_task.HandOver(address))
-        self._context.metrics.count("stream_handed_over", len(self._context.requests_by_id))
--- a/src/dragonflycove/node/fleet_task.py
+++ b/src/dragonflycove/node/fleet_task.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from dragonflycove.node import dispatch_task, guard_task
+from dragonflycove.node import dispatch_task, guard_messages
 from dragonflycove.quarantine import records
 from dragonflycove.routing import digests
 from dragonflycove.shares import cold_start
@@ -116,20 +116,20 @@
     def _on_server_cold(
         self, sender: identifiers.NodeIdentity, message: cold_start.TellPeersCold
     ) -> None:
-        self._context.guard.post(guard_task.PeerSawCold(message.server_id, message.start_id))
+        self._context.guard.post(guard_messages.PeerSawCold(message.server_id, message.start_id))
 
     def _on_record(self, sender: identifiers.NodeIdentity, message: records.Record) -> None:
-        self._context.guard.post(guard_task.PeerRecord(message))
+        self._context.guard.post(guard_messages.PeerRecord(message))
 
     def _on_leave_asked(
         self, sender: identifiers.NodeIdentity, message: records.LeaveAsked
     ) -> None:
-        self._context.guard.post(guard_task.PeerAsksLeave(message))
+        self._context.guard.post(guard_messages.PeerAsksLeave(message))
 
     def _on_leave_answered(
         self, sender: identifiers.NodeIdentity, message: records.LeaveAnswered
     ) -> None:
-        self._context.guard.post(guard_task.PeerAnswersLeave(message))
+        self._context.guard.post(guard_messages.PeerAnswersLeave(message))
 
     def _on_digest(self, sender: identifiers.NodeIdentity, message: digests.PeerDigest) -> None:
         self._context.dispatch.post(dispatch_task.DigestTaken(message))
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import functools
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.configuration import schema
-from dragonflycove.node import dispatch_task
+from dragonflycove.node import dispatch_task, guard_messages
 from dragonflycove.quarantine import quarantine, verdicts
 from dragonflycove.quarantine import records as quarantine_records
 from dragonflycove.shares import cold_start, share_table
@@ -17,7 +17,6 @@
     from collections.abc import Callable
 
     from dragonflycove.node import services
-    from dragonflycove.routing import load_view
     from dragonflycove.values import requests
 
 RATE_WINDOW_SECONDS = 10.0
@@ -30,170 +29,6 @@
 """Time between two computations of this node's limits, seconds."""
 
 
-class StartGranted(NamedTuple):
-    """The request may be sent to its server now."""
-
-
-class StartElsewhere(NamedTuple):
-    """The request may run, but on other servers."""
-
-    servers: frozenset[str]
-    """The servers that may take it."""
-
-
-class StartRefused(NamedTuple):
-    """The request may not run."""
-
-    retry_after_seconds: float
-    """When that ends."""
-
-
-class Suspended(NamedTuple):
-    """The request's attempt is to be cancelled, since its like has crashed a server."""
-
-    server_id: str
-    """Where the attempt runs."""
-
-
-StartAnswer = StartGranted | StartElsewhere | StartRefused | Suspended
-"""What a request's task is told."""
-
-
-class Receiver(Protocol):
-    """Where the answers for one request go."""
-
-    def post(self, message: StartAnswer) -> None:
-        """Take an answer."""
-
-
-class StartAsked(NamedTuple):
-    """A request is about to be sent."""
-
-    request: requests.ModelRequest
-    """The request."""
-
-    server_id: str
-    """The server."""
-
-    receiver: Receiver
-    """Where the answer goes."""
-
-
-class AttemptEnded(NamedTuple):
-    """A request no longer runs at its server."""
-
-    request_id: str
-    """The request."""
-
-    whole: bool
-    """Whether it ran to its end."""
-
-
-class FirstTokenTimed(NamedTuple):
-    """A first token came."""
-
-    server_id: str
-    """The server."""
-
-    predicted_seconds: float
-    """Time that the prompt takes on a warm server."""
-
-    measured_seconds: float
-    """Time that it took."""
-
-
-class ServerCrashed(NamedTuple):
-    """A server broke off everything at once."""
-
-    server_id: str
-    """The server."""
-
-
-class HostsRead(NamedTuple):
-    """The host list was read."""
-
-    names: frozenset[str]
-    """Hosts that may hold shares."""
-
-    age_seconds: float
-    """Age of the list."""
-
-
-class ReportRead(NamedTuple):
-    """An engine reported its load."""
-
-    report: load_view.EngineReport
-    """The report."""
-
-
-class ConfigurationChanged(NamedTuple):
-    """A configuration came into force."""
-
-    configuration: schema.Configuration
-    """The configuration."""
-
-
-class PeerSawCold(NamedTuple):
-    """A peer saw a server turn cold."""
-
-    server_id: str
-    """The server."""
-
-    start_id: str
-    """The start that the peer saw."""
-
-
-class PeerRecord(NamedTuple):
-    """A peer sent a quarantine record."""
-
-    record: quarantine_records.Record
-    """The record."""
-
-
-class PeerAsksLeave(NamedTuple):
-    """A peer asks for leave to run a suspect."""
-
-    asked: quarantine_records.LeaveAsked
-    """What it asks."""
-
-
-class PeerAnswersLeave(NamedTuple):
-    """A peer answered this node's question for leave."""
-
-    answered: quarantine_records.LeaveAnswered
-    """Its answer."""
-
-
-class LoggedRecord(NamedTuple):
-    """A quarantine record was read from the log."""
-
-    record: quarantine_records.Record
-    """The record."""
-
-    offset: int
-    """Its offset."""
-
-    age_seconds: float
-    """How long ago it was appended."""
-
-
-GuardMessage = (
-    StartAsked
-    | AttemptEnded
-    | FirstTokenTimed
-    | ServerCrashed
-    | HostsRead
-    | ReportRead
-    | ConfigurationChanged
-    | PeerSawCold
-    | PeerRecord
-    | PeerAsksLeave
-    | PeerAnswersLeave
-    | LoggedRecord
-)
-"""What the guard task takes."""
-
-
 class GuardLinks(NamedTuple):
     """Where the guard's effects go."""
 
@@ -222,7 +57,7 @@
 class _Waiting(NamedTuple):
     """A start that was put off."""
 
-    asked: StartAsked
+    asked: guard_messages.StartAsked
     until: float
 
 
@@ -248,7 +83,7 @@
         self._cold = cold_start.ColdStartTracker({})
         self._quarantine = quarantine.Quarantine(self.shares, settings.host)
         self._start_by_server: dict[str, str] = {}
-        self._receivers_by_request: dict[str, Receiver] = {}
+        self._receivers_by_request: dict[str, guard_messages.Receiver] = {}
         self._waiting: list[_Waiting] = []
         self._last_limits: dict[str, int] = {}
 
@@ -264,7 +99,7 @@
                 self._review(loop.time())
                 review_at = loop.time() + REVIEW_SECONDS
 
-    def screen(self, fingerprint: str) -> StartRefused | None:
+    def screen(self, fingerprint: str) -> guard_messages.StartRefused | None:
         """Tell at once whether a new request is refused.
 
         Args:
@@ -276,7 +111,7 @@
         now = asyncio.get_running_loop().time()
         verdict = self._quarantine.verdict(fingerprint, now)
         if isinstance(verdict, verdicts.Refused):
-            return StartRefused(verdict.retry_after_seconds)
+            return guard_messages.StartRefused(verdict.retry_after_seconds)
         return None
 
     def known_records(self) -> list[quarantine_records.Record]:
@@ -321,7 +156,7 @@
         raise TypeError(f"unknown message {message!r}")
 
     @_handle.register
-    def _on_start_asked(self, message: StartAsked, now: float) -> None:
+    def _on_start_asked(self, message: guard_messages.StartAsked, now: float) -> None:
         request = message.request
         verdict = self._quarantine.verdict(
             request.fingerprint, now, request.request_id, self._candidates(request)
@@ -329,15 +164,15 @@
         if isinstance(verdict, verdicts.Wait):
             self._waiting.append(_Waiting(message, verdict.until))
         elif isinstance(verdict, verdicts.Refused):
-            message.receiver.post(StartRefused(verdict.retry_after_seconds))
+            message.receiver.post(guard_messages.StartRefused(verdict.retry_after_seconds))
         elif isinstance(verdict, verdicts.Elsewhere):
             self._ask_leave(message, verdict.hosts[0], now)
         elif isinstance(verdict, verdicts.Alone) and message.server_id not in verdict.servers:
-            message.receiver.post(StartElsewhere(verdict.servers))
+            message.receiver.post(guard_messages.StartElsewhere(verdict.servers))
         else:
             self._grant(message, now)
 
-    def _grant(self, message: StartAsked, now: float) -> None:
+    def _grant(self, message: guard_messages.StartAsked, now: float) -> None:
         request = message.request
         self._receivers_by_request[request.request_id] = message.receiver
         # Peers are told before the request is sent.
@@ -346,9 +181,9 @@
                 request.fingerprint, message.server_id, request.request_id, now
             )
         )
-        message.receiver.post(StartGranted())
+        message.receiver.post(guard_messages.StartGranted())
 
-    def _ask_leave(self, message: StartAsked, host: str, now: float) -> None:
+    def _ask_leave(self, message: guard_messages.StartAsked, host: str, now: float) -> None:
         """Ask the node that may try the suspect for leave, and again unless an answer comes."""
         request = message.request
         self._links.ask_leave(
@@ -363,7 +198,7 @@
         self._waiting.append(_Waiting(message, now + ASK_AGAIN_SECONDS))
 
     @_handle.register
-    def _on_peer_asks_leave(self, message: PeerAsksLeave, now: float) -> None:
+    def _on_peer_asks_leave(self, message: guard_messages.PeerAsksLeave, now: float) -> None:
         asked = message.asked
         granted = self._quarantine.grant_peer(asked, now)
         answered = quarantine_records.LeaveAnswered(
@@ -372,7 +207,7 @@
         self._links.answer_leave(asked.node, answered)
 
     @_handle.register
-    def _on_peer_answers_leave(self, message: PeerAnswersLeave, now: float) -> None:
+    def _on_peer_answers_leave(self, message: guard_messages.PeerAnswersLeave, now: float) -> None:
         answered = message.answered
         if not answered.granted:
             return
@@ -388,7 +223,7 @@
             )
         )
 
-    def _take_waiting(self, request_id: str) -> list[StartAsked]:
+    def _take_waiting(self, request_id: str) -> list[guard_messages.StartAsked]:
         """Take a request's starts out of those that were put off."""
         taken = [w.asked for w in self._waiting if w.asked.request.request_id == request_id]
         self._waiting = [w for w in self._waiting if w.asked.request.request_id != request_id]
@@ -405,31 +240,31 @@
         )
 
     @_handle.register
-    def _on_attempt_ended(self, message: AttemptEnded, now: float) -> None:
+    def _on_attempt_ended(self, message: guard_messages.AttemptEnded, now: float) -> None:
         self._receivers_by_request.pop(message.request_id, None)
         self._take_waiting(message.request_id)
         self._carry_out(self._quarantine.on_end(message.request_id, message.whole, now))
 
     @_handle.register
-    def _on_first_token_timed(self, message: FirstTokenTimed, now: float) -> None:
+    def _on_first_token_timed(self, message: guard_messages.FirstTokenTimed, now: float) -> None:
         told = self._cold.on_first_token(
             message.server_id, message.predicted_seconds, message.measured_seconds, now
         )
         self._tell_cold(told)
 
     @_handle.register
-    def _on_server_crashed(self, message: ServerCrashed, now: float) -> None:
+    def _on_server_crashed(self, message: guard_messages.ServerCrashed, now: float) -> None:
         self._tell_cold(self._cold.on_crash(message.server_id, now))
         start_id = self._start_by_server.get(message.server_id, "")
         self._carry_out(self._quarantine.on_crash(message.server_id, now, start_id))
         self._review(now)
 
     @_handle.register
-    def _on_hosts_read(self, message: HostsRead, now: float) -> None:
+    def _on_hosts_read(self, message: guard_messages.HostsRead, now: float) -> None:
         self.shares.on_host_list(message.names, message.age_seconds, now)
 
     @_handle.register
-    def _on_report_read(self, message: ReportRead, now: float) -> None:
+    def _on_report_read(self, message: guard_messages.ReportRead, now: float) -> None:
         report = message.report
         before = self._start_by_server.get(report.server_id, report.start_id)
         if before != report.start_id:
@@ -447,7 +282,9 @@
         self._tell_cold(told)
 
     @_handle.register
-    def _on_configuration_changed(self, message: ConfigurationChanged, now: float) -> None:
+    def _on_configuration_changed(
+        self, message: guard_messages.ConfigurationChanged, now: float
+    ) -> None:
         configuration = message.configuration
         engines = {
             server_id: server
@@ -458,16 +295,16 @@
         self._review(now)
 
     @_handle.register
-    def _on_peer_saw_cold(self, message: PeerSawCold, now: float) -> None:
+    def _on_peer_saw_cold(self, message: guard_messages.PeerSawCold, now: float) -> None:
         self._cold.on_peer_cold(message.server_id, message.start_id, now)
         self._review(now)
 
     @_handle.register
-    def _on_peer_record(self, message: PeerRecord, now: float) -> None:
+    def _on_peer_record(self, message: guard_messages.PeerRecord, now: float) -> None:
         self._carry_out(self._quarantine.on_peer_record(message.record, now))
 
     @_handle.register
-    def _on_logged_record(self, message: LoggedRecord, now: float) -> None:
+    def _on_logged_record(self, message: guard_messages.LoggedRecord, now: float) -> None:
         self._carry_out(
             self._quarantine.on_log_record(message.record, message.offset, now, message.age_seconds)
         )
@@ -487,4 +324,4 @@
             else:
                 receiver = self._receivers_by_request.get(effect.request_id)
                 if receiver is not None:
-                    receiver.post(Suspended(effect.server_id))
+                    receiver.post(guard_messages.Suspended(effect.server_id))
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -5,14 +5,14 @@
 import asyncio
 import collections
 import functools
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from dragonflycove.attempts import attempts as attempt_values
 from dragonflycove.attempts import effects as life_effects
 from dragonflycove.attempts import model_life
 from dragonflycove.backends import engine_client, engine_stream
 from dragonflycove.callers import streams
-from dragonflycove.node import dispatch_task, guard_task, tasks
+from dragonflycove.node import dispatch_task, guard_messages, request_messages, resume_tokens, tasks
 from dragonflycove.telemetry import logs
 from dragonflycove.values import outcomes, requests
 
@@ -34,50 +34,6 @@
 """Tokens after which the dispatch task is told of progress."""
 
 
-class EngineEvent(NamedTuple):
-    """Something came on an attempt's connection."""
-
-    attempt: str
-    """The attempt whose connection it is."""
-
-    connection: int
-    """Number of the connection within the attempt."""
-
-    event: engine_stream.StreamEvent
-    """What came."""
-
-
-class CallerGone(NamedTuple):
-    """The caller's connection ended."""
-
-    stream: streams.CallerStream
-    """The connection's stream."""
-
-
-class CallerResumed(NamedTuple):
-    """The caller came back at this node."""
-
-    from_index: int
-    """First frame that it lacks."""
-
-    stream: streams.CallerStream
-    """Its new stream."""
-
-
-class Moved(NamedTuple):
-    """The request is to leave its server."""
-
-    reason: outcomes.Reason
-    """Why."""
-
-
-class HandOver(NamedTuple):
-    """The request's caller is to go on at another node."""
-
-    address: str
-    """That node's address."""
-
-
 _PROMPT_UNKNOWN = outcomes.Failed(
     outcomes.Reason.STREAM_GAP,
     "the engine no longer has the stream, and this node never had the prompt: send it again",
@@ -85,17 +41,6 @@
     0.0,
 )
 
-RequestMessage = (
-    dispatch_task.RequestNotice
-    | guard_task.StartAnswer
-    | EngineEvent
-    | CallerGone
-    | CallerResumed
-    | Moved
-    | HandOver
-)
-"""What a request's task takes."""
-
 
 class ModelRequestTask:
     """Owns the life of one request and the connections of its attempts."""
@@ -117,7 +62,7 @@
             stream: Where the caller's events go.
             life: The life of a request taken over; `None` for a new one.
         """
-        self.mailbox: tasks.Mailbox[RequestMessage] = tasks.Mailbox()
+        self.mailbox: tasks.Mailbox[request_messages.RequestMessage] = tasks.Mailbox()
         """Messages to this task."""
         self.request = request
         """The request."""
@@ -162,6 +107,21 @@
         self.current_server = point.server_id
         self._carry_out(self._life.on_taken_over(point, now))
 
+    @property
+    def prompt(self) -> str:
+        """The prompt; empty where it is not known here."""
+        return self._prompt
+
+    @property
+    def resume_point(self) -> attempt_values.ResumePoint | None:
+        """Where the stream runs; `None` while no attempt runs."""
+        return self._life.resume_point
+
+    @property
+    def delivered(self) -> tuple[str, ...]:
+        """Frames taken in so far."""
+        return self._life.delivered
+
     def attempts(self) -> tuple[str, ...]:
         """Return the attempts that this request still reads."""
         return tuple(self._readers_by_attempt)
@@ -191,11 +151,11 @@
     def _on_assigned(self, message: dispatch_task.Assigned, now: float) -> None:
         self._assigned = message
         self._context.guard.post(
-            guard_task.StartAsked(self.request, message.server_id, self.mailbox)
+            guard_messages.StartAsked(self.request, message.server_id, self.mailbox)
         )
 
     @_handle.register
-    def _on_start_granted(self, message: guard_task.StartGranted, now: float) -> None:
+    def _on_start_granted(self, message: guard_messages.StartGranted, now: float) -> None:
         assigned = self._assigned
         if assigned is None:
             return
@@ -207,7 +167,7 @@
         )
 
     @_handle.register
-    def _on_start_elsewhere(self, message: guard_task.StartElsewhere, now: float) -> None:
+    def _on_start_elsewhere(self, message: guard_messages.StartElsewhere, now: float) -> None:
         assigned = self._assigned
         if assigned is None:
             return
@@ -221,12 +181,12 @@
         self._context.dispatch.post(dispatch_task.Resubmit(self.request, others, reason))
 
     @_handle.register
-    def _on_start_refused(self, message: guard_task.StartRefused, now: float) -> None:
+    def _on_start_refused(self, message: guard_messages.StartRefused, now: float) -> None:
         detail = "requests like this one have crashed backend servers"
         self._deny(outcomes.Reason.QUARANTINED, detail, message.retry_after_seconds, now)
 
     @_handle.register
-    def _on_suspended(self, message: guard_task.Suspended, now: float) -> None:
+    def _on_suspended(self, message: guard_messages.Suspended, now: float) -> None:
         if message.server_id == self.current_server:
             self._carry_out(self._life.on_preempted(now))
 
@@ -254,22 +214,22 @@
         self._context.build_group(self.request, message.candidates)
 
     @_handle.register
-    def _on_caller_gone(self, message: CallerGone, now: float) -> None:
+    def _on_caller_gone(self, message: request_messages.CallerGone, now: float) -> None:
         if message.stream is self._stream:
             self._carry_out(self._life.on_caller_gone(now))
 
     @_handle.register
-    def _on_caller_resumed(self, message: CallerResumed, now: float) -> None:
+    def _on_caller_resumed(self, message: request_messages.CallerResumed, now: float) -> None:
         self._stream = message.stream
         self._post_resume_token()
         self._carry_out(self._life.on_caller_resumed(message.from_index, now))
 
     @_handle.register
-    def _on_moved(self, message: Moved, now: float) -> None:
+    def _on_moved(self, message: request_messages.Moved, now: float) -> None:
         self._carry_out(self._life.on_moved(message.reason, now))
 
     @_handle.register
-    def _on_hand_over(self, message: HandOver, now: float) -> None:
+    def _on_hand_over(self, message: request_messages.HandOver, now: float) -> None:
         if self._life.resume_point is not None:
             self._hand_over_to(message.address)
 
@@ -281,10 +241,10 @@
         self._context.request_over(self.request.request_id)
 
     def _end_attempt(self, whole: bool) -> None:
-        self._context.guard.post(guard_task.AttemptEnded(self.request.request_id, whole))
+        self._context.guard.post(guard_messages.AttemptEnded(self.request.request_id, whole))
 
     @_handle.register
-    def _on_engine_event(self, message: EngineEvent, now: float) -> None:
+    def _on_engine_event(self, message: request_messages.EngineEvent, now: float) -> None:
         event = message.event
         if isinstance(event, engine_stream.Frame):
             effects = self._life.on_frame(
@@ -303,7 +263,7 @@
         self._carry_out(effects)
 
     def _on_engine_refused(
-        self, message: EngineEvent, event: engine_stream.Refused, now: float
+        self, message: request_messages.EngineEvent, event: engine_stream.Refused, now: float
     ) -> list[life_effects.Effect]:
         if message.connection > 0 and event.status == 404:
             return self._life.on_resume_unknown(message.attempt, now)
@@ -428,12 +388,14 @@
             return
         predicted = self.request.prompt_tokens / server.prefill_tokens_per_second
         measured = self._now() - self._attempt_started_at
-        self._context.guard.post(guard_task.FirstTokenTimed(server.server_id, predicted, measured))
+        self._context.guard.post(
+            guard_messages.FirstTokenTimed(server.server_id, predicted, measured)
+        )
 
     def _post_resume_token(self) -> None:
         point = self._life.resume_point
         if point is not None:
-            token = format_resume_token(point)
+            token = resume_tokens.format_resume_token(point)
             self._stream.post(streams.ResumeTokenChanged(token))
 
     def _timeouts(self) -> engine_stream.StreamTimeouts:
@@ -459,35 +421,8 @@
     def _post_engine_event(
         self, attempt: str, connection: int, event: engine_stream.StreamEvent
     ) -> None:
-        self.mailbox.post(EngineEvent(attempt, connection, event))
+        self.mailbox.post(request_messages.EngineEvent(attempt, connection, event))
 
 
 def _unreachable(detail: str) -> engine_stream.Broken:
     return engine_stream.Broken(engine_stream.BrokenKind.UNREACHABLE, False, detail)
-
-
-def format_resume_token(point: attempt_values.ResumePoint) -> str:
-    """Return the token with which a caller resumes at any node.
-
-    Args:
-        point: Where the stream runs.
-
-    Returns:
-        `server~attempt~base`.
-    """
-    return f"{point.server_id}~{point.attempt}~{point.base_index}"
-
-
-def parse_resume_token(token: str) -> attempt_values.ResumePoint | None:
-    """Parse a resume token.
-
-    Args:
-        token: The token.
-
-    Returns:
-        Where the stream runs, or `None` for what is no token.
-    """
-    parts = token.split("~")
-    if len(parts) != 3 or not parts[0] or not parts[1] or not parts[2].isdigit():
-        return None
-    return attempt_values.ResumePoint(parts[0], parts[1], int(parts[2]))
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -22,15 +22,17 @@
     drain,
     engine_poll_task,
     fleet_task,
+    guard_messages,
     guard_task,
+    handover,
     host_list_task,
     http_server,
     lease_task,
-    model_request_task,
     node_gateway,
     plain_calls,
     quarantine_log_task,
     reclaim_task,
+    request_messages,
     services,
     status_source,
     subset_task,
@@ -130,6 +132,7 @@
         self._fleet = fleet_task.FleetTask(
             self._context, self._control.peers, self._control.membership.members.live_hosts
         )
+        self._handover = handover.Handover(self._context, self._control.peers)
         self._claims = claim_task.ClaimTask(
             self._log, self._context.plain, self._context.identity, self._context.rng
         )
@@ -184,7 +187,7 @@
         if not self._broken.is_set():
             self._control.announce_leaving()
             self._context.background.start("release-leases", self._leases.release())
-            draining = asyncio.create_task(drain.Drain(self._context).run())
+            draining = asyncio.create_task(drain.Drain(self._context, self._handover).run())
             hurrying = asyncio.create_task(hurry.wait())
             await asyncio.wait({draining, hurrying}, return_when=asyncio.FIRST_COMPLETED)
             draining.cancel()
@@ -231,7 +234,7 @@
         for task in list(self._context.requests_by_id.values()):
             server = task.current_server
             if server and not configuration.accepts_new_work(server):
-                task.mailbox.post(model_request_task.Moved(outcomes.Reason.SERVER_LEAVING))
+                task.mailbox.post(request_messages.Moved(outcomes.Reason.SERVER_LEAVING))
 
     def _on_hosts(self, hosts: host_list_client.HostList, age_seconds: float) -> None:
         """Take in a reading of the host list."""
@@ -240,7 +243,7 @@
         # Another process may have been given this host's name; its address tells them apart.
         if own is not None and own.address != self._context.settings.caller_address:
             names -= {own.name}
-        self._context.guard.post(guard_task.HostsRead(names, age_seconds))
+        self._context.guard.post(guard_messages.HostsRead(names, age_seconds))
         zone_by_host = {name: entry.zone for name, entry in hosts.hosts_by_name.items()}
         self._subset.mailbox.post(subset_task.HostsChanged(zone_by_host))
         self._control.on_hosts(hosts)
@@ -253,7 +256,7 @@
         """Take in a load report."""
         free = report.memory_tokens - report.memory_used_tokens
         self._context.free_tokens_by_server[report.server_id] = free
-        self._context.guard.post(guard_task.ReportRead(report))
+        self._context.guard.post(guard_messages.ReportRead(report))
 
     def _on_peer_heard(self, header: messages.Header) -> None:
         self._reclaim.on_host_heard(identifiers.NodeIdentity.parse(header.sender))
--- a/src/dragonflycove/node/node_gateway.py
+++ b/src/dragonflycove/node/node_gateway.py
@@ -9,7 +9,7 @@
 
 from dragonflycove.attempts import model_life
 from dragonflycove.callers import gateway, streams
-from dragonflycove.node import dispatch_task, model_request_task
+from dragonflycove.node import dispatch_task, model_request_task, request_messages, resume_tokens
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers, outcomes, requests
 
@@ -100,7 +100,7 @@
         Returns:
             Where its frames come, or the refusal.
         """
-        request = request._replace(request_id=identifiers.new_id(self._context.rng, "request"))
+        request = request._replace(request_id=self._context.new_request_id())
         quarantined = self._screen(request.fingerprint)
         if quarantined is not None:
             self._context.metrics.refused(quarantined.reason)
@@ -148,7 +148,7 @@
         Returns:
             Where its frames come, or the refusal.
         """
-        point = model_request_task.parse_resume_token(token)
+        point = resume_tokens.parse_resume_token(token)
         if point is None or self._context.server_address(point.server_id) is None:
             detail = "the token names no stream of a server in the configuration"
             return result.Err(outcomes.Refused(outcomes.Reason.BAD_REQUEST, detail))
@@ -158,10 +158,10 @@
         stream = streams.CallerStream()
         own = self._find_own(point.attempt)
         if own is not None:
-            own.mailbox.post(model_request_task.CallerResumed(from_index, stream))
+            own.mailbox.post(request_messages.CallerResumed(from_index, stream))
             return result.Ok(gateway.OpenStream(own.request.request_id, stream))
         request = requests.ModelRequest(
-            identifiers.new_id(self._context.rng, "request"),
+            self._context.new_request_id(),
             "",
             self._context.configuration.servers_by_id[point.server_id].service,
             model,
@@ -173,10 +173,7 @@
         )
         life = model_life.ModelLife(request, self._context.rng, caller_from_index=from_index)
         task = model_request_task.ModelRequestTask(self._context, request, prompt, stream, life)
-        self._context.requests_by_id[request.request_id] = task
-        self._context.metrics.count("stream_taken_over")
-        task.take_over(point)
-        self._context.background.start(request.request_id, task.run())
+        self._context.take_over(task, point)
         return result.Ok(gateway.OpenStream(request.request_id, stream))
 
     def _find_own(self, attempt: str) -> model_request_task.ModelRequestTask | None:
@@ -193,7 +190,7 @@
         """
         task = self._context.requests_by_id.get(opened.request_id)
         if task is not None:
-            task.mailbox.post(model_request_task.CallerGone(opened.stream))
+            task.mailbox.post(request_messages.CallerGone(opened.stream))
 
     async def call_service(
         self,
--- a/src/dragonflycove/node/quarantine_log_task.py
+++ b/src/dragonflycove/node/quarantine_log_task.py
@@ -8,7 +8,7 @@
 
 import result
 
-from dragonflycove.node import guard_task, tasks
+from dragonflycove.node import guard_messages, tasks
 from dragonflycove.quarantine import records
 from dragonflycove.telemetry import logs
 
@@ -35,7 +35,7 @@
     """Appends this node's records in batches and reads everybody's."""
 
     def __init__(
-        self, log: log_client.LogClient, guard: tasks.Mailbox[guard_task.GuardMessage]
+        self, log: log_client.LogClient, guard: tasks.Mailbox[guard_messages.GuardMessage]
     ) -> None:
         """Create the task.
 
@@ -78,7 +78,7 @@
             logs.warning("quarantine_record_unknown", offset=logged.offset)
             return
         age = max(0.0, time.time() - logged.appended_at)
-        self._guard.post(guard_task.LoggedRecord(record, logged.offset, age))
+        self._guard.post(guard_messages.LoggedRecord(record, logged.offset, age))
 
     async def _append(self) -> None:
         while True:
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -10,18 +10,20 @@
 import result
 
 from dragonflycove.configuration import schema
-from dragonflycove.node import dispatch_task, group_task, guard_task, model_request_task, tasks
+from dragonflycove.node import dispatch_task, group_task, guard_messages, model_request_task, tasks
 from dragonflycove.placement import memory_groups
 from dragonflycove.telemetry import logs
+from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
     import random
 
+    from dragonflycove.attempts import attempts as attempt_values
     from dragonflycove.backends import engine_client, plain_client
     from dragonflycove.platform import host_list_client
     from dragonflycove.settings import node as node_settings
     from dragonflycove.telemetry import metrics as node_metrics
-    from dragonflycove.values import identifiers, outcomes, requests
+    from dragonflycove.values import outcomes, requests
 
 CANCEL_TRIES = 5
 """Tries to cancel an attempt before it is left to reclaim."""
@@ -58,7 +60,7 @@
     dispatch: tasks.Mailbox[dispatch_task.DispatchMessage]
     """Mailbox of the dispatch task."""
 
-    guard: tasks.Mailbox[guard_task.GuardMessage]
+    guard: tasks.Mailbox[guard_messages.GuardMessage]
     """Mailbox of the guard task."""
 
     background: tasks.TaskGroup
@@ -110,8 +112,31 @@
         server = self.configuration.servers_by_id.get(server_id)
         return server.address if server is not None else None
 
+    def new_request_id(self) -> str:
+        """Return a fresh identifier of a request."""
+        return identifiers.new_id(self.rng, "request")
+
+    def take_over(
+        self, task: model_request_task.ModelRequestTask, point: attempt_values.ResumePoint
+    ) -> None:
+        """Run a request whose stream another node started.
+
+        Args:
+            task: The request's task.
+            point: Where the stream runs.
+        """
+        self.requests_by_id[task.request.request_id] = task
+        self.metrics.count("stream_taken_over")
+        task.take_over(point)
+        self.background.start(task.request.request_id, task.run())
+
     def other_address(self) -> str | None:
         """Return the caller address of another live host, the same zone first."""
+        host = self.other_host()
+        return self.hosts_by_name[host].address if host is not None else None
+
+    def other_host(self) -> str | None:
+        """Return the name of another live host, the same zone first."""
         others = [
             entry
             for name, entry in self.hosts_by_name.items()
@@ -120,7 +145,7 @@
         allowed = [entry for entry in others if entry.zone not in self.configuration.zones_out]
         near = [entry for entry in allowed if entry.zone == self.settings.zone]
         choices = near or allowed or others
-        return self.rng.choice(choices).address if choices else None
+        return self.rng.choice(choices).name if choices else None
 
     def cancel_attempt(self, attempt: str, server_id: str) -> None:
         """Free an attempt at its engine, with bounded retries in the background.
@@ -195,7 +220,7 @@
         Args:
             server_id: The server.
         """
-        self.guard.post(guard_task.ServerCrashed(server_id))
+        self.guard.post(guard_messages.ServerCrashed(server_id))
         for group in self.groups_by_request.values():
             group.mailbox.post(group_task.EngineDied(server_id))
 
--- a/src/dragonflycove/node/subset_task.py
+++ b/src/dragonflycove/node/subset_task.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.node import dispatch_task, guard_task, tasks
+from dragonflycove.node import dispatch_task, guard_messages, tasks
 from dragonflycove.shares import subsets
 
 if TYPE_CHECKING:
@@ -96,4 +96,4 @@
             return
         self._context.subset = subset
         self._context.dispatch.post(dispatch_task.Configured(subset))
-        self._context.guard.post(guard_task.ConfigurationChanged(subset))
+        self._context.guard.post(guard_messages.ConfigurationChanged(subset))
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -167,8 +167,8 @@
             "heartbeat_seconds": 0.5,
             "report_seconds": 0.1,
             "silence_seconds": 1.5,
-            "host_list_lag_seconds": 1.5,
-            "reclaim_seconds": 1.0,
+            "host_list_lag_seconds": 0.8,
+            "reclaim_seconds": 2.5,
             "drain_seconds": 3.0,
         }
         self._start(name, ["node", "--settings", self._write(name, settings)])
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -61,14 +61,16 @@
 def test_a_stream_of_a_killed_node_that_nobody_resumes_is_given_back(
     whole: system.System,
 ) -> None:
-    stream = streaming.open_stream(whole, "entry-1", "nobody comes back", 2_000)
+    stream = streaming.open_stream(whole, "entry-1", "nobody comes back", 400)
     stream.read(3)
-    server = server_of(stream)
+    server, attempt, _ = stream.token.split("~")
     whole.kill("entry-1")
     whole.unlist_host("entry-1")
     system.until(
         lambda: whole.books(server)["memory_held_tokens"] == 0, "the dead node's stream is gone"
     )
+    # It was cancelled in the middle, not left to run to its end.
+    assert whole.books(server)["attempts"][attempt]["end"] == "cancelled"
 
 
 def test_silent_connections_cost_no_token(shared: system.System) -> None:
@@ -108,6 +110,9 @@
     whole.signal("entry-1", signal.SIGTERM)
     frames += stream.read()
     assert stream.handover == whole.address_by_name["entry-2"]
+    # The other node owned the stream before this one let go of it.
+    events = whole.get("entry-2", "/metrics")[1]
+    assert 'dragonflycove_events{name="stream_taken_over"} 1' in events
     resumed = streaming.resume(stream.handover, stream.token, frames[-1].number)
     frames += resumed.read()
     assert resumed.done, resumed.error
