Leave all silent idle connections behind after one time-out

Cause: when open connections go silent, each idle one in the pool cost a time-out of its own (15 s pool). Change: an idle connection is not used again after 2 s. Also: a header that HTTP does not allow is an outcome, not an exception; identifiers of engines may hold any character.

--- a/src/dragonflycove/standins/engine_app.py
+++ b/src/dragonflycove/standins/engine_app.py
@@ -52,7 +52,7 @@
         control = engine_control.EngineControl(self.engine, self.orders)
         routes: list[routing.BaseRoute] = [
             routing.Route("/v1/completions", self._complete, methods=["POST"]),
-            routing.Route("/v1/streams/{attempt}", self._resume, methods=["GET"]),
+            routing.Route("/v1/streams/{attempt:path}", self._resume, methods=["GET"]),
             *control.routes(),
         ]
         self._standin = serving.Standin(
--- a/src/dragonflycove/standins/engine_control.py
+++ b/src/dragonflycove/standins/engine_control.py
@@ -37,15 +37,15 @@
     def routes(self) -> list[routing.BaseRoute]:
         """Return the routes."""
         return [
-            routing.Route("/v1/streams/{attempt}", self._cancel, methods=["DELETE"]),
+            routing.Route("/v1/streams/{attempt:path}", self._cancel, methods=["DELETE"]),
             routing.Route("/v1/streams", self._list_streams, methods=["GET"]),
             routing.Route("/v1/load", self._load, methods=["GET"]),
             routing.Route("/v1/cache-events", self._cache_events, methods=["GET"]),
-            routing.Route("/v1/reservations/{group}", self._reserve, methods=["PUT"]),
-            routing.Route("/v1/reservations/{group}", self._unreserve, methods=["DELETE"]),
-            routing.Route("/v1/exports/{attempt}", self._export, methods=["POST"]),
-            routing.Route("/v1/exports/{export_id}", self._fetch_export, methods=["GET"]),
-            routing.Route("/v1/exports/{export_id}", self._drop_export, methods=["DELETE"]),
+            routing.Route("/v1/reservations/{group:path}", self._reserve, methods=["PUT"]),
+            routing.Route("/v1/reservations/{group:path}", self._unreserve, methods=["DELETE"]),
+            routing.Route("/v1/exports/{attempt:path}", self._export, methods=["POST"]),
+            routing.Route("/v1/exports/{export_id:path}", self._fetch_export, methods=["GET"]),
+            routing.Route("/v1/exports/{export_id:path}", self._drop_export, methods=["DELETE"]),
             routing.Route("/v1/imports", self._import, methods=["POST"]),
             routing.Route("/v1/state", self._put_state, methods=["PUT"]),
             routing.Route("/v1/state", self._get_state, methods=["GET"]),
--- a/src/dragonflycove/transport/exchange.py
+++ b/src/dragonflycove/transport/exchange.py
@@ -164,6 +164,8 @@
         return result.Err(Unknown(Cause.SILENT, f"no whole answer in {timeout_seconds} s"))
     except (aiohttp.ClientError, OSError) as error:
         return result.Err(Unknown(Cause.BROKEN, describe(error)))
+    except ValueError as error:
+        return result.Err(Unknown(Cause.MALFORMED, describe(error)))
 
 
 def judge_status(reply: Reply) -> result.Result[Reply, ExchangeError]:
--- a/src/dragonflycove/transport/sessions.py
+++ b/src/dragonflycove/transport/sessions.py
@@ -12,6 +12,13 @@
 READ_BUFFER_BYTES = 262_144
 """Bytes that a session buffers from one connection."""
 
+IDLE_SECONDS = 2.0
+"""Time after which an unused connection is not used again.
+
+When connections go silent, every idle one to the same address is lost. With a call's time-out at
+least this long, the first call that finds out is also the last, since the others are too old then.
+"""
+
 
 class SendOnce:
     """Client middleware that keeps aiohttp from sending a request a second time.
@@ -57,15 +64,17 @@
     return aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
 
 
-def open_pooled() -> aiohttp.ClientSession:
+def open_pooled(idle_seconds: float = IDLE_SECONDS) -> aiohttp.ClientSession:
     """Open a session that keeps connections for reuse; call it inside a running loop.
 
+    Args:
+        idle_seconds: Time after which an unused connection is not used again.
+
     Returns:
         The session; the caller closes it.
     """
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), read_bufsize=READ_BUFFER_BYTES
-    )
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_seconds)
+    return aiohttp.ClientSession(connector=connector, read_bufsize=READ_BUFFER_BYTES)
 
 
 def open_fresh() -> aiohttp.ClientSession:
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -144,3 +144,15 @@
         gate.set()
     assert isinstance(error, exchange.Unknown)
     assert error.cause is exchange.Cause.SILENT
+
+
+@pytest.mark.asyncio
+async def test_a_header_that_http_does_not_allow_is_an_outcome_too() -> None:
+    server = RawServer([b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
+    headers = (("X-Note", "two\nlines"),)
+    async with raw_server(server) as address, sessions.open_fresh() as session:
+        request = exchange.Request("POST", f"http://{address}/x", b"{}", headers)
+        error = (await exchange.exchange(session, request, timeout_seconds=5)).err()
+    assert isinstance(error, exchange.Unknown)
+    assert error.cause is exchange.Cause.MALFORMED
+    assert server.heads == []
