Pass headers and bodies of plain services through as they are

Cause: aiohttp added Accept-Encoding and unpacked the answer, while its Content-Encoding was passed on, so a caller got a body that its headers belied; a cookie jar was shared by all callers. Change: sessions add no headers, unpack nothing and keep no cookies. Proof: with the sessions of before, test_headers_and_bodies_pass_as_they_are_and_cookies_are_not_kept fails.

--- a/src/dragonflycove/backends/engine_stream.py
+++ b/src/dragonflycove/backends/engine_stream.py
@@ -203,6 +203,8 @@
             return Broken(BrokenKind.SILENT, sent=True, detail="no status in time")
         except (aiohttp.ClientError, OSError) as error:
             return Broken(BrokenKind.CRASHED, sent=True, detail=exchange.describe(error))
+        except ValueError as error:
+            return Broken(BrokenKind.ERROR, sent=True, detail=exchange.describe(error))
 
     async def _read_lines(self, response: aiohttp.ClientResponse) -> list[bytes] | Ended | Broken:
         """Read what has come, and return the lines that are whole."""
--- a/src/dragonflycove/transport/sessions.py
+++ b/src/dragonflycove/transport/sessions.py
@@ -12,6 +12,9 @@
 READ_BUFFER_BYTES = 262_144
 """Bytes that a session buffers from one connection."""
 
+ADDED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+"""Headers that aiohttp would add to a caller's own."""
+
 IDLE_SECONDS = 2.0
 """Time after which an unused connection is not used again.
 
@@ -73,8 +76,7 @@
     Returns:
         The session; the caller closes it.
     """
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_seconds)
-    return aiohttp.ClientSession(connector=connector, read_bufsize=READ_BUFFER_BYTES)
+    return _open(aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_seconds))
 
 
 def open_fresh() -> aiohttp.ClientSession:
@@ -83,5 +85,15 @@
     Returns:
         The session; the caller closes it.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    return aiohttp.ClientSession(connector=connector, read_bufsize=READ_BUFFER_BYTES)
+    return _open(aiohttp.TCPConnector(limit=0, force_close=True))
+
+
+def _open(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Open a session that passes headers and bodies through and keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        read_bufsize=READ_BUFFER_BYTES,
+        skip_auto_headers=ADDED_HEADERS,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
--- a/tests/transport/test_exchange.py
+++ b/tests/transport/test_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 from typing import TYPE_CHECKING
 
 import pytest
@@ -156,3 +157,19 @@
     assert isinstance(error, exchange.Unknown)
     assert error.cause is exchange.Cause.MALFORMED
     assert server.heads == []
+
+
+@pytest.mark.asyncio
+async def test_headers_and_bodies_pass_as_they_are_and_cookies_are_not_kept() -> None:
+    packed = gzip.compress(b"stock")
+    head = f"Content-Encoding: gzip\r\nSet-Cookie: a=b\r\nContent-Length: {len(packed)}\r\n\r\n"
+    server = RawServer([b"HTTP/1.1 200 OK\r\n" + head.encode() + packed] * 2)
+    async with raw_server(server) as address, sessions.open_pooled() as session:
+        request = exchange.Request("POST", f"http://{address}/x", b"", (("X-Note", "1"),))
+        for _ in range(2):
+            reply = (await exchange.exchange(session, request, timeout_seconds=5)).unwrap()
+            assert reply.body == packed
+            assert ("Content-Encoding", "gzip") in reply.headers
+    for sent in server.heads:
+        names = {line.split(b":")[0].lower() for line in sent.split(b"\r\n")[1:] if line}
+        assert names == {b"host", b"x-note", b"content-length"}
