--- a/src/dragonflycove/measure/main.py
+++ b/src/dragonflycove/measure/main.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-import sys
 from typing import TYPE_CHECKING
 
-from dragonflycove.measure import load, verdict
+from dragonflycove.measure import experiment_command, load, verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-EXIT_USAGE = 2
-"""Exit status for a faulty command line."""
-
 COMMANDS_BY_WORD: dict[str, Callable[[Sequence[str]], int]] = {
     "load": load.run,
     "verdict": verdict.run,
 }
-"""Commands by their first word."""
+"""Commands that talk to running processes; every other word names an experiment."""
 
 
 def run(argv: Sequence[str]) -> int:
@@ -31,5 +27,4 @@
     """
     if argv and argv[0] in COMMANDS_BY_WORD:
         return COMMANDS_BY_WORD[argv[0]](argv[1:])
-    print(f"usage: dragonflycove measure {'|'.join(COMMANDS_BY_WORD)} ...", file=sys.stderr)
-    return EXIT_USAGE
+    return experiment_command.run(argv)
