Give no share of a cold server that already runs its bound

Change: the limit of a cold server is zero at its bound, not only over it. Conclusion: streams of nodes without a share below the bound can still add up to more than the bound; that needs the owners' counts.

--- a/src/dragonflycove/shares/cold_start.py
+++ b/src/dragonflycove/shares/cold_start.py
@@ -224,7 +224,7 @@
         limit = self.limit(server_id, now)
         if self.is_warm(server_id, now):
             return limit.units
-        # What ran when it turned cold may still be more than it bears; that must drain first.
-        if self._warmth_by_server[server_id].running > limit.units:
+        # What runs there may belong to nodes without a share, from before it turned cold.
+        if self._warmth_by_server[server_id].running >= limit.units:
             return 0
         return shares.units(limit, now)
