Leave a stream that the caller may have taken elsewhere

Cause: a node whose caller went on at another node saw its engine connection end, resumed the stream and so took it back, and cancelled it at the end of the grace time, which cut the other node's request. Change: while the caller is away a broken connection is not resumed; if the caller returns it is, otherwise LeaveAttempt leaves the stream to reclaim, which gives it back only if this node still owns it. node.model_request_task carries it out.

--- a/src/dragonflycove/attempts/attempts.py
+++ b/src/dragonflycove/attempts/attempts.py
@@ -75,6 +75,8 @@
         """Frames out of sequence since the last new frame."""
         self.has_frames = False
         """Whether the engine ever gave a frame."""
+        self.is_lost = False
+        """Whether the connection ended while the caller was away."""
         self.break_reason: outcomes.Reason | None = None
         """Why the attempt was resumed since the last new frame."""
 
@@ -85,8 +87,10 @@
         self.has_frames = True
         self.break_reason = None
 
-    def cancel(self) -> effects.CancelAttempt:
-        """Return the effect that frees the attempt's stream."""
+    def cancel(self) -> effects.CancelAttempt | effects.LeaveAttempt:
+        """Return the effect that frees the attempt's stream, unless it may be another node's."""
+        if self.is_lost:
+            return effects.LeaveAttempt(self.attempt, self.server_id)
         return effects.CancelAttempt(self.attempt, self.server_id)
 
     @property
@@ -118,6 +122,7 @@
             The effect.
         """
         self.connection += 1
+        self.is_lost = False
         if reason is not None:
             self.resumes_without_progress += 1
             self.break_reason = reason
--- a/src/dragonflycove/attempts/delivery.py
+++ b/src/dragonflycove/attempts/delivery.py
@@ -52,6 +52,11 @@
         """Text of all the frames."""
         return "".join(self._tokens)
 
+    @property
+    def is_detached(self) -> bool:
+        """Whether the caller is away."""
+        return self.abandoned_at < math.inf
+
     @property
     def finished(self) -> bool:
         """Whether the last frame was taken in."""
@@ -99,7 +104,7 @@
 
     def _flush(self) -> list[effects.Effect]:
         """Return the frames that an attached caller lacks."""
-        if self.abandoned_at < math.inf:
+        if self.is_detached:
             return []
         result: list[effects.Effect] = []
         while self._emitted < len(self._tokens):
--- a/src/dragonflycove/attempts/effects.py
+++ b/src/dragonflycove/attempts/effects.py
@@ -79,6 +79,20 @@
     """Engine that runs it."""
 
 
+class LeaveAttempt(NamedTuple):
+    """Close the attempt's connections, but leave its stream to reclaim.
+
+    The caller went away and the engine's connection ended, so that another node may own the
+    stream by now; cancelling it would cut that node's request.
+    """
+
+    attempt: str
+    """Identifier of the attempt."""
+
+    server_id: str
+    """Engine that ran it."""
+
+
 class AskServer(NamedTuple):
     """Ask the dispatcher for a server again."""
 
@@ -122,5 +136,14 @@
     """What became of it."""
 
 
-Effect = StartAttempt | ResumeAttempt | CancelAttempt | AskServer | SuspectServer | Emit | Finish
+Effect = (
+    StartAttempt
+    | ResumeAttempt
+    | CancelAttempt
+    | LeaveAttempt
+    | AskServer
+    | SuspectServer
+    | Emit
+    | Finish
+)
 """Everything that the life of a request asks for."""
--- a/src/dragonflycove/attempts/model_life.py
+++ b/src/dragonflycove/attempts/model_life.py
@@ -42,8 +42,8 @@
         self._delivery = delivery.Delivery(delivered, caller_from_index, caller_grace_seconds)
         self._pair = attempts.AttemptPair()
         self._is_asking = True
-        is_new = not delivered and not caller_from_index
-        self._retries = retry_state.RetryState(outcomes.Ran.NOT_RUN if is_new else outcomes.Ran.RAN)
+        ran = outcomes.Ran.RAN if delivered or caller_from_index else outcomes.Ran.NOT_RUN
+        self._retries = retry_state.RetryState(ran)
 
     @property
     def retries_by_reason(self) -> collections.Counter[outcomes.Reason]:
@@ -173,6 +173,10 @@
         if connection is not None and connection != current.connection:
             return []
         reason = attempts.REASON_BY_KIND[kind]
+        if kind in attempts.RESUMABLE_KINDS and self._delivery.is_detached:
+            # The caller may have gone on at another node, which then owns the stream.
+            current.is_lost = True
+            return []
         if kind in attempts.RESUMABLE_KINDS and current.may_resume:
             return self._resume_after(current, reason)
         if kind in attempts.NOT_RUN_KINDS and current.connection == 0 and not current.has_frames:
@@ -216,8 +220,7 @@
         Returns:
             No effects.
         """
-        if not self.done:
-            self._delivery.detach(now)
+        self._delivery.detach(now)
         return []
 
     def on_caller_resumed(self, from_index: int, now: float) -> list[effects.Effect]:
@@ -235,8 +238,11 @@
         if not 0 <= from_index <= self._delivery.count:
             detail = f"frame {from_index} is outside the stream's {self._delivery.count} frames"
             return self._fail(outcomes.Reason.STREAM_GAP, detail)
-        result = self._delivery.attach(from_index)
-        return [*result, *self._finish_if_complete()]
+        result = [*self._delivery.attach(from_index), *self._finish_if_complete()]
+        current = self._pair.current
+        if current is not None and current.is_lost:
+            result.append(current.resume(self._delivery.count))
+        return result
 
     def on_preempted(self, now: float) -> list[effects.Effect]:
         """Free the engine at once and wait for a server again.
@@ -249,8 +255,7 @@
         """
         if self.done or self._pair.current is None or self._delivery.finished:
             return []
-        result = self._cancel_all()
-        return [*result, *self._ask(outcomes.Reason.PREEMPTED, now)]
+        return [*self._cancel_all(), *self._ask(outcomes.Reason.PREEMPTED, now)]
 
     def on_moved(self, reason: outcomes.Reason, now: float) -> list[effects.Effect]:
         """Ask for another server while the attempt at the leaving one goes on.
@@ -262,9 +267,9 @@
         Returns:
             The effects.
         """
-        if self.done or self._pair.current is None or self._is_asking or self._delivery.finished:
+        if self.done or self._is_asking or self._delivery.finished:
             return []
-        if self._pair.standby is not None:
+        if self._pair.current is None or self._pair.standby is not None:
             return []
         self._retries.exclude_broken(self._pair.current.server_id, now)
         return self._ask(reason, now)
@@ -279,10 +284,9 @@
         Returns:
             No effects while an attempt still runs, otherwise the end of the request.
         """
-        if self.done or not self._is_asking:
-            return []
+        was_asking = self._is_asking
         self._is_asking = False
-        if self._pair.current is not None:
+        if self.done or not was_asking or self._pair.current is not None:
             return []
         return self._fail(failed.reason, failed.detail, failed.retry_after_seconds)
 
@@ -295,9 +299,7 @@
         Returns:
             The effects.
         """
-        if self.done:
-            return []
-        return self._fail(outcomes.Reason.DEADLINE, "the deadline passed")
+        return [] if self.done else self._fail(outcomes.Reason.DEADLINE, "the deadline passed")
 
     def tick(self, now: float) -> list[effects.Effect]:
         """End the request if its deadline or the caller's grace time is over.
@@ -392,7 +394,7 @@
         self, reason: outcomes.Reason, detail: str, retry_after_seconds: float | None = None
     ) -> list[effects.Effect]:
         """End the request without its whole answer."""
-        cancels = self._cancel_all()
         self.done = True
+        cancels = self._cancel_all()
         failed = outcomes.Failed(reason, detail, self._retries.ran, retry_after_seconds)
         return [*cancels, effects.Finish(failed)]
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -364,6 +364,14 @@
         self._end_attempt(whole=False)
         self._context.cancel_attempt(effect.attempt, effect.server_id)
 
+    @_perform.register
+    def _perform_leave(self, effect: life_effects.LeaveAttempt) -> None:
+        reader = self._readers_by_attempt.pop(effect.attempt, None)
+        if reader is not None:
+            reader.cancel()
+        self._end_attempt(whole=False)
+        self._context.left_at_by_server[effect.server_id] = self._now()
+
     @_perform.register
     def _perform_ask(self, effect: life_effects.AskServer) -> None:
         if not self._prompt:
--- a/tests/attempts/test_life_interleavings.py
+++ b/tests/attempts/test_life_interleavings.py
@@ -80,7 +80,8 @@
                 self.streams[effect.attempt].engine = effect.server_id
             elif isinstance(effect, effects.ResumeAttempt):
                 self.resume(effect)
-            elif isinstance(effect, effects.CancelAttempt):
+            elif isinstance(effect, effects.CancelAttempt | effects.LeaveAttempt):
+                # What is left to reclaim is freed there.
                 self.streams.pop(effect.attempt, None)
             elif isinstance(effect, effects.AskServer):
                 assert not self.is_asked
--- a/tests/attempts/test_model_life.py
+++ b/tests/attempts/test_model_life.py
@@ -134,3 +134,16 @@
     ]
     emitted = feed(life, point.attempt, [0, 1, 2])
     assert emitted == [effects.Emit(2, "x", None)]
+
+
+@pytest.mark.parametrize("kind", [effects.BreakKind.SILENT, effects.BreakKind.CRASHED])
+def test_a_stream_that_a_caller_may_have_taken_elsewhere_is_neither_stolen_nor_cut(kind):
+    life, first = start()
+    feed(life, first.attempt, [0])
+    life.on_caller_gone(1.0)
+    assert life.on_broken(first.attempt, kind, 2.0) == []
+    assert life.tick(31.0)[0] == effects.LeaveAttempt(first.attempt, "e-1")
+    life, first = start()
+    life.on_caller_gone(1.0)
+    life.on_broken(first.attempt, kind, 2.0)
+    assert life.on_caller_resumed(0, 3.0) == [effects.ResumeAttempt(first.attempt, "e-1", 0, 1)]
--- a/tests/soak/soak_node.py
+++ b/tests/soak/soak_node.py
@@ -320,6 +320,9 @@
                     sink(("broken", "unreachable"))
             elif isinstance(effect, life_effects.CancelAttempt):
                 self.cancel(effect)
+            elif isinstance(effect, life_effects.LeaveAttempt):
+                kept = self.connections.items()
+                self.connections = {k: c for k, c in kept if k[1] != effect.attempt}
             elif isinstance(effect, life_effects.AskServer):
                 self.ask_again(request_id, effect, now)
             elif isinstance(effect, life_effects.SuspectServer):
