Test the lease and reclaim tasks on the paused clock

Cause: both tasks had no test. Change: two nodes compete for the lease and order one engine, which checks numbers or does not; a wrong state is put right; a dead node's stream and an orphan are given back, a live node's and a known one are not.

--- /dev/null
+++ b/tests/node/test_engine_care_tasks.py
@@ -0,0 +1,140 @@
+"""Tests of the lease and reclaim tasks on the paused clock, with engines in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+import result
+from test_claim_task import MemoryLog
+
+from dragonflycove.backends import engine_values
+from dragonflycove.configuration import schema
+from dragonflycove.leases import lease_table
+from dragonflycove.node import lease_task, reclaim_task
+from dragonflycove.reclaim import reclaimer
+from dragonflycove.values import identifiers
+
+HOSTS = frozenset({"quito-1", "quito-2"})
+RULES = lease_table.LeaseRules(15.0, 4.0, 1.0, 3.0, 20.0, 2.0)
+
+
+def make_configuration(checks_fencing=True):
+    """Return a configuration of one engine."""
+    server = schema.Server(
+        "e-1", "answers", "z", "127.0.0.1:1", ("m",), 9, 1.0, 2, 1, 1, checks_fencing, False
+    )
+    service = schema.Service("answers", schema.ServiceKind.MODEL, (), ("m",), ())
+    return schema.EMPTY._replace(
+        version=1, services_by_name={"answers": service}, servers_by_id={"e-1": server}
+    )
+
+
+class MemoryEngine:
+    """An engine client of one engine that books its orders and holds streams."""
+
+    def __init__(self):
+        self.state = engine_values.EngineState(0, ("old",), (), {}, "")
+        self.orders = []
+        self.streams_by_attempt = {}
+
+    async def get_state(self, address, timeout_seconds):
+        return result.Ok(self.state)
+
+    async def load(self, address, timeout_seconds):
+        return result.Ok(engine_values.EngineLoad(0.0, "s", 0, 0, {}, {}, 0, 9, 0, ()))
+
+    async def put_state(self, address, state, timeout_seconds):
+        self.orders.append((asyncio.get_running_loop().time(), state))
+        self.state = state
+        return result.Ok(None)
+
+    async def streams(self, address, timeout_seconds):
+        entries = [
+            engine_values.StreamEntry(attempt, owner, 1, "decode")
+            for attempt, owner in self.streams_by_attempt.items()
+        ]
+        return result.Ok(engine_values.EngineStreams("s", tuple(entries), (), ()))
+
+    async def cancel(self, address, attempt, timeout_seconds):
+        self.streams_by_attempt.pop(attempt, None)
+        return result.Ok(None)
+
+
+class StampedLog(MemoryLog):
+    """A log whose records carry the loop's time."""
+
+    def __init__(self):
+        super().__init__()
+        self.times = []
+
+    async def append(self, stream, records, timeout_seconds):
+        answer = await super().append(stream, records, timeout_seconds)
+        now = asyncio.get_running_loop().time()
+        self.times += [now] * (len(self.records) - len(self.times))
+        return answer
+
+    async def read(self, stream, from_offset, limit, wait_seconds, timeout_seconds):
+        answer = await super().read(stream, from_offset, limit, wait_seconds, timeout_seconds)
+        return answer.map(
+            lambda page: page._replace(
+                records=tuple(r._replace(appended_at=self.times[r.offset]) for r in page.records)
+            )
+        )
+
+
+def start_leases(name, log, engine, configuration):
+    """Return a lease task that runs."""
+    identity = identifiers.NodeIdentity(name, "1")
+    rng = random.Random(name)
+    task = lease_task.LeaseTask(
+        log, engine, identity, rng, lambda: configuration, lambda: {}, RULES, 1.0
+    )
+    task.on_hosts(HOSTS)
+    return asyncio.create_task(task.run())
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+@pytest.mark.parametrize(("checks_fencing", "earliest"), [(True, 15.0), (False, 35.0)])
+async def test_one_holder_orders_the_wanted_state_after_the_margin(checks_fencing, earliest):
+    log, engine = StampedLog(), MemoryEngine()
+    configuration = make_configuration(checks_fencing)
+    running = [start_leases(name, log, engine, configuration) for name in sorted(HOSTS)]
+    await asyncio.sleep(60.0)
+    assert [state.models for _, state in engine.orders] == [("m",)]
+    assert engine.orders[0][0] >= earliest
+    engine.state = engine.state._replace(models=("wrong",))
+    await asyncio.sleep(30.0)
+    assert engine.state.models == ("m",)
+    for task in running:
+        task.cancel()
+
+
+@pytest.mark.asyncio
+@pytest.mark.looptime
+async def test_what_a_dead_node_left_is_given_back_and_a_live_ones_is_not():
+    engine = MemoryEngine()
+    engine.streams_by_attempt = {"a-1": "quito-2/1", "a-2": "quito-1/1", "a-3": "quito-1/1"}
+    identity = identifiers.NodeIdentity("quito-1", "1")
+    task = reclaim_task.ReclaimTask(
+        engine,
+        identity,
+        make_configuration,
+        lambda: frozenset({"a-2"}),
+        frozenset,
+        reclaimer.ReclaimRules.from_config(3.0, 5.0),
+    )
+    running = asyncio.create_task(task.run())
+    for _ in range(20):
+        task.on_hosts(HOSTS)
+        task.on_host_heard(identifiers.NodeIdentity("quito-2", "1"))
+        await asyncio.sleep(1.0)
+    assert set(engine.streams_by_attempt) == {"a-1", "a-2"}
+    for _ in range(9):
+        task.on_hosts(frozenset({"quito-1"}))
+        await asyncio.sleep(1.0)
+    assert set(engine.streams_by_attempt) == {"a-2"}
+    assert task.given_back == 2
+    running.cancel()
