--- a/src/dragonflycove/cli/config_commands.py
+++ b/src/dragonflycove/cli/config_commands.py
@@ -8,17 +8,28 @@
 import sys
 from typing import TYPE_CHECKING, NamedTuple
 
+import msgspec
 import result
 
 from dragonflycove.cli import command_line, connections, exit_codes, publications
-from dragonflycove.configuration import base_lines, records, text
+from dragonflycove.configuration import base_lines, edits, records, text
 from dragonflycove.operators import publishing
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from dragonflycove.configuration import acceptance
     from dragonflycove.platform import log_client
 
+WHOLE_TEXT_CHARACTERS = 16_384
+"""Longest text that is always sent whole, characters."""
+
+WORTHWHILE_FRACTION = 0.25
+"""Part of a text's length that an edit may take to be sent in its place."""
+
+MAX_EDITS_BEFORE_WHOLE = 128
+"""Edits after a whole text at which the next one is sent, well before readers insist on it."""
+
 CHECK = command_line.Command(
     "config check", "Checks a text and names all its faults; nothing is sent.", ("FILE",)
 )
@@ -133,13 +144,32 @@
             exit_codes.ExitCode.USAGE,
         )
     operation_id = edit.operation_id or publisher.new_operation_id()
-    proposal = records.TextProposed(operation_id, base or 0, edit.author, edit.text)
+    proposal = _propose(edit._replace(operation_id=operation_id), base or 0, caught_up.ok_value)
     if proposal.base_version != version and not edit.operation_id:
         return publications.report_outdated(proposal, caught_up.ok_value)
     published = await publisher.publish(proposal)
     return publications.report(published, is_retry=bool(edit.operation_id))
 
 
+def _propose(
+    edit: Edit, base_version: int, state: acceptance.AcceptanceState
+) -> records.TextProposed | records.TextEdited:
+    """Return the record to send: the difference, where it is much smaller than a long text."""
+    whole = records.TextProposed(edit.operation_id, base_version, edit.author, edit.text)
+    snapshot = state.snapshot
+    is_short = len(edit.text) <= WHOLE_TEXT_CHARACTERS
+    if is_short or base_version != snapshot.version or not base_version:
+        return whole
+    if len(snapshot.edits) >= MAX_EDITS_BEFORE_WHOLE:
+        return whole
+    difference = edits.make_edit(edits.show_text(snapshot), edit.text)
+    if difference is None:
+        return whole
+    small = records.TextEdited(edit.operation_id, base_version, edit.author, difference)
+    size = len(msgspec.json.encode(records.to_value(small)))
+    return small if size < len(edit.text) * WORTHWHILE_FRACTION else whole
+
+
 def run_with_log(
     command: command_line.Command,
     arguments: command_line.Arguments,
--- a/src/dragonflycove/cli/inspect_commands.py
+++ b/src/dragonflycove/cli/inspect_commands.py
@@ -14,7 +14,7 @@
 from rich import table as rich_table
 
 from dragonflycove.cli import command_line, config_commands, connections, exit_codes
-from dragonflycove.configuration import base_lines
+from dragonflycove.configuration import base_lines, edits
 from dragonflycove.operators import log_reading
 
 if TYPE_CHECKING:
@@ -118,10 +118,11 @@
     if isinstance(read, result.Err):
         return read.err_value
     wanted = reader.state.snapshot.version if version < 0 else version
-    if wanted not in reader.texts_by_version:
+    if wanted not in reader.snapshots_by_version:
         reason = f"version {wanted} is not in what the log retains"
         return command_line.fail(reason, exit_codes.ExitCode.FAILED)
-    sys.stdout.write(base_lines.add(reader.texts_by_version[wanted], wanted))
+    text = edits.show_text(reader.snapshots_by_version[wanted])
+    sys.stdout.write(base_lines.add(text, wanted))
     return exit_codes.ExitCode.OK
 
 
@@ -142,7 +143,7 @@
         return read.err_value
     snapshot = reader.state.snapshot
     lines = difflib.unified_diff(
-        snapshot.text.splitlines(keepends=True),
+        edits.show_text(snapshot).splitlines(keepends=True),
         text.splitlines(keepends=True),
         f"version {snapshot.version}",
         path,
--- a/src/dragonflycove/cli/publications.py
+++ b/src/dragonflycove/cli/publications.py
@@ -48,7 +48,7 @@
 
 
 def report_outdated(
-    proposal: records.TextProposed, state: acceptance.AcceptanceState
+    proposal: records.TextProposed | records.TextEdited, state: acceptance.AcceptanceState
 ) -> exit_codes.ExitCode:
     """Print that a text was edited from a version that is not in force.
 
--- a/src/dragonflycove/configuration/_rules.py
+++ b/src/dragonflycove/configuration/_rules.py
@@ -7,17 +7,22 @@
 
 import result
 
-from dragonflycove.configuration import records, text, verdicts
+from dragonflycove.configuration import edits, records, text, verdicts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dragonflycove.configuration import faults
+
 FIRST_RULE = 1
 """Version of the rule that an empty log begins with."""
 
 MAX_OUTCOMES = 1024
 """Most outcomes of operations that are remembered."""
 
+MAX_EDITS = 256
+"""Most edits between two whole texts."""
+
 MAX_FAULTS_TOLD = 5
 """Most faults named in the outcome of a rejected text."""
 
@@ -96,12 +101,29 @@
         return _tell_lost_race(proposal.base_version, snapshot)
     checked = text.parse(proposal.text)
     if isinstance(checked, result.Err):
-        told = "; ".join(str(fault) for fault in checked.err_value[:MAX_FAULTS_TOLD])
-        return f"{len(checked.err_value)} faults: {told}"
-    changed = snapshot._replace(version=snapshot.version + 1, text=proposal.text)
+        return _tell_faults(checked.err_value)
+    changed = snapshot._replace(version=snapshot.version + 1, text=proposal.text, edits=())
     return _Change(changed, checked.ok_value, "text")
 
 
+@_judge.register
+def _(
+    proposal: records.TextEdited, snapshot: records.Snapshot, parsed: text.ParsedText
+) -> _Change | str:
+    if proposal.base_version != snapshot.version:
+        return _tell_lost_race(proposal.base_version, snapshot)
+    if not snapshot.version:
+        return "there is no text to edit; send a whole text"
+    if len(snapshot.edits) >= MAX_EDITS:
+        return f"{MAX_EDITS} edits since the last whole text; send the whole text"
+    checked = edits.apply_changes(parsed, proposal.edit.changes)
+    if isinstance(checked, result.Err):
+        return _tell_faults(checked.err_value)
+    edited = (*snapshot.edits, proposal.edit)
+    changed = snapshot._replace(version=snapshot.version + 1, edits=edited)
+    return _Change(changed, checked.ok_value, f"text, {len(proposal.edit.changes)} entries")
+
+
 @_judge.register
 def _(
     proposal: records.ZoneChanged, snapshot: records.Snapshot, parsed: text.ParsedText
@@ -129,6 +151,11 @@
     return _Change(changed, parsed, f"rule {proposal.rule}")
 
 
+def _tell_faults(found: list[faults.Fault]) -> str:
+    told = "; ".join(str(fault) for fault in found[:MAX_FAULTS_TOLD])
+    return f"{len(found)} faults: {told}"
+
+
 def _tell_lost_race(base_version: int, snapshot: records.Snapshot) -> str:
     reason = f"edited from version {base_version}, but version {snapshot.version} is in force"
     for outcome in snapshot.outcomes:
--- a/src/dragonflycove/configuration/acceptance.py
+++ b/src/dragonflycove/configuration/acceptance.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import functools
 from typing import NamedTuple
 
 import result
 
-from dragonflycove.configuration import _rules, records, schema, text, verdicts
+from dragonflycove.configuration import _rules, edits, records, schema, text, verdicts
 
 MAX_WAITING_RECORDS = 4096
 """Most records kept while waiting for a restatement."""
@@ -73,9 +74,8 @@
     Returns:
         The state.
     """
-    snapshot = records.Snapshot(_rules.FIRST_RULE, 0, 0, "", (), (), -1)
-    parsed = text.ParsedText({}, (), {}, {})
-    state = AcceptanceState(snapshot, schema.EMPTY, parsed, 0, True, (), 0)
+    snapshot = records.Snapshot(_rules.FIRST_RULE, 0, 0, "", (), (), (), -1)
+    state = AcceptanceState(snapshot, schema.EMPTY, text.NOTHING, 0, True, (), 0)
     return skip_expired(state, first_retained)
 
 
@@ -200,7 +200,10 @@
 
 
 def _parse_text_of(state: AcceptanceState, snapshot: records.Snapshot) -> text.ParsedText | None:
-    if snapshot.text == state.snapshot.text:
+    current = state.snapshot
+    if (snapshot.text, snapshot.edits) == (current.text, current.edits):
         return state.parsed
-    parsed = text.parse(snapshot.text)
+    parsed = text.parse(snapshot.text) if snapshot.version else result.Ok(text.NOTHING)
+    for edit in snapshot.edits:
+        parsed = parsed.and_then(functools.partial(edits.apply_changes, changes=edit.changes))
     return parsed.ok_value if isinstance(parsed, result.Ok) else None
--- a/src/dragonflycove/configuration/records.py
+++ b/src/dragonflycove/configuration/records.py
@@ -26,6 +26,58 @@
     """JSON with comments."""
 
 
+class EntryChange(NamedTuple):
+    """One entry of a text that is added, replaced or removed."""
+
+    section: str
+    """`servers` or `organisations`."""
+
+    name: str
+    """Name of the entry."""
+
+    value: dict[str, Any] | None
+    """The entry as the text gives it; `None` removes it."""
+
+
+class LineEdit(NamedTuple):
+    """Lines of a text that are replaced."""
+
+    start: int
+    """Number of the first line, from zero, in the text before any edit."""
+
+    deleted: int
+    """How many lines go."""
+
+    lines: tuple[str, ...]
+    """The lines that come, line ends included."""
+
+
+class TextEdit(NamedTuple):
+    """The difference between two texts."""
+
+    changes: tuple[EntryChange, ...]
+    """What changes in the configuration."""
+
+    line_edits: tuple[LineEdit, ...]
+    """What changes in the text that is shown, in ascending order."""
+
+
+class TextEdited(NamedTuple):
+    """An operator proposes a change to the text in force."""
+
+    operation_id: str
+    """Identifier made before the first try; a repeat carries the same."""
+
+    base_version: int
+    """Version that the text was edited from."""
+
+    author: str
+    """Who proposes it."""
+
+    edit: TextEdit
+    """The change."""
+
+
 class ZoneChanged(NamedTuple):
     """An operator takes an availability zone out or brings it back."""
 
@@ -93,7 +145,10 @@
     """Version in force; 0 before the first."""
 
     text: str
-    """Text in force; empty before the first."""
+    """The last whole text; empty before the first."""
+
+    edits: tuple[TextEdit, ...]
+    """The edits since that text, the oldest first."""
 
     zones_out: tuple[str, ...]
     """Names of the availability zones taken out, sorted."""
@@ -115,7 +170,7 @@
     """What is repeated."""
 
 
-Proposal = TextProposed | ZoneChanged | RuleRaised
+Proposal = TextProposed | TextEdited | ZoneChanged | RuleRaised
 """Records that may change the configuration."""
 
 Record = Proposal | Restated
@@ -123,6 +178,7 @@
 
 _KIND_BY_TYPE: dict[type[Record], str] = {
     TextProposed: "text",
+    TextEdited: "edit",
     ZoneChanged: "zone",
     RuleRaised: "rule",
     Restated: "restated",
@@ -144,7 +200,7 @@
     if isinstance(record, Restated):
         snapshot = snapshot_to_value(record.snapshot)
         return {"kind": kind, "operation_id": record.operation_id, "snapshot": snapshot}
-    return {"kind": kind, **record._asdict()}
+    return {"kind": kind, **msgspec.to_builtins(record._asdict())}
 
 
 def from_value(value: object) -> Record | None:
--- a/src/dragonflycove/operators/app.py
+++ b/src/dragonflycove/operators/app.py
@@ -6,6 +6,7 @@
 
 from starlette import responses, routing
 
+from dragonflycove.configuration import edits
 from dragonflycove.operators import status
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
             "anchored": state.anchored,
             "ignored_records": state.ignored_records,
             "zones_out": list(snapshot.zones_out),
-            "text": snapshot.text,
+            "text": edits.show_text(snapshot),
             "operations": [outcome._asdict() for outcome in snapshot.outcomes],
         }
         return responses.JSONResponse(fields)
--- a/src/dragonflycove/operators/log_reading.py
+++ b/src/dragonflycove/operators/log_reading.py
@@ -65,8 +65,8 @@
         self._keep_versions = keep_versions
         self.state = acceptance.begin()
         """The state after the records that were read."""
-        self.texts_by_version: dict[int, str] = {}
-        """Texts of the versions that were passed, if they are kept."""
+        self.snapshots_by_version: dict[int, records.Snapshot] = {}
+        """Snapshots of the versions that were passed, if they are kept."""
         self.appended_at_by_offset: dict[int, float] = {}
         """When the log took the records, Unix seconds, if versions are kept."""
 
@@ -103,5 +103,5 @@
             self.state = acceptance.apply(self.state, entry.offset, record).state
             if self._keep_versions:
                 snapshot = self.state.snapshot
-                self.texts_by_version[snapshot.version] = snapshot.text
+                self.snapshots_by_version[snapshot.version] = snapshot
                 self.appended_at_by_offset[entry.offset] = entry.appended_at
--- a/tests/cli/test_publish_messages.py
+++ b/tests/cli/test_publish_messages.py
@@ -157,3 +157,21 @@
     code = await config_commands.publish(make_publisher(log), edit(1))
     assert code == exit_codes.ExitCode.NOT_SENT
     assert "no node has restated" in capsys.readouterr().err
+
+
+async def test_long_text_is_sent_as_an_edit(
+    log: fake_log.FakeLog, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Of a long text only the difference goes into the log, and it is accepted as the whole is."""
+    publisher = make_publisher(log)
+    document = {"zones": ["cayambe"], "organisations": {f"o{index}": {} for index in range(3000)}}
+    whole = config_commands.Edit(json.dumps(document, indent=1), 1, "ana", "")
+    assert await config_commands.publish(publisher, whole) == exit_codes.ExitCode.OK
+    document["organisations"]["o7"] = {"weight": 3}
+    changed = whole._replace(text=json.dumps(document, indent=1), base_version=2)
+    assert await config_commands.publish(publisher, changed) == exit_codes.ExitCode.OK
+    assert [type(record) for record in log.read_back()[1:]] == [
+        records.TextProposed,
+        records.TextEdited,
+    ]
+    assert "accepted as version 3: text, 1 entries" in capsys.readouterr().out
--- a/tests/configuration/test_acceptance.py
+++ b/tests/configuration/test_acceptance.py
@@ -47,13 +47,13 @@
     """What the records since offset 0 say, worked out in the plainest way."""
 
     version: int
-    text: str
+    organisations: frozenset[str]
     zones_out: frozenset[str]
 
     @classmethod
     def from_log(cls, log: list[records.Record | None]) -> Oracle:
         """Work out the state after all records ever appended."""
-        version, text, zones_out = 0, "", set[str]()
+        version, organisations, zones_out = 0, set[str](), set[str]()
         seen: set[str] = set()
         for record in log:
             if record is None or isinstance(record, records.Restated):
@@ -63,11 +63,20 @@
             seen.add(record.operation_id)
             if isinstance(record, records.TextProposed):
                 if record.base_version == version and record.text != make_text("bad"):
-                    version, text = version + 1, record.text
-            elif text and record.zone in ZONES and (record.zone in zones_out) != record.out:
+                    version, organisations = version + 1, set(
+                        json.loads(record.text)["organisations"]
+                    )
+            elif isinstance(record, records.TextEdited):
+                change = record.edit.changes[0]
+                is_possible = change.value is not None or change.name in organisations
+                if version and record.base_version == version and is_possible:
+                    version += 1
+                    organisations ^= {change.name} & organisations
+                    organisations |= {change.name} if change.value is not None else set()
+            elif version and record.zone in ZONES and (record.zone in zones_out) != record.out:
                 version += 1
                 zones_out ^= {record.zone}
-        return cls(version, text, frozenset(zones_out))
+        return cls(version, frozenset(organisations), frozenset(zones_out))
 
 
 class Readers(stateful.RuleBasedStateMachine):
@@ -93,6 +102,15 @@
         self.sent.append(propose(f"op-{len(self.sent)}", base, name))
         self.append(self.sent[-1])
 
+    @stateful.rule(name=st.sampled_from(["a", "b", "c"]), removes=st.booleans())
+    def publish_edit(self, name: str, removes: bool) -> None:
+        """An operator changes one entry of the text in force."""
+        base = Oracle.from_log(self.log).version
+        change = records.EntryChange("organisations", name, None if removes else {})
+        edit = records.TextEdit((change,), ())
+        self.sent.append(records.TextEdited(f"op-{len(self.sent)}", base, "sisa", edit))
+        self.append(self.sent[-1])
+
     @stateful.rule(zone=st.sampled_from([*ZONES, "unknown"]), out=st.booleans())
     def change_zone(self, zone: str, out: bool) -> None:
         """An operator takes a zone out or brings it back."""
@@ -177,7 +195,8 @@
             self.advance(index, len(self.log))
             state = self.readers[index]
             assert state.anchored
-            assert (state.snapshot.version, state.snapshot.text) == (oracle.version, oracle.text)
+            assert state.snapshot.version == oracle.version
+            assert state.configuration.organisations_by_name.keys() == oracle.organisations
             assert state.configuration.zones_out == oracle.zones_out
             assert state.configuration.version == oracle.version
 
--- /dev/null
+++ b/tests/configuration/test_edits.py
@@ -0,0 +1,88 @@
+"""Tests of edits: what a publisher sends of a long text, and what readers make of it."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from dragonflycove.configuration import acceptance, edits, records, text, verdicts
+
+SERVER = {"service": "stock", "zone": "cayambe", "address": "127.0.0.1:1"}
+
+DOCUMENT: dict[str, Any] = {
+    "services": {"stock": {"kind": "plain"}},
+    "zones": ["cayambe"],
+    "servers": {"s1": SERVER, "s2": {**SERVER, "address": "127.0.0.1:2"}},
+    "organisations": {"herders": {"weight": 2}, "shop": {}},
+}
+
+WHOLE = "// by hand\n" + json.dumps(DOCUMENT, indent=1)
+
+
+def change_document(data: st.DataObject) -> dict[str, Any]:
+    """Draw a text that differs in a few entries."""
+    document = copy.deepcopy(DOCUMENT)
+    for _ in range(data.draw(st.integers(0, 3))):
+        section = data.draw(st.sampled_from(["servers", "organisations", "services"]))
+        name = data.draw(st.sampled_from(["s1", "s2", "s3", "herders", "shop", "stock"]))
+        if data.draw(st.booleans()):
+            document[section].pop(name, None)
+        elif section == "servers":
+            address = f"127.0.0.1:{data.draw(st.integers(1, 4))}"
+            document[section][name] = {**SERVER, "address": address}
+        elif section == "organisations":
+            document[section][name] = {"weight": data.draw(st.integers(1, 3))}
+    return document
+
+
+@hypothesis.given(st.data())
+def test_edit_says_the_same_as_the_whole_text(data: st.DataObject) -> None:
+    """A reader of the edit has the configuration and the text of a reader of the whole."""
+    new = "// by hand\n" + json.dumps(change_document(data), indent=1)
+    if text.parse(new).is_err():
+        return
+    edit = edits.make_edit(WHOLE, new)
+    if edit is None:
+        assert json.loads(new.split("\n", 1)[1])["services"] != DOCUMENT["services"]
+        return
+    log = [
+        records.TextProposed("op-0", 0, "ana", WHOLE),
+        records.TextEdited("op-1", 1, "ana", edit),
+    ]
+    state = acceptance.begin()
+    for offset, record in enumerate(log):
+        value = json.loads(json.dumps(records.to_value(record)))
+        state = acceptance.apply(state, offset, records.from_value(value)).state
+    assert state.parsed == text.parse(new).unwrap()
+    assert edits.show_text(state.snapshot) == new
+    adopted = acceptance.adopt(acceptance.begin(), state.snapshot).state
+    assert adopted.configuration == state.configuration
+
+
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        (records.EntryChange("zones", "x", {}), "send the whole text"),
+        (records.EntryChange("servers", "s9", None), "not there to be removed"),
+        (records.EntryChange("servers", "s9", {"zone": "cayambe"}), "servers.s9.service: missing"),
+        (records.EntryChange("servers", "s9", {**SERVER, "zone": "no"}), "unknown zone 'no'"),
+        (records.EntryChange("servers", "s9", SERVER), "duplicate address"),
+        (records.EntryChange("organisations", "new", {"weight": 0}), "> 0.0"),
+        (records.EntryChange("organisations", "a b", {}), "not a name"),
+    ],
+)
+def test_faulty_edits_are_rejected(change: records.EntryChange, words: str) -> None:
+    """An edit is checked as the whole text would be."""
+    state = acceptance.apply(
+        acceptance.begin(), 0, records.TextProposed("op-0", 0, "ana", WHOLE)
+    ).state
+    edited = records.TextEdited("op-1", 1, "ana", records.TextEdit((change,), ()))
+    applied = acceptance.apply(state, 1, edited)
+    assert isinstance(applied.verdict, verdicts.Rejected)
+    assert words in applied.verdict.outcome.detail
+    assert applied.state.configuration == state.configuration
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -49,6 +49,7 @@
         self.loss = loss
         self.now = 0.0
         self.cut: set[str] = set()
+        self.broken_pairs: set[frozenset[str]] = set()
         self.hosts = [membership.HostEntry(f"h{index}", False) for index in range(nodes)]
         self.members = {host.name: self.start(host.name, 1.0) for host in self.hosts}
 
@@ -78,6 +79,8 @@
     def passes(self, sender: str, receiver: str) -> bool:
         """Tell whether a message arrives."""
         is_cut = (sender in self.cut) != (receiver in self.cut)
+        if frozenset({sender, receiver}) in self.broken_pairs:
+            return False
         return receiver in self.members and not is_cut and self.rng.random() >= self.loss
 
     def deliver(self, sender: str, sent: effects.Send) -> list[effects.Effect]:
@@ -113,6 +116,27 @@
         assert net.health_of(host.name) <= {digests.Health.ALIVE}
 
 
+def test_death_is_known_soon_among_many() -> None:
+    """Old signs of life that still spread do not hide a death."""
+    net = Net(60)
+    net.run(40.0)
+    del net.members["h0"]
+    # 1 s to the next probe, 1.5 s without an answer, 4 s of suspicion, and a second for each
+    # doubling of those who know.
+    net.run(1.0 + 1.5 + 4.0 + 6.0)
+    assert net.health_of("h0") == {digests.Health.SILENT}
+
+
+def test_broken_path_between_two_raises_no_suspicion() -> None:
+    """Two nodes that can't reach each other probe through the others."""
+    net = Net(7)
+    net.broken_pairs = {frozenset({"h0", "h1"})}
+    for _ in range(60):
+        net.run(1.0)
+        for host in ("h0", "h1"):
+            assert net.health_of(host) <= {digests.Health.ALIVE}
+
+
 def test_restart_is_a_new_incarnation() -> None:
     """A host that starts again is alive under its new incarnation."""
     net = Net(7)
