--- a/src/dragonflycove/membership/membership.py
+++ b/src/dragonflycove/membership/membership.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import collections
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.membership import digests, dissemination, effects
@@ -28,8 +27,8 @@
 HELPERS = 2
 """Hosts that are asked to probe one that did not answer."""
 
-RECENT_PROBES = 8
-"""Probes from which the part of the hosts that can be reached is estimated."""
+MAX_PROBED_HOSTS = 16
+"""Hosts probed last from which the part of those that can be reached is told."""
 
 MAX_HELPING = 64
 """Most probes for others that are kept track of."""
@@ -87,7 +86,7 @@
         self._next_probe_at = float("-inf")
         self._pending_by_id: dict[int, _Pending] = {}
         self._helping_by_id: dict[int, _Helping] = {}
-        self._recent_answers: collections.deque[bool] = collections.deque(maxlen=RECENT_PROBES)
+        self._answered_by_host: dict[str, bool] = {}
 
     @property
     def own(self) -> digests.Digest:
@@ -120,14 +119,14 @@
         return self._heard_at_by_host.get(host)
 
     def answered_fraction(self) -> float:
-        """Return the part of the latest probes that were answered, directly or through others.
+        """Return the part of the hosts probed last that answered, directly or through others.
 
-        The targets take turns, so that it estimates the part of the hosts that can be reached.
+        The targets take turns, so that it is exact for few hosts, and an estimate for many.
 
         Returns:
             A number from 0 to 1; 1 before the first probe.
         """
-        recent = self._recent_answers
+        recent = self._answered_by_host.values()
         return sum(recent) / len(recent) if recent else 1.0
 
     def on_hosts(self, hosts: Iterable[HostEntry]) -> list[effects.Effect]:
@@ -146,6 +145,8 @@
             self._heard_at_by_host.pop(host, None)
             self._suspected_at_by_host.pop(host, None)
             self._dissemination.drop(host)
+        for host in self._answered_by_host.keys() - self._hosts_by_name.keys():
+            del self._answered_by_host[host]
         return [effects.MemberGone(host) for host in gone]
 
     def set_own(self, version: int, leaving: bool) -> None:
@@ -213,7 +214,7 @@
         found = self._take(answer.digests, now)
         pending = self._pending_by_id.pop(answer.probe_id, None)
         if pending is not None and pending.host == answer.target:
-            self._recent_answers.append(True)
+            self._note_answer(pending.host, answered=True)
             self._heard_at_by_host[pending.host] = now
         helping = self._helping_by_id.pop(answer.probe_id, None)
         if helping is not None:
@@ -267,7 +268,7 @@
         waited = now - pending.sent_at
         if waited >= PERIOD_SECONDS + ANSWER_SECONDS:
             del self._pending_by_id[probe_id]
-            self._recent_answers.append(False)
+            self._note_answer(pending.host, answered=False)
             return self._suspect(pending.host, now)
         if waited < ANSWER_SECONDS or pending.asked_others:
             return []
@@ -277,6 +278,13 @@
         request = digests.ProbeRequested(probe_id, pending.host)
         return [effects.Send(helper, request) for helper in chosen]
 
+    def _note_answer(self, host: str, *, answered: bool) -> None:
+        self._answered_by_host.pop(host, None)
+        if host in self._hosts_by_name:
+            self._answered_by_host[host] = answered
+        if len(self._answered_by_host) > MAX_PROBED_HOSTS:
+            del self._answered_by_host[next(iter(self._answered_by_host))]
+
     def _suspect(self, host: str, now: float) -> list[effects.Effect]:
         known = self._digests_by_host.get(host)
         if known is None or known.health is not digests.Health.ALIVE:
--- a/src/dragonflycove/peering/measurement.py
+++ b/src/dragonflycove/peering/measurement.py
@@ -5,12 +5,15 @@
 import collections
 import random
 import time
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.membership import digests, effects, membership
 from dragonflycove.peering import codec, messages
 from dragonflycove.values import identifiers
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 TICK_SECONDS = 0.25
 """Step of the simulated clock, seconds."""
 
@@ -43,12 +46,14 @@
     """Pairs of live nodes of which one took the other for silent, at the end."""
 
 
-class _Fleet:
+class Fleet:
     """Nodes that exchange encoded frames without delay."""
 
     def __init__(self, nodes: int, seed: int) -> None:
         self._registry = codec.new_registry()
         self._members: dict[str, membership.Membership] = {}
+        self.cut_off: set[str] = set()
+        self.on_frame: Callable[[str, str], None] = _ignore_frame
         self.frames = 0
         self.sent_bytes = 0
         hosts = [membership.HostEntry(f"host-{index:03d}", False) for index in range(nodes)]
@@ -67,6 +72,11 @@
             sender, sent = queue.popleft()
             self._deliver(sender, sent, now, queue)
 
+    @property
+    def members(self) -> dict[str, membership.Membership]:
+        """The nodes by host."""
+        return self._members
+
     def kill(self, host: str) -> None:
         """Take a node away."""
         del self._members[host]
@@ -99,6 +109,9 @@
         frame = self._registry.decode(data)
         if receiver is None or not isinstance(frame, messages.Frame):
             return
+        if (sender in self.cut_off) != (sent.host in self.cut_off):
+            return
+        self.on_frame(sender, sent.host)
         queue.extend(_sends(sent.host, _receive(receiver, sender, frame.message, now)))
 
 
@@ -113,7 +126,7 @@
     Returns:
         The cost of one node, and the time until all knew of the death.
     """
-    fleet = _Fleet(nodes, seed)
+    fleet = Fleet(nodes, seed)
     now = 0.0
     began = time.process_time()
     while now < seconds:
@@ -135,7 +148,11 @@
     )
 
 
-def _time_detection(fleet: _Fleet, now: float) -> float:
+def _ignore_frame(sender: str, receiver: str) -> None:
+    """Take no note of a frame."""
+
+
+def _time_detection(fleet: Fleet, now: float) -> float:
     fleet.kill("host-000")
     died_at = now
     while now < died_at + 120.0:
