--- a/src/dragonflycove/cli/inspect_commands.py
+++ b/src/dragonflycove/cli/inspect_commands.py
@@ -10,10 +10,9 @@
 from typing import TYPE_CHECKING
 
 import result
-from rich import console as rich_console
 from rich import table as rich_table
 
-from dragonflycove.cli import command_line, config_commands, connections, exit_codes
+from dragonflycove.cli import command_line, config_commands, connections, consoles, exit_codes
 from dragonflycove.configuration import base_lines, edits
 from dragonflycove.operators import log_reading
 
@@ -174,7 +173,7 @@
         ]
         print(json.dumps(rows))
     else:
-        rich_console.Console().print(_tabulate(outcomes, times))
+        consoles.open_console().print(_tabulate(outcomes, times))
     return exit_codes.ExitCode.OK
 
 
--- a/src/dragonflycove/cli/status_command.py
+++ b/src/dragonflycove/cli/status_command.py
@@ -7,10 +7,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import result
-from rich import console as rich_console
 from rich import table as rich_table
 
-from dragonflycove.cli import command_line, connections, exit_codes
+from dragonflycove.cli import command_line, connections, consoles, exit_codes
 from dragonflycove.operators import status
 from dragonflycove.transport import sessions
 
@@ -118,7 +117,7 @@
         nodes = {key: status.to_value(node) for key, node in fleet.nodes_by_address.items()}
         print(json.dumps({"nodes": nodes, "faults": fleet.faults_by_address}))
     else:
-        console = rich_console.Console()
+        console = consoles.open_console()
         nodes_in_order = sorted(fleet.nodes_by_address.values())
         console.print(_tabulate_nodes(nodes_in_order))
         console.print(_tabulate_servers(nodes_in_order))
--- /dev/null
+++ b/tests/cli/test_status_command.py
@@ -0,0 +1,145 @@
+"""Tests of the operators' HTTP interface and of `status`, on real loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from starlette import applications
+
+from dragonflycove.cli import exit_codes, main, status_command
+from dragonflycove.configuration import acceptance, records
+from dragonflycove.node import http_server
+from dragonflycove.operators import app, status
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+TEXT = '{"zones": ["cayambe"]}'
+
+
+def find_address() -> str:
+    """Return a free address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class FakeNode:
+    """A node that only tells of itself."""
+
+    def __init__(self, host: str, address: str, others: tuple[status.MemberStatus, ...]) -> None:
+        self.status = status.NodeStatus(
+            host, "start-1", "cayambe", address, "127.0.0.1:9", 1, "fresh", True, False,
+            ("riobamba",), others, (status.ServerStatus("engine-1", "cayambe", "cold"),),
+            {"overloaded": 2.0}, {"backend_silent": 1.0}, {},
+        )  # fmt: skip
+
+    def describe(self) -> status.NodeStatus:
+        """Return the status."""
+        return self.status
+
+    def acceptance_state(self) -> acceptance.AcceptanceState:
+        """Return a state with one version."""
+        proposed = records.TextProposed("op-0", 0, "ana", TEXT)
+        return acceptance.apply(acceptance.begin(), 0, proposed).state
+
+
+@pytest_asyncio.fixture
+async def addresses() -> AsyncIterator[list[str]]:
+    """Yield the addresses of two nodes, and of a third that the first knows but is dead."""
+    found = [find_address() for _ in range(3)]
+    members = tuple(
+        status.MemberStatus(f"host-{index}", "cayambe", found[index], "live", "start-1", 1)
+        for index in (1, 2)
+    )
+    nodes = [FakeNode("host-0", found[0], members), FakeNode("host-1", found[1], ())]
+    servers = [
+        http_server.HttpServer(
+            applications.Starlette(routes=app.build_routes(node)), node.status.address
+        )
+        for node in nodes
+    ]
+    running = [asyncio.create_task(server.run()) for server in servers]
+    yield found
+    for server in servers:
+        server.stop()
+    await asyncio.gather(*running)
+
+
+@pytest.mark.asyncio
+async def test_status_asks_every_node(
+    addresses: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """All nodes that the first one knows are asked; one that does not answer is named."""
+    async with aiohttp.ClientSession() as session:
+        fleet = await status_command.ask_fleet(session, addresses[0])
+    assert status_command.report(fleet, as_json=True) == exit_codes.ExitCode.UNREACHABLE
+    told = json.loads(capsys.readouterr().out)
+    assert set(told["nodes"]) == set(addresses[:2])
+    assert set(told["faults"]) == {addresses[2]}
+    assert told["nodes"][addresses[0]]["refusals_by_reason"] == {"overloaded": 2.0}
+    status_command.report(fleet, as_json=False)
+    table = capsys.readouterr().out
+    for words in ("host-0", "host-1", "riobamba", "engine-1", "overloaded", "no answer"):
+        assert words in table
+
+
+@pytest.mark.asyncio
+async def test_configuration_route_tells_all(addresses: list[str]) -> None:
+    """The configuration route gives the version, the text and the latest operations."""
+    url = f"http://{addresses[0]}/v1/operator/configuration"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        told = await response.json()
+    assert (told["version"], told["text"], told["anchored"]) == (1, TEXT, True)
+    assert [operation["operation_id"] for operation in told["operations"]] == ["op-0"]
+
+
+@pytest.mark.parametrize(
+    ("argv", "code", "words"),
+    [
+        ([], 2, "usage: dragonflycove COMMAND"),
+        (["help"], 0, "config publish"),
+        (["config", "check"], 2, "takes FILE"),
+        (["config", "check", "--help"], 0, "usage: dragonflycove config check FILE"),
+        (["config", "check", "nowhere.jsonc"], 1, "No such file"),
+        (["config", "history", "--nonsense"], 2, "nonsense"),
+        (["config", "show"], 2, "name the log service with --log"),
+        (["config", "show", "--log=127.0.0.1:1"], 5, "the log can't be read"),
+        (["zone", "out", "cayambe", "--log=127.0.0.1:1", "--timeout=0.3"], 5, "nothing was"),
+        (["zone", "back", "cayambe", "--node=127.0.0.1:1"], 7, "does not answer"),
+        (["status"], 2, "name a node"),
+        (["status", "--node=127.0.0.1:1"], 7, "no answer"),
+        (["lookup", "--node=127.0.0.1:1"], 7, "does not answer"),
+        (["ask", "hello", "--node=127.0.0.1:1"], 2, "missing --model, --organisation"),
+        (["ask", "x", "--node=127.0.0.1:1", "--model=m", "--organisation=o"], 7, "broke off"),
+    ],
+)
+def test_commands_end_with_their_documented_status(
+    argv: list[str], code: int, words: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Each kind of failure has its exit status and says what is wrong."""
+    assert main.dispatch(argv) == code
+    captured = capsys.readouterr()
+    assert words in captured.out + captured.err
+
+
+def test_check_names_all_faults_of_a_file(
+    tmp_path: object, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """`config check` prints each fault with file, path and reason; a good file passes."""
+    path = f"{tmp_path}/text.jsonc"
+    with open(path, "w") as file:
+        file.write('{"zones": ["a", "a"], "bogus": 1}')
+    assert main.dispatch(["config", "check", path]) == exit_codes.ExitCode.FAULTY_TEXT
+    told = capsys.readouterr().err
+    assert f"{path}: bogus: unknown key" in told
+    assert f"{path}: zones: duplicate zone 'a'" in told
+    with open(path, "w") as file:
+        file.write("// dragonflycove version 3\n" + TEXT)
+    assert main.dispatch(["config", "check", path]) == exit_codes.ExitCode.OK
