Pause a restarted engine until its limit has shrunk; experiments infer cold engines from reports

Change: a changed start identifier or a crash stops new work there for 1.5 s; the experiment derives cold limits from each node's last report; runs end once every request has ended.

--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -318,7 +318,9 @@
         Returns:
             Dispatches that the free slot makes possible.
         """
-        self.router.block(server_id, now + BLOCK_SECONDS)
+        is_crash = reason is outcomes.Reason.BACKEND_CRASHED
+        pause = router.RESTART_PAUSE_SECONDS if is_crash else BLOCK_SECONDS
+        self.router.block(server_id, now + pause)
         entry = self._book.by_id.get(request_id)
         if entry is not None and server_id in entry.servers:
             self._lifecycle.unplace(entry)
--- a/src/dragonflycove/measure/node_model.py
+++ b/src/dragonflycove/measure/node_model.py
@@ -13,8 +13,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dragonflycove.configuration import schema
     from dragonflycove.measure import simulation, workload
-    from dragonflycove.routing import policies
+    from dragonflycove.routing import load_view, policies
     from dragonflycove.values import requests
 
 SAME_ZONE_SECONDS = 0.0002
@@ -54,6 +55,7 @@
         self._attempts = 0
         self._attempt_by_request: dict[str, tuple[str, tuple[str, ...]]] = {}
         self._tick_at = float("inf")
+        self._finished_by_server: dict[str, int] = {}
 
     def submit(self, arrival: workload.Arrival) -> None:
         """Take a caller's request.
@@ -63,6 +65,26 @@
         """
         self.carry_out(self.dispatcher.submit(arrival.request, self._timeline.now))
 
+    def on_report(self, report: load_view.EngineReport) -> None:
+        """Take in an engine's load report.
+
+        Args:
+            report: The report.
+        """
+        self._finished_by_server[report.server_id] = report.finished_since_start
+        self.carry_out(self.dispatcher.on_report(report, self._timeline.now))
+
+    def is_cold(self, server: schema.Server) -> bool:
+        """Tell whether the last report of an engine showed it cold.
+
+        Args:
+            server: The engine.
+
+        Returns:
+            True also before the first report.
+        """
+        return self._finished_by_server.get(server.server_id, 0) < server.warm_after_requests
+
     def carry_out(self, wanted: list[effects.Effect]) -> None:
         """Do what the dispatcher asks for, and see to its next tick.
 
--- a/src/dragonflycove/measure/simulation.py
+++ b/src/dragonflycove/measure/simulation.py
@@ -26,6 +26,9 @@
 LIMIT_SECONDS = 1.0
 """Interval between a node's looks at which engines are cold."""
 
+STEP_SECONDS = 5.0
+"""Interval between looks at whether everything has ended."""
+
 MEMBER_TOKENS = groups.MEMBER_MEMORY_SHARE * workload.MEMORY_TOKENS
 """Largest part of a request on one member of a memory group, tokens."""
 
@@ -119,12 +122,17 @@
         self.timeline.after(0.0, self._sample)
 
     def run(self, seconds: float) -> None:
-        """Go on in virtual time.
+        """Go on in virtual time, no longer than until everything has ended.
 
         Args:
-            seconds: Time at which to stop.
+            seconds: Time at which to stop at the latest.
         """
-        self.timeline.run(seconds)
+        while self.timeline.now < seconds:
+            self.timeline.run(min(seconds, self.timeline.now + STEP_SECONDS))
+            is_past = self.timeline.now > self._last_arrival_at + STEP_SECONDS
+            if is_past and len(self.records_by_id) == len(self.arrivals_by_id):
+                self.timeline.run(self.timeline.now + STEP_SECONDS)
+                return
 
     def set_zones_out(self, zones_out: frozenset[str]) -> None:
         """Put a zone out of, or back into, service at every node.
@@ -197,7 +205,7 @@
         self.timeline.after(REPORT_SECONDS, self._send_report, engine, node)
 
     def _deliver_report(self, node: node_model.NodeModel, report: load_view.EngineReport) -> None:
-        node.carry_out(node.dispatcher.on_report(report, self.timeline.now))
+        node.on_report(report)
 
     def _send_digest(self, node: node_model.NodeModel) -> None:
         digest = node.dispatcher.digest(self.timeline.now)
@@ -216,7 +224,7 @@
         hosts = [peer.host for peer in self.nodes]
         limits = {}
         for server_id, engine in self.engines_by_id.items():
-            is_bounded = engine.is_cold and self._keeps_cold_limits
+            is_bounded = self._keeps_cold_limits and node.is_cold(engine.server)
             limit = engine.server.cold_concurrency if is_bounded else engine.server.concurrency
             limits[server_id] = divide_limit(limit, server_id, hosts)[node.host]
         node.carry_out(node.dispatcher.set_limits(limits, self.timeline.now))
--- a/src/dragonflycove/routing/router.py
+++ b/src/dragonflycove/routing/router.py
@@ -25,6 +25,9 @@
 ADMISSION_SAMPLE = 4
 """Engines that one admission looks at, where there are many."""
 
+RESTART_PAUSE_SECONDS = 1.5
+"""Time without new work for a restarted engine, in which this node's limit there shrinks."""
+
 OWN_BLOCKS_LIMIT = 64
 """Most leading blocks of a prompt that are remembered from a request of this node."""
 
@@ -297,6 +300,7 @@
             return
         if load.start_id and report.start_id != load.start_id:
             self.prefixes.on_restart(report.server_id)
+            self.block(report.server_id, now + RESTART_PAUSE_SECONDS)
         load.on_report(report, now)
 
     def _refresh_open(self, load: load_view.EngineLoad) -> None:
