Send lower priority prompts to their home engines first; fresher reports and digests in the experiments

Change: digests every 0.2 s and reports every 0.25 s in the experiments (0.5 s before), and a preference of one second for home engines.

--- a/src/dragonflycove/measure/simulation.py
+++ b/src/dragonflycove/measure/simulation.py
@@ -14,13 +14,13 @@
     from dragonflycove.routing import digests, load_view, policies
     from dragonflycove.values import outcomes, requests
 
-REPORT_SECONDS = 0.5
+REPORT_SECONDS = 0.25
 """Interval between a node's readings of an engine's load."""
 
 REPORT_LAG_SECONDS = 0.3
 """Age of a load report on arrival."""
 
-DIGEST_SECONDS = 0.5
+DIGEST_SECONDS = 0.2
 """Interval between a node's digests."""
 
 LIMIT_SECONDS = 1.0
--- a/src/dragonflycove/routing/selection.py
+++ b/src/dragonflycove/routing/selection.py
@@ -22,6 +22,9 @@
 TOLERANCE_SECONDS = 0.02
 """Estimates that differ by less count as equal; the choice between them is random."""
 
+SHORT_HOME_SECONDS = 1.0
+"""Time that a prompt of the lower priority waits longer elsewhere before it uses these engines."""
+
 CHUNK_TOKENS = 2_048
 """Prompt tokens that an engine is taken to read before it looks at priorities again."""
 
@@ -171,6 +174,8 @@
             if server_id in held:
                 cached = cached_tokens(held[server_id], demand.prompt_tokens)
             seconds = estimate_first_token(load, demand, cached, backlog)
+            if demand.priority and homes.get(server_id) is rooms.Home.SHORT:
+                seconds += SHORT_HOME_SECONDS
             is_borrowed = room is rooms.Room.BORROWED
             choices.append(demands.Choice(server_id, seconds, cached, is_borrowed))
         return choices
