--- a/src/dragonflycove/quarantine/_book.py
+++ b/src/dragonflycove/quarantine/_book.py
@@ -60,6 +60,13 @@
             if suspicion.trial is not None and suspicion.trial.server_id == server_id:
                 yield fingerprint
 
+    def expire_trials(self, node: str, at: float) -> None:
+        """Await the end of a lost node's trials no longer than until `at`."""
+        for suspicion in self._suspicion_by_fingerprint.values():
+            trial = suspicion.trial
+            if trial is not None and trial.node == node and trial.expires_at > at:
+                suspicion.trial = trial._replace(expires_at=at)
+
     def servers_in_trial(self, now: float) -> frozenset[str]:
         """Return the backend servers that run a suspect."""
         servers = set()
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -7,8 +7,9 @@
 
 from typing import TYPE_CHECKING
 
-from dragonflycove.quarantine import _book, _suspicion, records, verdicts
+from dragonflycove.quarantine import _book, _flights, _suspicion, records, verdicts
 from dragonflycove.shares import share_table
+from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -22,6 +23,18 @@
 SPREAD_SECONDS = 1.0
 """Time after a crash in which every peer has heard of it and cancelled requests alike."""
 
+RECLAIM_SECONDS = 60.0
+"""Time after a crash in which requests alike have ended, those of dead nodes included."""
+
+FALLBACK_SLOTS = 8
+"""Slots over which nodes without a server of their own spread their trials."""
+
+FALLBACK_SLOT_SECONDS = 0.5
+"""Length of one such slot; longer than word between nodes takes."""
+
+WITNESSES = 2
+"""Nodes that are told of each request in flight, besides the one that sends it."""
+
 GRANT_SECONDS = 5.0
 """Time for which leave to run alone is kept for a request that has not started."""
 
@@ -45,7 +58,7 @@
         self._shares = shares
         self._host = host
         self._book = _book.Book(REFUSAL_SECONDS)
-        self._flights_by_request: dict[str, tuple[str, str]] = {}
+        self._flights = _flights.Flights(host)
 
     def on_start(
         self, fingerprint: str, server_id: str, request_id: str, now: float
@@ -61,13 +74,15 @@
         Returns:
             What to do; peers must be told before the request is sent.
         """
-        self._flights_by_request[request_id] = (fingerprint, server_id)
+        flight = self._flights.start(fingerprint, server_id, request_id)
+        told = self._tell_witnesses(flight, now)
         suspicion = self._book.find(fingerprint, now)
         if suspicion is None or suspicion.crashes == 0:
-            return []
+            return [told]
         suspicion.grant = None
         suspicion.trial = _suspicion.RunningTrial(server_id, self._host, now + TRIAL_SECONDS)
-        return [verdicts.TellPeers(records.Trial(fingerprint, server_id, self._host, True))]
+        trial = records.Trial(fingerprint, server_id, self._host, True)
+        return [told, verdicts.TellPeers(trial)]
 
     def on_end(self, request_id: str, whole: bool, now: float) -> list[verdicts.Effect]:
         """Take in that a request ended on its server, other than by a crash.
@@ -80,16 +95,20 @@
         Returns:
             What to do.
         """
-        fingerprint, server_id = self._flights_by_request.pop(request_id, ("", ""))
-        suspicion = self._book.find(fingerprint, now)
-        if suspicion is None or suspicion.trial is None or suspicion.trial.node != self._host:
+        flight = self._flights.end(request_id)
+        if flight is None:
             return []
+        told = self._tell_witnesses(flight, now)
+        suspicion = self._book.find(flight.fingerprint, now)
+        if suspicion is None or suspicion.trial is None or suspicion.trial.node != self._host:
+            return [told]
         if not whole:
             suspicion.trial = None
-            return [verdicts.TellPeers(records.Trial(fingerprint, server_id, self._host, False))]
+            trial = records.Trial(flight.fingerprint, flight.server_id, self._host, False)
+            return [told, verdicts.TellPeers(trial)]
         suspicion.clear()
-        cleared = records.Cleared(fingerprint, self._host)
-        return [verdicts.TellPeers(cleared), verdicts.AppendLog(cleared)]
+        cleared = records.Cleared(flight.fingerprint, self._host)
+        return [told, verdicts.TellPeers(cleared), verdicts.AppendLog(cleared)]
 
     def on_crash(self, server_id: str, now: float, start_id: str = "") -> list[verdicts.Effect]:
         """Take in that a backend server crashed.
@@ -102,11 +121,8 @@
         Returns:
             What to do; every request in flight there has become a suspect.
         """
-        flights = list(self._flights_by_request.items())
-        lost = {request: flight[0] for request, flight in flights if flight[1] == server_id}
-        for request_id in lost:
-            del self._flights_by_request[request_id]
-        fingerprints = set(lost.values()) | set(self._book.tried_on(server_id, now))
+        tried = set(self._book.tried_on(server_id, now))
+        fingerprints = tried | self._flights.take_crashed(server_id, is_explained=bool(tried))
         if not fingerprints:
             return []
         crash = records.Crash(server_id, start_id, tuple(sorted(fingerprints)), self._host)
@@ -124,13 +140,30 @@
             What to do.
         """
         if isinstance(record, records.Crash):
+            # Word of a request may be overtaken by this node's own sight of the crash.
+            self._flights.forget_witnessed(record.node, record.server_id)
             return self._take_crash(record, now)
         if isinstance(record, records.Cleared):
             self._take_cleared(record, now)
-        else:
+        elif isinstance(record, records.Trial):
             self._take_trial(record, now)
+        else:
+            self._flights.witness(record, now)
+        if isinstance(record, records.Trial | records.Flight) and record.node == self._host:
+            # A peer remembers what this node's predecessor had begun.
+            self.on_peer_lost(self._host, now)
         return []
 
+    def on_peer_lost(self, host: str, now: float) -> None:
+        """Take in that a node died or was replaced; its requests end within the reclaim time.
+
+        Args:
+            host: Host of the node.
+            now: Time of the loop's clock.
+        """
+        self._flights.expire_witnessed(host, now + RECLAIM_SECONDS)
+        self._book.expire_trials(host, now + RECLAIM_SECONDS)
+
     def on_log_record(
         self, record: records.Record, offset: int, now: float, age_seconds: float = 0.0
     ) -> list[verdicts.Effect]:
@@ -180,12 +213,14 @@
             return verdicts.Allowed() if trial is None else verdicts.Wait(now + POLL_SECONDS)
         if suspicion.crashes >= MOST_CRASHES:
             return verdicts.Refused(suspicion.last_at + REFUSAL_SECONDS - now)
-        limit = share_table.Limit(f"suspect/{fingerprint}", 1)
+        limit = _trial_limit(fingerprint, 1)
         if self._shares.units(limit, now) == 0:
             return self._hand_on(limit, now)
         if now < suspicion.since + SPREAD_SECONDS:
             return verdicts.Wait(suspicion.since + SPREAD_SECONDS)
-        return self._grant(suspicion, request_id, candidates, now)
+        if self._flights.runs(fingerprint, now) and now < suspicion.last_at + RECLAIM_SECONDS:
+            return verdicts.Wait(now + POLL_SECONDS)
+        return self._grant(fingerprint, request_id, candidates, now)
 
     def servers_in_trial(self, now: float) -> frozenset[str]:
         """Return the backend servers that run a suspect, which others had better avoid.
@@ -198,16 +233,31 @@
         """
         return self._book.servers_in_trial(now)
 
-    def known_records(self, now: float) -> Iterator[records.Record]:
-        """Return all that a peer that starts while the log is down needs to know.
+    def known_records(self, host: str, now: float) -> Iterator[records.Record]:
+        """Return all that a peer that has just started needs to know.
 
         Args:
+            host: Host of the peer.
             now: Time of the loop's clock.
 
         Returns:
-            Records for its `on_peer_record`.
+            Records for its `on_peer_record`, on the connection that carries all later ones.
         """
-        return self._book.records(self._host, now)
+        yield from self._book.records(self._host, now)
+        for flight in self._flights.known():
+            # Only witnesses hear when a request has ended.
+            if host in self._witnesses(flight, now):
+                yield flight
+
+    def _tell_witnesses(self, flight: records.Flight, now: float) -> verdicts.Effect:
+        """Return the word of a request for the nodes that would try it."""
+        return verdicts.TellWitnesses(self._witnesses(flight, now), flight)
+
+    def _witnesses(self, flight: records.Flight, now: float) -> tuple[str, ...]:
+        """Return the hosts that are told of a request, other than the one that sends it."""
+        limit = _trial_limit(flight.fingerprint, WITNESSES + 1)
+        hosts = self._shares.holders(limit, now)
+        return tuple(host for host in hosts if host != flight.node)[:WITNESSES]
 
     def _hand_on(self, limit: share_table.Limit, now: float) -> verdicts.Verdict:
         """Say who may run a suspect that this node may not run."""
@@ -216,22 +266,22 @@
         return verdicts.Elsewhere(others) if others else verdicts.Wait(now + POLL_SECONDS)
 
     def _grant(
-        self,
-        suspicion: _suspicion.Suspicion,
-        request_id: str,
-        candidates: frozenset[str],
-        now: float,
+        self, fingerprint: str, request_id: str, candidates: frozenset[str], now: float
     ) -> verdicts.Verdict:
         """Give leave to run a suspect alone, to one request at a time."""
+        suspicion = self._book.open(fingerprint, now)
         grant = suspicion.grant
         if suspicion.trial is not None or (grant is not None and grant.request_id != request_id):
             return verdicts.Wait(now + POLL_SECONDS)
         free = candidates - self._book.servers_in_trial(now)
-        if not free:
+        servers = frozenset(server for server in free if self._tries_on(server, now))
+        # Without a server of its own, a node waits until it has heard where the others try.
+        if not servers and now >= suspicion.since + _fallback_seconds(fingerprint):
+            servers = free
+        if not servers:
             return verdicts.Wait(now + POLL_SECONDS)
         suspicion.grant = _suspicion.Grant(request_id, now + GRANT_SECONDS)
-        own = frozenset(server for server in free if self._tries_on(server, now))
-        return verdicts.Alone(own or free)
+        return verdicts.Alone(servers)
 
     def _tries_on(self, server_id: str, now: float) -> bool:
         """Tell whether this node is the one that tries suspects on a backend server."""
@@ -245,9 +295,8 @@
             if suspicion.add_crash(crash.server_id, crash.start_id, at):
                 suspects.add(fingerprint)
         return [
-            verdicts.CancelRequest(request_id, server_id)
-            for request_id, (fingerprint, server_id) in self._flights_by_request.items()
-            if fingerprint in suspects
+            verdicts.CancelRequest(flight.request_id, flight.server_id)
+            for flight in self._flights.own(suspects)
         ]
 
     def _take_cleared(self, record: records.Cleared, now: float) -> None:
@@ -264,3 +313,14 @@
             suspicion.trial = _suspicion.RunningTrial(record.server_id, record.node, expires_at)
         elif suspicion.trial is not None and suspicion.trial.node == record.node:
             suspicion.trial = None
+
+
+def _fallback_seconds(fingerprint: str) -> float:
+    """Return when, after its crash, a suspect may be tried on any free backend server."""
+    slot = identifiers.stable_hash(fingerprint) % FALLBACK_SLOTS
+    return 2 * SPREAD_SECONDS + slot * FALLBACK_SLOT_SECONDS
+
+
+def _trial_limit(fingerprint: str, units: int) -> share_table.Limit:
+    """Return the limit whose first holder may try a suspect."""
+    return share_table.Limit(f"suspect/{fingerprint}", units)
--- a/src/dragonflycove/quarantine/records.py
+++ b/src/dragonflycove/quarantine/records.py
@@ -50,10 +50,30 @@
     """Host of the node that ran it."""
 
 
-Record = Crash | Trial | Cleared
+class Flight(NamedTuple):
+    """A request is sent to a backend server, or is no longer there."""
+
+    fingerprint: str
+    """Fingerprint of the request."""
+
+    server_id: str
+    """Identifier of the backend server."""
+
+    request_id: str
+    """Identifier of the request."""
+
+    node: str
+    """Host of the node that sends it."""
+
+    running: bool
+    """True before it is sent, false once it has ended."""
+
+
+Record = Crash | Trial | Cleared | Flight
 """Records between nodes; the log keeps `Crash` and `Cleared`."""
 
-_TYPE_BY_KIND: dict[str, type[Crash] | type[Trial] | type[Cleared]] = {
+_TYPE_BY_KIND: dict[str, type[Crash] | type[Trial] | type[Cleared] | type[Flight]] = {
+    "flight": Flight,
     "crash": Crash,
     "trial": Trial,
     "cleared": Cleared,
--- a/src/dragonflycove/quarantine/verdicts.py
+++ b/src/dragonflycove/quarantine/verdicts.py
@@ -51,6 +51,16 @@
     """The record."""
 
 
+class TellWitnesses(NamedTuple):
+    """Send a record to the nodes that would try the request if it became a suspect."""
+
+    hosts: tuple[str, ...]
+    """Hosts of those nodes."""
+
+    record: records.Flight
+    """The record."""
+
+
 class AppendLog(NamedTuple):
     """Append a record to the stream `quarantine`."""
 
@@ -68,5 +78,5 @@
     """Identifier of the backend server that runs it."""
 
 
-Effect = TellPeers | AppendLog | CancelRequest
+Effect = TellPeers | TellWitnesses | AppendLog | CancelRequest
 """What the node is asked to do."""
--- a/src/dragonflycove/shares/_ranking.py
+++ b/src/dragonflycove/shares/_ranking.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import heapq
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+MOST_CACHED = 4096
+"""Limits whose ranks are kept; when there are more, the one first asked for is forgotten."""
+
+
+class _Best(NamedTuple):
+    wanted: int
+    names: tuple[str, ...]
+
 
 class Ranking:
     """Ranks of one host among all hosts that may use units."""
@@ -23,7 +31,7 @@
         self._host = host
         self._names: set[str] = set()
         self._rank_by_limit: dict[str, int] = {}
-        self._best_by_limit: dict[str, tuple[int, tuple[str, ...]]] = {}
+        self._best_by_limit: dict[str, _Best] = {}
 
     @property
     def size(self) -> int:
@@ -58,6 +66,7 @@
         if rank is None:
             own = _score(limit_name, self._host)
             rank = sum(_score(limit_name, name) > own for name in self._names)
+            _make_room(self._rank_by_limit)
             self._rank_by_limit[limit_name] = rank
         return rank
 
@@ -72,13 +81,14 @@
             Their names, the best first.
         """
         cached = self._best_by_limit.get(limit_name)
-        if cached is None or cached[0] != count:
+        if cached is None or cached.wanted < count:
             names = heapq.nlargest(
                 min(count, len(self._names)), self._names, key=lambda name: _score(limit_name, name)
             )
-            cached = (count, tuple(names))
+            cached = _Best(count, tuple(names))
+            _make_room(self._best_by_limit)
             self._best_by_limit[limit_name] = cached
-        return cached[1]
+        return cached.names[:count]
 
     def forget(self, limit_name: str) -> None:
         """Drop what is kept for a limit that is gone.
@@ -98,6 +108,12 @@
                 self._rank_by_limit[limit_name] = rank + step
 
 
+def _make_room(cache: dict[str, Any]) -> None:
+    """Forget the oldest entry of a cache that is full."""
+    if len(cache) >= MOST_CACHED:
+        del cache[next(iter(cache))]
+
+
 def _score(limit_name: str, host: str) -> tuple[int, str]:
     """Return the rendezvous weight of a host for a limit."""
     return identifiers.stable_hash(limit_name, host), host
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -76,7 +76,7 @@
     old.on_crash("s1", 100.0, "x")
     old.on_peer_record(records.Crash("s2", "y", ("f",), "b"), 101.0)
     by_peer, by_log = make("b"), make("c")
-    for record in old.known_records(102.0):
+    for record in old.known_records("b", 102.0):
         by_peer.on_peer_record(record, 102.0)
     for offset, server_id in enumerate(["s1", "s2"]):
         by_log.on_log_record(records.Crash(server_id, server_id, ("f",), "a"), offset, 102.0, 60.0)
--- /dev/null
+++ b/tests/quarantine/test_quarantine_fleet.py
@@ -0,0 +1,247 @@
+"""Fuzzes the quarantines of a fleet: servers taken down by one fingerprint, bystanders answered.
+
+Callers send one copy at a time and send it again to another node when theirs dies. A dead node's
+request goes on at its server. Word between nodes and of a crash takes up to 0.3 s; the log may be
+down. A replaced node learns from the log where it is up, and from its peers.
+"""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import random
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as st
+
+from dragonflycove.quarantine import quarantine, records, verdicts
+from dragonflycove.shares import share_table
+
+HOSTS = ("a", "b", "c")
+SERVERS = frozenset({"s1", "s2", "s3", "s4", "s5"})
+STEP_SECONDS = 0.1
+DELAYS_SECONDS = (0.0, 0.1, 0.3)
+
+
+class Request:
+    """A caller's request; `crashes_after` is `None` for a bystander."""
+
+    def __init__(self, number: int, fingerprint: str, crashes_after: float | None) -> None:
+        self.request_id = f"r{number}"
+        self.fingerprint = fingerprint
+        self.crashes_after = crashes_after
+        self.outcome = ""
+        self.node: quarantine.Quarantine | None = None
+        self.ask_at = 0.0
+
+
+class Run:
+    """A request at a server."""
+
+    def __init__(self, request: Request, node: quarantine.Quarantine, ends_at: float) -> None:
+        self.request = request
+        self.node = node
+        self.ends_at = ends_at
+
+
+def make_node(host: str) -> quarantine.Quarantine:
+    """Return a node's quarantine with shares that stay settled from 0 s to 10,000 s."""
+    table = share_table.ShareTable(host, 10_000.0, 0.0)
+    for moment in (-20_000.0, -10_000.0, 0.0):
+        table.on_host_list(frozenset(HOSTS), 0.0, moment)
+    return quarantine.Quarantine(table, host)
+
+
+class Fleet(hypothesis.stateful.RuleBasedStateMachine):
+    """Three nodes before five servers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.rng = random.Random(7)
+        self.nodes = {host: make_node(host) for host in HOSTS}
+        self.runs: dict[str, list[Run]] = {server_id: [] for server_id in SERVERS}
+        self.start_ids = dict.fromkeys(SERVERS, 0)
+        self.up_at = dict.fromkeys(SERVERS, 0.0)
+        self.requests: list[Request] = []
+        self.crashes: collections.Counter[str] = collections.Counter()
+        self.log: list[tuple[float, records.Record]] = []
+        self.log_up = True
+        self.replaced_at: dict[str, float] = {}
+        self.events: list[tuple[float, int, quarantine.Quarantine, object]] = []
+        self.order = itertools.count()
+        self.link_busy_until: dict[tuple[int, int], float] = collections.defaultdict(float)
+
+    @hypothesis.stateful.rule(
+        which=st.integers(0, 9), after=st.sampled_from([0.1, 0.4, 2.0]), host=st.sampled_from(HOSTS)
+    )
+    def send(self, which: int, after: float, host: str) -> None:
+        culprit = which == 0
+        request = Request(len(self.requests), f"f{which}", after if culprit else None)
+        copies = [r for r in self.requests if r.fingerprint == "f0" and not r.outcome]
+        if culprit and copies:
+            return
+        request.node = self.nodes[host]
+        self.requests.append(request)
+
+    @hypothesis.stateful.rule(steps=st.sampled_from([1, 3, 10, 40]))
+    def time_passes(self, steps: int) -> None:
+        for _ in range(steps):
+            self.now += STEP_SECONDS
+            self._run_events()
+            for server_id in sorted(SERVERS):
+                self._run_server(server_id)
+            for request in self.requests:
+                self._ask(request)
+            assert self.crashes["f0"] <= quarantine.MOST_CRASHES
+
+    @hypothesis.stateful.rule(host=st.sampled_from(HOSTS))
+    def replace_node(self, host: str) -> None:
+        old = self.nodes[host]
+        # Word of a request takes a moment; it is lost with all who have it by then.
+        if any(self.now < at + 1 for name, at in self.replaced_at.items() if name != host):
+            return
+        self.replaced_at[host] = self.now
+        orphans = [run for runs in self.runs.values() for run in runs if run.request.node is old]
+        lost_before = any(
+            run.request.fingerprint == "f0" and run.node not in self.nodes.values()
+            for runs in self.runs.values()
+            for run in runs
+        )
+        if lost_before and any(run.request.fingerprint == "f0" for run in orphans):
+            return
+        node = self.nodes[host] = make_node(host)
+        for offset, (appended_at, record) in enumerate(self.log if self.log_up else []):
+            node.on_log_record(record, offset, self.now, self.now - appended_at)
+        for peer in self.nodes.values():
+            peer.on_peer_lost(host, self.now)
+            for record in list(peer.known_records(host, self.now)):
+                node.on_peer_record(record, self.now)
+        for request in self.requests:
+            if request.node is old and not request.outcome:
+                request.node = self.rng.choice(list(self.nodes.values()))
+                request.ask_at = self.now + 0.2
+
+    @hypothesis.stateful.rule()
+    def log_goes_down_or_up(self) -> None:
+        self.log_up = not self.log_up
+
+    def teardown(self) -> None:
+        """All that waits ends: bystanders answered, the one that crashes servers refused."""
+        for _ in range(400):
+            self.time_passes(10 if any(not r.outcome for r in self.requests) else 0)
+        outcomes = {(r.fingerprint == "f0", r.outcome) for r in self.requests}
+        assert outcomes <= {(False, "answered"), (True, "refused")}
+
+    def _carry_out(self, node: quarantine.Quarantine, effects: list[verdicts.Effect]) -> None:
+        host = next((host for host, other in self.nodes.items() if other is node), "")
+        for effect in effects:
+            if isinstance(effect, verdicts.AppendLog):
+                if self.log_up:
+                    self.log.append((self.now, effect.record))
+                continue
+            if isinstance(effect, verdicts.CancelRequest):
+                self._cancel(node, effect)
+                continue
+            hosts = effect.hosts if isinstance(effect, verdicts.TellWitnesses) else HOSTS
+            for other in sorted(set(hosts) - {host}):
+                self._later(self.nodes[other], effect.record, node)
+
+    def _later(
+        self,
+        node: quarantine.Quarantine,
+        what: object,
+        sender: quarantine.Quarantine | None = None,
+    ) -> None:
+        # Records of one sender stay in order, as on a connection.
+        link = (id(sender), id(node))
+        moment = max(self.now + self.rng.choice(DELAYS_SECONDS), self.link_busy_until[link])
+        if sender is not None:
+            self.link_busy_until[link] = moment
+        self.events.append((moment, next(self.order), node, what))
+
+    def _run_events(self) -> None:
+        due = sorted(event[:2] for event in self.events if event[0] <= self.now)
+        by_order = {event[1]: event for event in self.events}
+        for _, order in due:
+            self.events.remove(by_order[order])
+            self._run_event(by_order[order][2], by_order[order][3])
+
+    def _run_event(self, node: quarantine.Quarantine, what: object) -> None:
+        if node not in self.nodes.values():
+            return
+        if isinstance(what, records.Record):
+            self._carry_out(node, node.on_peer_record(what, self.now))
+        elif isinstance(what, Request):
+            what.ask_at = self.now
+        elif isinstance(what, tuple):
+            self._carry_out(node, node.on_crash(what[0], self.now, what[1]))
+
+    def _run_server(self, server_id: str) -> None:
+        done = [run for run in self.runs[server_id] if run.ends_at <= self.now]
+        for run in done:
+            if run not in self.runs[server_id]:
+                continue
+            if run.request.crashes_after is not None:
+                self._crash(server_id, run.request.fingerprint)
+                return
+            self.runs[server_id].remove(run)
+            if run.node in self.nodes.values():
+                if run.request.node is run.node:
+                    run.request.outcome = "answered"
+                self._carry_out(run.node, run.node.on_end(run.request.request_id, True, self.now))
+
+    def _crash(self, server_id: str, fingerprint: str) -> None:
+        self.crashes[fingerprint] += 1
+        start_id = f"{server_id}.{self.start_ids[server_id]}"
+        self.start_ids[server_id] += 1
+        self.up_at[server_id] = self.now + 1.0
+        for node in self.nodes.values():
+            self._later(node, (server_id, start_id))
+        for run in self.runs[server_id]:
+            if run.request.node is run.node and not run.request.outcome:
+                # Its own node sees the crash on the request's connection before it asks again.
+                self._carry_out(run.node, run.node.on_crash(server_id, self.now, start_id))
+                run.request.ask_at = self.now
+        self.runs[server_id] = []
+
+    def _cancel(self, node: quarantine.Quarantine, effect: verdicts.CancelRequest) -> None:
+        for run in list(self.runs[effect.server_id]):
+            if run.request.request_id == effect.request_id and run.node is node:
+                self.runs[effect.server_id].remove(run)
+                run.request.ask_at = self.now
+                self._carry_out(node, node.on_end(effect.request_id, False, self.now))
+
+    def _ask(self, request: Request) -> None:
+        node = request.node
+        if node is None or request.outcome or self.now < request.ask_at:
+            return
+        up = frozenset(server for server in SERVERS if self.up_at[server] <= self.now)
+        verdict = node.verdict(request.fingerprint, self.now, request.request_id, up)
+        if isinstance(verdict, verdicts.Refused):
+            request.outcome = "refused"
+        elif isinstance(verdict, verdicts.Elsewhere):
+            request.node = self.nodes[verdict.hosts[0]]
+            request.ask_at = float("inf")
+            self._later(request.node, request, node)
+        elif isinstance(verdict, verdicts.Alone):
+            self._start(request, node, verdict.servers)
+        elif isinstance(verdict, verdicts.Allowed):
+            self._start(request, node, (up - node.servers_in_trial(self.now)) or up)
+
+    def _start(
+        self, request: Request, node: quarantine.Quarantine, servers: frozenset[str]
+    ) -> None:
+        if not servers:
+            return
+        server_id = self.rng.choice(sorted(servers))
+        effects = node.on_start(request.fingerprint, server_id, request.request_id, self.now)
+        self._carry_out(node, effects)
+        seconds = 1.5 if request.crashes_after is None else request.crashes_after
+        self.runs[server_id].append(Run(request, node, self.now + seconds))
+        request.ask_at = float("inf")
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = hypothesis.settings(max_examples=60, stateful_step_count=20)
