--- a/src/dragonflycove/quarantine/_book.py
+++ b/src/dragonflycove/quarantine/_book.py
@@ -60,12 +60,24 @@
             if suspicion.trial is not None and suspicion.trial.server_id == server_id:
                 yield fingerprint
 
+    def explains(self, server_id: str, start_id: str, crashes: int, now: float) -> bool:
+        """Tell whether a crash is already held against a fingerprint that had so many."""
+        return any(
+            suspicion.crashes >= crashes and suspicion.knows_crash(server_id, start_id, now)
+            for suspicion in self._suspicion_by_fingerprint.values()
+        )
+
     def expire_trials(self, node: str, at: float) -> None:
         """Await the end of a lost node's trials no longer than until `at`."""
         for suspicion in self._suspicion_by_fingerprint.values():
             trial = suspicion.trial
             if trial is not None and trial.node == node and trial.expires_at > at:
-                suspicion.trial = trial._replace(expires_at=at)
+                suspicion.trial = trial._replace(expires_at=at, is_lost=True)
+
+    def lost_nodes(self) -> set[str]:
+        """Return the lost nodes whose trials may still run."""
+        trials = [suspicion.trial for suspicion in self._suspicion_by_fingerprint.values()]
+        return {trial.node for trial in trials if trial is not None and trial.is_lost}
 
     def servers_in_trial(self, now: float) -> frozenset[str]:
         """Return the backend servers that run a suspect."""
@@ -76,14 +88,14 @@
                 servers.add(suspicion.trial.server_id)
         return frozenset(servers)
 
-    def records(self, host: str, now: float) -> Iterator[records.Record]:
+    def records(self, node: str, now: float) -> Iterator[records.Record]:
         """Return records from which a peer can rebuild the book."""
         for fingerprint in list(self._suspicion_by_fingerprint):
             suspicion = self.find(fingerprint, now)
             if suspicion is None:
                 continue
             for server_id, start_id in suspicion.crash_keys():
-                yield records.Crash(server_id, start_id, (fingerprint,), host)
+                yield records.Crash(server_id, start_id, (fingerprint,), node)
             if suspicion.trial is not None:
                 trial = suspicion.trial
                 yield records.Trial(fingerprint, trial.server_id, trial.node, True)
--- a/src/dragonflycove/quarantine/_suspicion.py
+++ b/src/dragonflycove/quarantine/_suspicion.py
@@ -25,11 +25,14 @@
     """Identifier of the backend server."""
 
     node: str
-    """Host of the node that runs it."""
+    """`host/incarnation` of the node that runs it."""
 
     expires_at: float
     """Time of the loop's clock after which no word of its end is awaited."""
 
+    is_lost: bool = False
+    """Whether the node died or was replaced."""
+
 
 class _SeenCrash(NamedTuple):
     server_id: str
@@ -72,8 +75,7 @@
 
     def add_crash(self, server_id: str, start_id: str, at: float) -> bool:
         """Count a crash unless it is known, and tell whether it was new."""
-        known = self._counted + self._cleared
-        if any(crash.is_same(server_id, start_id, at) for crash in known):
+        if self.knows_crash(server_id, start_id, at):
             return False
         if not self._counted:
             self.since = at
@@ -83,6 +85,11 @@
             self.trial = None
         return True
 
+    def knows_crash(self, server_id: str, start_id: str, at: float) -> bool:
+        """Tell whether a crash has been counted before, or cleared."""
+        known = self._counted + self._cleared
+        return any(crash.is_same(server_id, start_id, at) for crash in known)
+
     def crash_keys(self) -> list[tuple[str, str]]:
         """Return server and start of each crash that counts."""
         return [(crash.server_id, crash.start_id) for crash in self._counted]
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -48,17 +48,18 @@
 class Quarantine:
     """One node's part of the quarantine."""
 
-    def __init__(self, shares: share_table.ShareTable, host: str) -> None:
+    def __init__(self, shares: share_table.ShareTable, node: identifiers.NodeIdentity) -> None:
         """Create a quarantine without suspects.
 
         Args:
             shares: This node's shares; the holder of a fingerprint's one unit may try it.
-            host: Name of this node's host.
+            node: This node.
         """
         self._shares = shares
-        self._host = host
+        self._host = node.host
+        self._node = str(node)
         self._book = _book.Book(REFUSAL_SECONDS)
-        self._flights = _flights.Flights(host)
+        self._flights = _flights.Flights(self._node)
 
     def on_start(
         self, fingerprint: str, server_id: str, request_id: str, now: float
@@ -80,8 +81,8 @@
         if suspicion is None or suspicion.crashes == 0:
             return [told]
         suspicion.grant = None
-        suspicion.trial = _suspicion.RunningTrial(server_id, self._host, now + TRIAL_SECONDS)
-        trial = records.Trial(fingerprint, server_id, self._host, True)
+        suspicion.trial = _suspicion.RunningTrial(server_id, self._node, now + TRIAL_SECONDS)
+        trial = records.Trial(fingerprint, server_id, self._node, True)
         return [told, verdicts.TellPeers(trial)]
 
     def on_end(self, request_id: str, whole: bool, now: float) -> list[verdicts.Effect]:
@@ -100,14 +101,14 @@
             return []
         told = self._tell_witnesses(flight, now)
         suspicion = self._book.find(flight.fingerprint, now)
-        if suspicion is None or suspicion.trial is None or suspicion.trial.node != self._host:
+        if suspicion is None or suspicion.trial is None or suspicion.trial.node != self._node:
             return [told]
         if not whole:
             suspicion.trial = None
-            trial = records.Trial(flight.fingerprint, flight.server_id, self._host, False)
+            trial = records.Trial(flight.fingerprint, flight.server_id, self._node, False)
             return [told, verdicts.TellPeers(trial)]
         suspicion.clear()
-        cleared = records.Cleared(flight.fingerprint, self._host)
+        cleared = records.Cleared(flight.fingerprint, self._node)
         return [told, verdicts.TellPeers(cleared), verdicts.AppendLog(cleared)]
 
     def on_crash(self, server_id: str, now: float, start_id: str = "") -> list[verdicts.Effect]:
@@ -121,13 +122,12 @@
         Returns:
             What to do; every request in flight there has become a suspect.
         """
-        tried = set(self._book.tried_on(server_id, now))
-        fingerprints = tried | self._flights.take_crashed(server_id, is_explained=bool(tried))
+        fingerprints = self._flights.take_crashed(server_id, start_id, now)
+        fingerprints.update(self._book.tried_on(server_id, now))
         if not fingerprints:
             return []
-        crash = records.Crash(server_id, start_id, tuple(sorted(fingerprints)), self._host)
-        effects: list[verdicts.Effect] = [verdicts.TellPeers(crash), verdicts.AppendLog(crash)]
-        return effects + self._take_crash(crash, now)
+        crash = records.Crash(server_id, start_id, tuple(sorted(fingerprints)), self._node)
+        return self._report_crash(crash, now)
 
     def on_peer_record(self, record: records.Record, now: float) -> list[verdicts.Effect]:
         """Take in a peer's record.
@@ -147,22 +147,44 @@
             self._take_cleared(record, now)
         elif isinstance(record, records.Trial):
             self._take_trial(record, now)
-        else:
+        elif isinstance(record, records.Flight):
             self._flights.witness(record, now)
-        if isinstance(record, records.Trial | records.Flight) and record.node == self._host:
-            # A peer remembers what this node's predecessor had begun.
-            self.on_peer_lost(self._host, now)
+        if isinstance(record, records.NodeLost) or self._is_predecessor(record.node):
+            self.on_peer_lost(record.node, now)
         return []
 
-    def on_peer_lost(self, host: str, now: float) -> None:
+    def _is_predecessor(self, node: str) -> bool:
+        """Tell whether a node is an earlier start on this node's host."""
+        return node != self._node and identifiers.NodeIdentity.parse(node).host == self._host
+
+    def on_peer_lost(self, node: str, now: float) -> None:
         """Take in that a node died or was replaced; its requests end within the reclaim time.
 
         Args:
-            host: Host of the node.
+            node: `host/incarnation` of the node.
             now: Time of the loop's clock.
         """
-        self._flights.expire_witnessed(host, now + RECLAIM_SECONDS)
-        self._book.expire_trials(host, now + RECLAIM_SECONDS)
+        self._book.expire_trials(node, now + RECLAIM_SECONDS)
+        self._flights.lose_node(node, now + RECLAIM_SECONDS)
+
+    def on_tick(self, now: float) -> list[verdicts.Effect]:
+        """Report the crashes that lost peers had requests in and did not report.
+
+        Those requests may have ended before. They count only where, once every word of the crash
+        has come, no other fingerprint explains it.
+
+        Args:
+            now: Time of the loop's clock.
+
+        Returns:
+            What to do.
+        """
+        effects = []
+        for crash in self._flights.take_unreported(now - SPREAD_SECONDS):
+            at = now - SPREAD_SECONDS
+            if not self._book.explains(crash.server_id, crash.start_id, MOST_CRASHES, at):
+                effects += self._report_crash(crash, now)
+        return effects
 
     def on_log_record(
         self, record: records.Record, offset: int, now: float, age_seconds: float = 0.0
@@ -243,11 +265,13 @@
         Returns:
             Records for its `on_peer_record`, on the connection that carries all later ones.
         """
-        yield from self._book.records(self._host, now)
+        yield from self._book.records(self._node, now)
         for flight in self._flights.known():
             # Only witnesses hear when a request has ended.
             if host in self._witnesses(flight, now):
                 yield flight
+        for node in self._flights.lost_nodes() | self._book.lost_nodes():
+            yield records.NodeLost(node)
 
     def _tell_witnesses(self, flight: records.Flight, now: float) -> verdicts.Effect:
         """Return the word of a request for the nodes that would try it."""
@@ -257,7 +281,8 @@
         """Return the hosts that are told of a request, other than the one that sends it."""
         limit = _trial_limit(flight.fingerprint, WITNESSES + 1)
         hosts = self._shares.holders(limit, now)
-        return tuple(host for host in hosts if host != flight.node)[:WITNESSES]
+        sender = identifiers.NodeIdentity.parse(flight.node).host
+        return tuple(host for host in hosts if host != sender)[:WITNESSES]
 
     def _hand_on(self, limit: share_table.Limit, now: float) -> verdicts.Verdict:
         """Say who may run a suspect that this node may not run."""
@@ -287,6 +312,11 @@
         """Tell whether this node is the one that tries suspects on a backend server."""
         return self._shares.units(share_table.Limit(f"trial/{server_id}", 1), now) > 0
 
+    def _report_crash(self, crash: records.Crash, now: float) -> list[verdicts.Effect]:
+        """Count a crash, and tell peers and log."""
+        effects: list[verdicts.Effect] = [verdicts.TellPeers(crash), verdicts.AppendLog(crash)]
+        return effects + self._take_crash(crash, now)
+
     def _take_crash(self, crash: records.Crash, at: float) -> list[verdicts.Effect]:
         """Count a crash against its fingerprints, and cancel requests alike."""
         suspects = set()
--- a/src/dragonflycove/quarantine/records.py
+++ b/src/dragonflycove/quarantine/records.py
@@ -21,7 +21,7 @@
     """Fingerprints of the requests that the reporting node had in flight there."""
 
     node: str
-    """Host of the reporting node."""
+    """`host/incarnation` of the reporting node."""
 
 
 class Trial(NamedTuple):
@@ -34,7 +34,7 @@
     """Identifier of the backend server."""
 
     node: str
-    """Host of the node that runs it."""
+    """`host/incarnation` of the node that runs it."""
 
     running: bool
     """True before it is sent, false once it has ended."""
@@ -47,7 +47,7 @@
     """Fingerprint of the former suspect."""
 
     node: str
-    """Host of the node that ran it."""
+    """`host/incarnation` of the node that ran it."""
 
 
 class Flight(NamedTuple):
@@ -63,16 +63,24 @@
     """Identifier of the request."""
 
     node: str
-    """Host of the node that sends it."""
+    """`host/incarnation` of the node that sends it."""
 
     running: bool
     """True before it is sent, false once it has ended."""
 
 
-Record = Crash | Trial | Cleared | Flight
+class NodeLost(NamedTuple):
+    """A node died or was replaced; what it had in flight ends without its word."""
+
+    node: str
+    """`host/incarnation` of the node."""
+
+
+Record = Crash | Trial | Cleared | Flight | NodeLost
 """Records between nodes; the log keeps `Crash` and `Cleared`."""
 
-_TYPE_BY_KIND: dict[str, type[Crash] | type[Trial] | type[Cleared] | type[Flight]] = {
+_TYPE_BY_KIND: dict[str, type[Any]] = {
+    "nodelost": NodeLost,
     "flight": Flight,
     "crash": Crash,
     "trial": Trial,
@@ -107,4 +115,5 @@
     fields = {field: value[field] for field in record_type._fields}
     if record_type is Crash:
         fields["fingerprints"] = tuple(fields["fingerprints"])
-    return record_type(**fields)
+    record: Record = record_type(**fields)
+    return record
