--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -161,6 +161,7 @@
             self._leases.set_rate,
             self._fleet.tell_cold,
             self._fleet.tell_record,
+            self._fleet.tell_witnesses,
             self._fleet.ask_leave,
             self._fleet.answer_leave,
             self._quarantine_log.append,
@@ -247,6 +248,8 @@
         zone_by_host = {name: entry.zone for name, entry in hosts.hosts_by_name.items()}
         self._subset.mailbox.post(subset_task.HostsChanged(zone_by_host))
         self._control.on_hosts(hosts)
+        for host in self._incarnations_by_host.keys() - hosts.hosts_by_name.keys():
+            self._lose_peer(host, self._incarnations_by_host.pop(host))
         if age_seconds <= self._context.settings.host_list_lag_seconds:
             self._reclaim.on_hosts(frozenset(hosts.hosts_by_name))
         live = {name for name, entry in hosts.hosts_by_name.items() if not entry.leaving}
@@ -271,7 +274,13 @@
         known = self._incarnations_by_host.get(digest.host)
         self._incarnations_by_host[digest.host] = digest.incarnation
         if digest.incarnation != known and digest.host != self._context.identity.host:
-            self._fleet.inform(digest.host, self._guard.known_records())
+            self._fleet.inform(digest.host, self._guard.known_records(digest.host))
+            if known is not None:
+                self._lose_peer(digest.host, known)
+
+    def _lose_peer(self, host: str, incarnation: str) -> None:
+        node = str(identifiers.NodeIdentity(host, incarnation))
+        self._context.guard.post(guard_messages.PeerLost(node))
 
     async def _run_once(
         self,
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -7,8 +7,9 @@
 
 from typing import TYPE_CHECKING
 
-from dragonflycove.quarantine import _book, _suspicion, records, verdicts
+from dragonflycove.quarantine import _book, _flights, _suspicion, records, verdicts
 from dragonflycove.shares import share_table
+from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -22,6 +23,18 @@
 SPREAD_SECONDS = 1.0
 """Time after a crash in which every peer has heard of it and cancelled requests alike."""
 
+RECLAIM_SECONDS = 60.0
+"""Time after a crash in which requests alike have ended, those of dead nodes included."""
+
+FALLBACK_SLOTS = 8
+"""Slots over which nodes without a server of their own spread their trials."""
+
+FALLBACK_SLOT_SECONDS = 0.5
+"""Length of one such slot; longer than word between nodes takes."""
+
+WITNESSES = 2
+"""Nodes that are told of each request in flight, besides the one that sends it."""
+
 GRANT_SECONDS = 5.0
 """Time for which leave to run alone is kept for a request that has not started."""
 
@@ -38,17 +51,18 @@
 class Quarantine:
     """One node's part of the quarantine."""
 
-    def __init__(self, shares: share_table.ShareTable, host: str) -> None:
+    def __init__(self, shares: share_table.ShareTable, node: identifiers.NodeIdentity) -> None:
         """Create a quarantine without suspects.
 
         Args:
             shares: This node's shares; the holder of a fingerprint's one unit may try it.
-            host: Name of this node's host.
+            node: This node.
         """
         self._shares = shares
-        self._host = host
+        self._host = node.host
+        self._node = str(node)
         self._book = _book.Book(REFUSAL_SECONDS)
-        self._flights_by_request: dict[str, tuple[str, str]] = {}
+        self._flights = _flights.Flights(self._node)
 
     def on_start(
         self, fingerprint: str, server_id: str, request_id: str, now: float
@@ -64,13 +78,15 @@
         Returns:
             What to do; peers must be told before the request is sent.
         """
-        self._flights_by_request[request_id] = (fingerprint, server_id)
+        flight = self._flights.start(fingerprint, server_id, request_id)
+        told = self._tell_witnesses(flight, now)
         suspicion = self._book.find(fingerprint, now)
         if suspicion is None or suspicion.crashes == 0:
-            return []
+            return [told]
         suspicion.grant = None
-        suspicion.trial = _suspicion.RunningTrial(server_id, self._host, now + TRIAL_SECONDS)
-        return [verdicts.TellPeers(records.Trial(fingerprint, server_id, self._host, True))]
+        suspicion.trial = _suspicion.RunningTrial(server_id, self._node, now + TRIAL_SECONDS)
+        trial = records.Trial(fingerprint, server_id, self._node, True)
+        return [told, verdicts.TellPeers(trial)]
 
     def on_end(self, request_id: str, whole: bool, now: float) -> list[verdicts.Effect]:
         """Take in that a request ended on its server, other than by a crash.
@@ -83,16 +99,20 @@
         Returns:
             What to do.
         """
-        fingerprint, server_id = self._flights_by_request.pop(request_id, ("", ""))
-        suspicion = self._book.find(fingerprint, now)
-        if suspicion is None or suspicion.trial is None or suspicion.trial.node != self._host:
+        flight = self._flights.end(request_id)
+        if flight is None:
             return []
+        told = self._tell_witnesses(flight, now)
+        suspicion = self._book.find(flight.fingerprint, now)
+        if suspicion is None or suspicion.trial is None or suspicion.trial.node != self._node:
+            return [told]
         if not whole:
             suspicion.trial = None
-            return [verdicts.TellPeers(records.Trial(fingerprint, server_id, self._host, False))]
+            trial = records.Trial(flight.fingerprint, flight.server_id, self._node, False)
+            return [told, verdicts.TellPeers(trial)]
         suspicion.clear()
-        cleared = records.Cleared(fingerprint, self._host)
-        return [verdicts.TellPeers(cleared), verdicts.AppendLog(cleared)]
+        cleared = records.Cleared(flight.fingerprint, self._node)
+        return [told, verdicts.TellPeers(cleared), verdicts.AppendLog(cleared)]
 
     def on_crash(self, server_id: str, now: float, start_id: str = "") -> list[verdicts.Effect]:
         """Take in that a backend server crashed.
@@ -105,16 +125,12 @@
         Returns:
             What to do; every request in flight there has become a suspect.
         """
-        flights = list(self._flights_by_request.items())
-        lost = {request: flight[0] for request, flight in flights if flight[1] == server_id}
-        for request_id in lost:
-            del self._flights_by_request[request_id]
-        fingerprints = set(lost.values()) | set(self._book.tried_on(server_id, now))
+        fingerprints = self._flights.take_crashed(server_id, start_id, now)
+        fingerprints.update(self._book.tried_on(server_id, now))
         if not fingerprints:
             return []
-        crash = records.Crash(server_id, start_id, tuple(sorted(fingerprints)), self._host)
-        effects: list[verdicts.Effect] = [verdicts.TellPeers(crash), verdicts.AppendLog(crash)]
-        return effects + self._take_crash(crash, now)
+        crash = records.Crash(server_id, start_id, tuple(sorted(fingerprints)), self._node)
+        return self._report_crash(crash, now)
 
     def on_peer_record(self, record: records.Record, now: float) -> list[verdicts.Effect]:
         """Take in a peer's record.
@@ -127,13 +143,52 @@
             What to do.
         """
         if isinstance(record, records.Crash):
+            # Word of a request may be overtaken by this node's own sight of the crash.
+            self._flights.forget_witnessed(record.node, record.server_id)
             return self._take_crash(record, now)
         if isinstance(record, records.Cleared):
             self._take_cleared(record, now)
-        else:
+        elif isinstance(record, records.Trial):
             self._take_trial(record, now)
+        elif isinstance(record, records.Flight):
+            self._flights.witness(record, now)
+        if isinstance(record, records.NodeLost) or self._is_predecessor(record.node):
+            self.on_peer_lost(record.node, now)
         return []
 
+    def _is_predecessor(self, node: str) -> bool:
+        """Tell whether a node is an earlier start on this node's host."""
+        return node != self._node and identifiers.NodeIdentity.parse(node).host == self._host
+
+    def on_peer_lost(self, node: str, now: float) -> None:
+        """Take in that a node died or was replaced; its requests end within the reclaim time.
+
+        Args:
+            node: `host/incarnation` of the node.
+            now: Time of the loop's clock.
+        """
+        self._book.expire_trials(node, now + RECLAIM_SECONDS)
+        self._flights.lose_node(node, now + RECLAIM_SECONDS)
+
+    def on_tick(self, now: float) -> list[verdicts.Effect]:
+        """Report the crashes that lost peers had requests in and did not report.
+
+        Those requests may have ended before. They count only where, once every word of the crash
+        has come, no other fingerprint explains it.
+
+        Args:
+            now: Time of the loop's clock.
+
+        Returns:
+            What to do.
+        """
+        effects = []
+        for crash in self._flights.take_unreported(now - SPREAD_SECONDS):
+            at = now - SPREAD_SECONDS
+            if not self._book.explains(crash.server_id, crash.start_id, MOST_CRASHES, at):
+                effects += self._report_crash(crash, now)
+        return effects
+
     def on_log_record(
         self, record: records.Record, offset: int, now: float, age_seconds: float = 0.0
     ) -> list[verdicts.Effect]:
@@ -183,12 +238,14 @@
             return verdicts.Allowed() if trial is None else verdicts.Wait(now + POLL_SECONDS)
         if suspicion.crashes >= MOST_CRASHES:
             return verdicts.Refused(suspicion.last_at + REFUSAL_SECONDS - now)
-        limit = share_table.Limit(f"suspect/{fingerprint}", 1)
+        limit = _trial_limit(fingerprint, 1)
         if self._shares.units(limit, now) == 0:
             return self._hand_on(limit, now)
         if now < suspicion.since + SPREAD_SECONDS:
             return verdicts.Wait(suspicion.since + SPREAD_SECONDS)
-        return self._grant(suspicion, request_id, candidates, now)
+        if self._flights.runs(fingerprint, now) and now < suspicion.last_at + RECLAIM_SECONDS:
+            return verdicts.Wait(now + POLL_SECONDS)
+        return self._grant(fingerprint, request_id, candidates, now)
 
     def grant_peer(self, asked: records.LeaveAsked, now: float) -> bool:
         """Give a peer leave to run a suspect alone, as the holder of the fingerprint's one unit.
@@ -200,16 +257,13 @@
         Returns:
             Whether it may; the leave lapses unless word of the trial's start comes.
         """
-        suspicion = self._book.find(asked.fingerprint, now)
-        if suspicion is None or not 0 < suspicion.crashes < MOST_CRASHES:
-            return False
-        limit = share_table.Limit(f"suspect/{asked.fingerprint}", 1)
-        if self._shares.units(limit, now) == 0 or now < suspicion.since + SPREAD_SECONDS:
-            return False
-        if suspicion.trial is not None or suspicion.grant is not None:
-            return False
-        if asked.server_id in self._book.servers_in_trial(now):
+        allowed = self.verdict(
+            asked.fingerprint, now, asked.request_id, frozenset({asked.server_id})
+        )
+        if not isinstance(allowed, verdicts.Alone):
             return False
+        suspicion = self._book.open(asked.fingerprint, now)
+        suspicion.grant = None
         suspicion.trial = _suspicion.RunningTrial(asked.server_id, asked.node, now + LEAVE_SECONDS)
         return True
 
@@ -224,16 +278,34 @@
         """
         return self._book.servers_in_trial(now)
 
-    def known_records(self, now: float) -> Iterator[records.Record]:
-        """Return all that a peer that starts while the log is down needs to know.
+    def known_records(self, host: str, now: float) -> Iterator[records.Record]:
+        """Return all that a peer that has just started needs to know.
 
         Args:
+            host: Host of the peer.
             now: Time of the loop's clock.
 
         Returns:
-            Records for its `on_peer_record`.
+            Records for its `on_peer_record`, on the connection that carries all later ones.
         """
-        return self._book.records(self._host, now)
+        yield from self._book.records(self._node, now)
+        for flight in self._flights.known():
+            # Only witnesses hear when a request has ended.
+            if host in self._witnesses(flight, now):
+                yield flight
+        for node in self._flights.lost_nodes() | self._book.lost_nodes():
+            yield records.NodeLost(node)
+
+    def _tell_witnesses(self, flight: records.Flight, now: float) -> verdicts.Effect:
+        """Return the word of a request for the nodes that would try it."""
+        return verdicts.TellWitnesses(self._witnesses(flight, now), flight)
+
+    def _witnesses(self, flight: records.Flight, now: float) -> tuple[str, ...]:
+        """Return the hosts that are told of a request, other than the one that sends it."""
+        limit = _trial_limit(flight.fingerprint, WITNESSES + 1)
+        hosts = self._shares.holders(limit, now)
+        sender = identifiers.NodeIdentity.parse(flight.node).host
+        return tuple(host for host in hosts if host != sender)[:WITNESSES]
 
     def _hand_on(self, limit: share_table.Limit, now: float) -> verdicts.Verdict:
         """Say who may run a suspect that this node may not run."""
@@ -242,27 +314,32 @@
         return verdicts.Elsewhere(others) if others else verdicts.Wait(now + POLL_SECONDS)
 
     def _grant(
-        self,
-        suspicion: _suspicion.Suspicion,
-        request_id: str,
-        candidates: frozenset[str],
-        now: float,
+        self, fingerprint: str, request_id: str, candidates: frozenset[str], now: float
     ) -> verdicts.Verdict:
         """Give leave to run a suspect alone, to one request at a time."""
+        suspicion = self._book.open(fingerprint, now)
         grant = suspicion.grant
         if suspicion.trial is not None or (grant is not None and grant.request_id != request_id):
             return verdicts.Wait(now + POLL_SECONDS)
         free = candidates - self._book.servers_in_trial(now)
-        if not free:
+        servers = frozenset(server for server in free if self._tries_on(server, now))
+        # Without a server of its own, a node waits until it has heard where the others try.
+        if not servers and now >= suspicion.since + _fallback_seconds(fingerprint):
+            servers = free
+        if not servers:
             return verdicts.Wait(now + POLL_SECONDS)
         suspicion.grant = _suspicion.Grant(request_id, now + GRANT_SECONDS)
-        own = frozenset(server for server in free if self._tries_on(server, now))
-        return verdicts.Alone(own or free)
+        return verdicts.Alone(servers)
 
     def _tries_on(self, server_id: str, now: float) -> bool:
         """Tell whether this node is the one that tries suspects on a backend server."""
         return self._shares.units(share_table.Limit(f"trial/{server_id}", 1), now) > 0
 
+    def _report_crash(self, crash: records.Crash, now: float) -> list[verdicts.Effect]:
+        """Count a crash, and tell peers and log."""
+        effects: list[verdicts.Effect] = [verdicts.TellPeers(crash), verdicts.AppendLog(crash)]
+        return effects + self._take_crash(crash, now)
+
     def _take_crash(self, crash: records.Crash, at: float) -> list[verdicts.Effect]:
         """Count a crash against its fingerprints, and cancel requests alike."""
         suspects = set()
@@ -271,9 +348,8 @@
             if suspicion.add_crash(crash.server_id, crash.start_id, at):
                 suspects.add(fingerprint)
         return [
-            verdicts.CancelRequest(request_id, server_id)
-            for request_id, (fingerprint, server_id) in self._flights_by_request.items()
-            if fingerprint in suspects
+            verdicts.CancelRequest(flight.request_id, flight.server_id)
+            for flight in self._flights.own(suspects)
         ]
 
     def _take_cleared(self, record: records.Cleared, now: float) -> None:
@@ -290,3 +366,14 @@
             suspicion.trial = _suspicion.RunningTrial(record.server_id, record.node, expires_at)
         elif suspicion.trial is not None and suspicion.trial.node == record.node:
             suspicion.trial = None
+
+
+def _fallback_seconds(fingerprint: str) -> float:
+    """Return when, after its crash, a suspect may be tried on any free backend server."""
+    slot = identifiers.stable_hash(fingerprint) % FALLBACK_SLOTS
+    return 2 * SPREAD_SECONDS + slot * FALLBACK_SLOT_SECONDS
+
+
+def _trial_limit(fingerprint: str, units: int) -> share_table.Limit:
+    """Return the limit whose first holder may try a suspect."""
+    return share_table.Limit(f"suspect/{fingerprint}", units)
