Refuse a stand-in's port that another process has

Cause: two demos ran at the same time; the stand-ins share ports since they stay bound while down, so callers' requests went to either (postings 'answered and ran 0 times'). Change: a stand-in checks that nobody has its port before it shares it with itself.

--- a/src/dragonflycove/standins/serving.py
+++ b/src/dragonflycove/standins/serving.py
@@ -117,6 +117,7 @@
         self._standin = standin
         self._grace_seconds = grace_seconds
         self._host, _, port = address.rpartition(":")
+        _check_free(self._host, int(port))
         # Bound but not listening: the port stays taken while connections to it are refused.
         self._placeholder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._placeholder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
@@ -188,6 +189,13 @@
         return _Server(config)
 
 
+def _check_free(host: str, port: int) -> None:
+    """Raise `OSError` if another process has the port, which sharing it would hide."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((host, port))
+
+
 def json_response(
     value: object, status: int = 200, headers: dict[str, str] | None = None
 ) -> responses.Response:
--- /dev/null
+++ b/tests/standins/test_serving.py
@@ -0,0 +1,17 @@
+"""Tests of the sockets of stand-ins."""
+
+from __future__ import annotations
+
+import pytest
+
+from dragonflycove.standins import clock, kinds, serving
+
+
+@pytest.mark.asyncio
+async def test_a_port_that_another_standin_has_is_refused():
+    first = kinds.build_hosts({}, clock.unix_clock())
+    second = kinds.build_hosts({}, clock.unix_clock())
+    async with serving.serving(first, "127.0.0.1:0", 1) as address:
+        with pytest.raises(OSError, match="in use"):
+            async with serving.serving(second, address, 1):
+                pass
