Count answers from when they were asked for; a peer that is ahead makes stale

Cause: a node frozen for 6 s took frames and log pages that had waited in its sockets for news, and a peer that was ahead for a sign that the log is down: after SIGCONT up to four requests went into a zone that was out.

--- a/src/dragonflycove/configuration/freshness.py
+++ b/src/dragonflycove/configuration/freshness.py
@@ -32,6 +32,10 @@
     """Least part of the other hosts that a node can reach that is not cut off, 0 to 1."""
 
 
+DEFAULT_BOUNDS = FreshnessBounds(log_seconds=4.0, peer_seconds=4.0, least_reachable=0.5)
+"""The bounds that nodes use; a reading that finds nothing new takes 2 s."""
+
+
 class FreshnessView:
     """Keeps when the log and the peers were last heard."""
 
@@ -47,24 +51,34 @@
         self._peer_heard_at = now
         self._expects_peers = False
         self._reachable_fraction = 1.0
+        self._furthest_offset = 0
 
-    def on_log_read(self, now: float) -> None:
+    def on_log_read(self, asked_at: float) -> None:
         """Take note that the log was read to its end.
 
         Args:
-            now: Time, seconds.
+            asked_at: When the reading was asked for, seconds. The answer may have waited long
+                where the process was paused, so its arrival says nothing.
+        """
+        self._log_read_at = max(self._log_read_at, asked_at)
+
+    def on_peer_position(self, next_offset: int) -> None:
+        """Take note of how far a peer has applied the configuration stream.
+
+        Args:
+            next_offset: Offset of the first record that it has not applied.
         """
-        self._log_read_at = max(self._log_read_at, now)
+        self._furthest_offset = max(self._furthest_offset, next_offset)
 
-    def on_peer_frame(self, log_age_seconds: float, now: float) -> None:
-        """Take note of a frame from a peer that has our version or an older one.
+    def on_peer_answer(self, log_age_seconds: float, asked_at: float) -> None:
+        """Take note of an answer from a peer that has applied no record that is missing here.
 
         Args:
             log_age_seconds: Age of the last reading of the log that the peer knows of.
-            now: Time, seconds.
+            asked_at: When the peer was asked, seconds.
         """
-        self._peer_heard_at = now
-        self._log_read_at = max(self._log_read_at, now - max(0.0, log_age_seconds))
+        self._peer_heard_at = max(self._peer_heard_at, asked_at)
+        self._log_read_at = max(self._log_read_at, asked_at - max(0.0, log_age_seconds))
 
     def on_reachability(self, expects_peers: bool, reachable_fraction: float) -> None:
         """Take note of how many of the other hosts answer.
@@ -87,17 +101,21 @@
         """
         return now - self._log_read_at
 
-    def evaluate(self, now: float) -> Freshness:
+    def evaluate(self, now: float, next_offset: int) -> Freshness:
         """Tell how fresh the configuration is.
 
         Args:
             now: Time, seconds.
+            next_offset: Offset of the first record that this node has not applied.
 
         Returns:
             The freshness.
         """
         if self.log_age_seconds(now) <= self._bounds.log_seconds:
             return Freshness.FRESH
+        if next_offset < self._furthest_offset:
+            # A peer has applied records that the log does not show here.
+            return Freshness.STALE
         if not self._expects_peers:
             # There is nobody from whom the node could be cut off.
             return Freshness.LOG_SILENT
--- a/src/dragonflycove/membership/effects.py
+++ b/src/dragonflycove/membership/effects.py
@@ -18,6 +18,13 @@
     """The message."""
 
 
+class Answered(NamedTuple):
+    """A probe was answered, by its target or by a helper."""
+
+    asked_at: float
+    """When the probe was sent, seconds."""
+
+
 class MemberChanged(NamedTuple):
     """A member started, stopped answering, answers again or is leaving."""
 
@@ -32,5 +39,5 @@
     """Name of the host."""
 
 
-Effect = Send | MemberChanged | MemberGone
+Effect = Send | Answered | MemberChanged | MemberGone
 """What a membership decision asks for."""
--- a/src/dragonflycove/membership/membership.py
+++ b/src/dragonflycove/membership/membership.py
@@ -215,6 +215,7 @@
         pending = self._pending_by_id.pop(answer.probe_id, None)
         if pending is not None and pending.host == answer.target:
             self._note_answer(pending.host, answered=True)
+            found.append(effects.Answered(pending.sent_at))
             self._heard_at_by_host[pending.host] = now
         helping = self._helping_by_id.pop(answer.probe_id, None)
         if helping is not None:
--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -57,7 +57,7 @@
     retention_seconds: float = 86_400.0
     """How long the log keeps a record, seconds."""
 
-    freshness_bounds: freshness.FreshnessBounds = freshness.FreshnessBounds(6.0, 4.0, 0.5)
+    freshness_bounds: freshness.FreshnessBounds = freshness.DEFAULT_BOUNDS
     """Bounds on silence."""
 
 
@@ -113,7 +113,7 @@
 
     def evaluate_freshness(self) -> freshness.Freshness:
         """Tell how fresh the configuration is."""
-        return self._view().evaluate(_now())
+        return self._view().evaluate(_now(), self._state.snapshot.next_offset)
 
     def subscribe(self, subscriber: Callable[[schema.Configuration], None]) -> None:
         """Hand every new configuration to a callable, the one in force at once.
@@ -166,13 +166,22 @@
         """Take note of what a peer's frame tells.
 
         Args:
-            header: The header.
+            header: Its header.
+        """
+        self._view().on_peer_position(header.next_offset)
+
+    def on_peer_answer(self, header: messages.Header, asked_at: float) -> None:
+        """Take note of a peer's answer to a question of this node.
+
+        Args:
+            header: Header of the answer.
+            asked_at: When the question was sent, seconds.
         """
         age = header.log_age_seconds if header.log_age_seconds >= 0 else float("inf")
         if header.next_offset > self._state.snapshot.next_offset:
             # A reading of the log elsewhere tells nothing of records that are not here yet.
             age = float("inf")
-        self._view().on_peer_frame(age, _now())
+        self._view().on_peer_answer(age, asked_at)
 
     async def adopt(self, snapshot: records.Snapshot) -> None:
         """Take over a peer's snapshot, if it is newer.
@@ -191,18 +200,19 @@
     async def _follow_log(self) -> None:
         pause = RETRY_SECONDS
         while True:
+            asked_at = _now()
             page = await self._log.read(
                 records.STREAM, self._state.next_offset, PAGE_RECORDS, POLL_SECONDS, CALL_SECONDS
             )
             if isinstance(page, result.Ok):
                 pause = RETRY_SECONDS
-                await self._take_page(page.ok_value)
+                await self._take_page(page.ok_value, asked_at)
                 continue
             logs.warning("log_read_failed", reason=page.err_value.reason)
             await asyncio.sleep(pause * (0.5 + self._rng.random()))
             pause = min(2 * pause, MAX_RETRY_SECONDS)
 
-    async def _take_page(self, page: log_client.ReadPage) -> None:
+    async def _take_page(self, page: log_client.ReadPage, asked_at: float) -> None:
         async with self._changing:
             skipped = acceptance.skip_expired(self._state, page.first_retained)
             self._state = skipped
@@ -213,7 +223,7 @@
                 applied = await _offload(size, acceptance.apply, self._state, entry.offset, record)
                 self._install(applied)
         if len(page.records) < PAGE_RECORDS and self._state.anchored:
-            self._view().on_log_read(_now())
+            self._view().on_log_read(asked_at)
             self._ready.set()
 
     def _install(self, applied: acceptance.Applied) -> None:
--- a/src/dragonflycove/node/control_tasks.py
+++ b/src/dragonflycove/node/control_tasks.py
@@ -64,10 +64,11 @@
             lambda: configuration.configuration.version,
             on_member_changed,
             configuration.on_reachability,
+            configuration.on_peer_answer,
         )
         """Who exists and who answers."""
-        self._exchange = snapshot_exchange.SnapshotExchange(configuration, self.peers, rng)
         self.peers.observe_headers(configuration.on_peer_header)
+        self._exchange = snapshot_exchange.SnapshotExchange(configuration, self.peers, rng)
 
     async def run(self) -> None:
         """Run all of them until cancelled."""
--- a/src/dragonflycove/node/membership_task.py
+++ b/src/dragonflycove/node/membership_task.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable, Iterable
 
     from dragonflycove.node import peer_task
+    from dragonflycove.peering import messages
     from dragonflycove.values import identifiers
 
 TICK_SECONDS = 0.25
@@ -28,6 +29,7 @@
         read_version: Callable[[], int],
         on_change: Callable[[digests.Digest], None] | None = None,
         on_reachability: Callable[[bool, float], None] | None = None,
+        on_answer: Callable[[messages.Header, float], None] | None = None,
     ) -> None:
         """Create the task and register for its messages.
 
@@ -38,12 +40,14 @@
             on_change: Told of members that start, fall silent, answer again or leave.
             on_reachability: Told whether the host list names other hosts, and the estimated part
                 of them that can be reached.
+            on_answer: Told of the header of each answer to a probe, and when the probe was sent.
         """
         self._members = members
         self._peers = peers
         self._read_version = read_version
         self._on_change = on_change
         self._on_reachability = on_reachability
+        self._on_answer = on_answer
         self._leaving = False
         peers.handle(digests.Probe, self._on_probe)
         peers.handle(digests.ProbeAnswered, self._on_probe_answered)
@@ -84,7 +88,14 @@
     def _on_probe_answered(
         self, sender: identifiers.NodeIdentity, message: digests.ProbeAnswered
     ) -> None:
-        self._carry_out(self._members.on_probe_answered(message, _now()))
+        found = self._members.on_probe_answered(message, _now())
+        self._carry_out(found)
+        header = self._peers.header_of(sender.host)
+        if header is None or self._on_answer is None:
+            return
+        for effect in found:
+            if isinstance(effect, effects.Answered):
+                self._on_answer(header, effect.asked_at)
 
     def _on_probe_requested(
         self, sender: identifiers.NodeIdentity, message: digests.ProbeRequested
@@ -97,7 +108,7 @@
                 self._peers.send(effect.host, effect.message)
             elif isinstance(effect, effects.MemberChanged):
                 self._tell(effect.digest)
-            else:
+            elif isinstance(effect, effects.MemberGone):
                 logs.event("member_gone", host=effect.host)
 
     def _tell(self, digest: digests.Digest) -> None:
--- a/src/dragonflycove/node/peer_task.py
+++ b/src/dragonflycove/node/peer_task.py
@@ -61,6 +61,7 @@
         self._relay = relaying.Relay(rng)
         self._handlers_by_type: dict[type[Any], Callable[[identifiers.NodeIdentity, Any], None]]
         self._handlers_by_type = {relaying.Relayed: self._on_relayed}
+        self._headers_by_host: dict[str, messages.Header] = {}
         self._header_observers: list[Callable[[messages.Header], None]] = []
         self._addresses_by_host: dict[str, str] = {}
         self._live_hosts: tuple[str, ...] = ()
@@ -99,6 +100,14 @@
         """
         self._header_observers.append(observer)
 
+    def header_of(self, host: str) -> messages.Header | None:
+        """Return the header of the last frame from a host; in a handler, of the frame at hand.
+
+        Args:
+            host: Name of the host.
+        """
+        return self._headers_by_host.get(host)
+
     def on_hosts(self, addresses_by_host: Mapping[str, str]) -> None:
         """Take note of where the other nodes are.
 
@@ -110,6 +119,8 @@
             for host, address in addresses_by_host.items()
             if host != self._identity.host
         }
+        for host in self._headers_by_host.keys() - self._addresses_by_host.keys():
+            del self._headers_by_host[host]
         for host, known in list(self._links_by_host.items()):
             if self._addresses_by_host.get(host) != known.address:
                 self._close_link(host)
@@ -220,6 +231,7 @@
     def _take(
         self, sender: identifiers.NodeIdentity, taken: messages.Frame | messages.UnknownFrame
     ) -> None:
+        self._headers_by_host[sender.host] = taken.header
         for observer in self._header_observers:
             observer(taken.header)
         if isinstance(taken, messages.UnknownFrame):
--- a/src/dragonflycove/node/snapshot_exchange.py
+++ b/src/dragonflycove/node/snapshot_exchange.py
@@ -7,6 +7,7 @@
 
 import result
 
+from dragonflycove.configuration import freshness
 from dragonflycove.peering import messages, snapshots
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers
@@ -81,7 +82,8 @@
                 continue
             now = _now()
             behind_since = now if behind_since is None else behind_since
-            is_late = now - behind_since >= GRACE_SECONDS
+            is_fresh = self._configuration.evaluate_freshness() is freshness.Freshness.FRESH
+            is_late = now - behind_since >= GRACE_SECONDS or not is_fresh
             if is_late and now - self._asked_at > REQUEST_SECONDS:
                 self._ask(ahead, now)
 
--- a/src/dragonflycove/peering/cut_measurement.py
+++ b/src/dragonflycove/peering/cut_measurement.py
@@ -8,9 +8,6 @@
 from dragonflycove.configuration import freshness
 from dragonflycove.peering import measurement
 
-BOUNDS = freshness.FreshnessBounds(6.0, 4.0, 0.5)
-"""The bounds that nodes use."""
-
 POLL_SECONDS = 2.0
 """Time between two readings of the log, seconds."""
 
@@ -58,7 +55,9 @@
         self.fault = fault
         self.now = 0.0
         self.has_log = True
-        self._views = {host: freshness.FreshnessView(BOUNDS, 0.0) for host in fleet.members}
+        self._views = {
+            host: freshness.FreshnessView(freshness.DEFAULT_BOUNDS, 0.0) for host in fleet.members
+        }
         fleet.on_frame = self._on_frame
 
     def step(self) -> None:
@@ -74,11 +73,11 @@
     def count_stale(self, hosts: set[str]) -> int:
         """Count the stale nodes among some."""
         stale = freshness.Freshness.STALE
-        return sum(1 for host in hosts if self._views[host].evaluate(self.now) is stale)
+        return sum(1 for host in hosts if self._views[host].evaluate(self.now, 0) is stale)
 
     def _on_frame(self, sender: str, receiver: str) -> None:
         age = self._views[sender].log_age_seconds(self.now)
-        self._views[receiver].on_peer_frame(age, self.now)
+        self._views[receiver].on_peer_answer(age, self.now)
 
 
 def measure_cut(fault: Fault, seed: int = 1) -> CutOutcome:
--- a/tests/node/test_configuration_task.py
+++ b/tests/node/test_configuration_task.py
@@ -116,6 +116,23 @@
     assert list_restatements(log)
 
 
+async def test_an_answer_that_waited_while_the_process_was_paused_is_no_news() -> None:
+    """A reading counts from when it was asked for, not from when its answer was looked at."""
+    log = ExpiringLog()
+    node = make_node("a", log)
+    node.on_reachability(True, 1.0)
+    reading = log.read
+
+    async def read_late(*arguments: object) -> object:
+        page = await reading(*arguments)
+        await asyncio.sleep(20.0)
+        return page
+
+    log.read = read_late
+    await run_for(log, [node], 25.0)
+    assert node.evaluate_freshness() is freshness.Freshness.STALE
+
+
 async def test_subscribers_get_each_version_in_turn() -> None:
     """A late subscriber gets the version in force at once, and each later one in turn."""
     log = ExpiringLog()
@@ -153,23 +170,31 @@
         await asyncio.sleep(1.0)
         node.on_reachability(expects_peers, reachable)
         if frames:
-            node.on_peer_header(messages.Header("b/start", 0, 0, 30.0))
+            header = messages.Header("b/start", 0, 0, 30.0)
+            node.on_peer_answer(header, asyncio.get_running_loop().time())
     assert node.evaluate_freshness() is expected
 
 
 @pytest.mark.parametrize(
-    ("next_offset", "expected"),
-    [(1, freshness.Freshness.FRESH), (2, freshness.Freshness.LOG_SILENT)],
+    ("next_offset", "waited", "expected"),
+    [
+        (1, 0.5, freshness.Freshness.FRESH),
+        (2, 0.5, freshness.Freshness.STALE),
+        (1, 8.0, freshness.Freshness.STALE),
+    ],
 )
-async def test_a_peers_reading_counts_only_if_it_is_not_ahead(
-    next_offset: int, expected: freshness.Freshness
+async def test_what_a_peers_reading_counts(
+    next_offset: int, waited: float, expected: freshness.Freshness
 ) -> None:
-    """A peer that read the log lately makes fresh, but not if it has records that we lack."""
+    """A peer that read the log lately makes fresh; one that is ahead, or asked long ago, does not."""
     log = ExpiringLog()
     log.put(records.TextProposed("op-0", 0, "ana", TEXT))
     node = make_node("a", log)
     await run_for(log, [node], 5.0)
     await asyncio.sleep(20.0)
     node.on_reachability(True, 1.0)
-    node.on_peer_header(messages.Header("b/start", 1, next_offset, 1.0))
+    asked_at = asyncio.get_running_loop().time() - waited
+    header = messages.Header("b/start", 1, next_offset, 1.0)
+    node.on_peer_header(header)
+    node.on_peer_answer(header, asked_at)
     assert node.evaluate_freshness() is expected
