--- a/src/dragonflycove/membership/membership.py
+++ b/src/dragonflycove/membership/membership.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.membership import digests, dissemination, effects
+from dragonflycove.membership import digests, dissemination, effects, probing
 
 if TYPE_CHECKING:
     import random
@@ -15,24 +15,12 @@
 
     from dragonflycove.values import identifiers
 
-PERIOD_SECONDS = 1.0
-"""Time between two probes by one node, seconds."""
-
-ANSWER_SECONDS = 0.5
-"""Time after which others are asked to probe a host that did not answer, seconds."""
-
 SUSPICION_SECONDS = 4.0
 """Time in which a suspected member may take the suspicion back, seconds."""
 
 HELPERS = 2
 """Hosts that are asked to probe one that did not answer."""
 
-MAX_PROBED_HOSTS = 16
-"""Hosts probed last from which the part of those that can be reached is told."""
-
-MAX_HELPING = 64
-"""Most probes for others that are kept track of."""
-
 
 class HostEntry(NamedTuple):
     """One host of the host list."""
@@ -44,21 +32,6 @@
     """Whether the host list says that it is leaving."""
 
 
-class _Pending(NamedTuple):
-    """A probe that was not answered yet."""
-
-    host: str
-    sent_at: float
-    asked_others: bool
-
-
-class _Helping(NamedTuple):
-    """A probe that was sent for another node."""
-
-    asker: str
-    their_probe_id: int
-
-
 class Membership:
     """What one node knows of the others."""
 
@@ -81,12 +54,8 @@
         self._heard_at_by_host: dict[str, float] = {}
         self._suspected_at_by_host: dict[str, float] = {}
         self._dissemination = dissemination.Dissemination(rng)
-        self._turn: list[str] = []
-        self._next_probe_id = 0
+        self._probes = probing.Probes(rng)
         self._next_probe_at = float("-inf")
-        self._pending_by_id: dict[int, _Pending] = {}
-        self._helping_by_id: dict[int, _Helping] = {}
-        self._answered_by_host: dict[str, bool] = {}
 
     @property
     def own(self) -> digests.Digest:
@@ -119,15 +88,8 @@
         return self._heard_at_by_host.get(host)
 
     def answered_fraction(self) -> float:
-        """Return the part of the hosts probed last that answered, directly or through others.
-
-        The targets take turns, so that it is exact for few hosts, and an estimate for many.
-
-        Returns:
-            A number from 0 to 1; 1 before the first probe.
-        """
-        recent = self._answered_by_host.values()
-        return sum(recent) / len(recent) if recent else 1.0
+        """Return the part of the hosts probed last that answered, 0 to 1."""
+        return self._probes.answered_fraction()
 
     def on_hosts(self, hosts: Iterable[HostEntry]) -> list[effects.Effect]:
         """Take in a reading of the host list.
@@ -145,8 +107,7 @@
             self._heard_at_by_host.pop(host, None)
             self._suspected_at_by_host.pop(host, None)
             self._dissemination.drop(host)
-        for host in self._answered_by_host.keys() - self._hosts_by_name.keys():
-            del self._answered_by_host[host]
+        self._probes.keep_hosts(self._hosts_by_name)
         return [effects.MemberGone(host) for host in gone]
 
     def set_own(self, version: int, leaving: bool) -> None:
@@ -165,7 +126,7 @@
             self._dissemination.add(self._own.host)
 
     def on_tick(self, now: float) -> list[effects.Effect]:
-        """Do what is due; call it several times in `PERIOD_SECONDS`.
+        """Do what is due; call it several times in `probing.PERIOD_SECONDS`.
 
         Args:
             now: Time, seconds.
@@ -174,14 +135,17 @@
             What to do.
         """
         found: list[effects.Effect] = []
-        for probe_id, pending in list(self._pending_by_id.items()):
-            found.extend(self._check_pending(probe_id, pending, now))
+        late = self._probes.collect_late(now)
+        for pending in late.to_ask_others:
+            found.extend(self._ask_others(pending))
+        for pending in late.failed:
+            found.extend(self._suspect(pending.host, now))
         for host, suspected_at in list(self._suspected_at_by_host.items()):
             if now - suspected_at >= SUSPICION_SECONDS:
                 del self._suspected_at_by_host[host]
                 found.extend(self._mark(host, digests.Health.SILENT))
         if now >= self._next_probe_at:
-            self._next_probe_at = now + PERIOD_SECONDS
+            self._next_probe_at = now + probing.PERIOD_SECONDS
             self._own = self._own._replace(heartbeat=self._own.heartbeat + 1)
             found.extend(self._probe_next(now))
         return found
@@ -212,12 +176,11 @@
             What to do.
         """
         found = self._take(answer.digests, now)
-        pending = self._pending_by_id.pop(answer.probe_id, None)
-        if pending is not None and pending.host == answer.target:
-            self._note_answer(pending.host, answered=True)
+        pending = self._probes.end(answer.probe_id, answer.target)
+        if pending is not None:
             found.append(effects.Answered(pending.sent_at))
             self._heard_at_by_host[pending.host] = now
-        helping = self._helping_by_id.pop(answer.probe_id, None)
+        helping = self._probes.end_helping(answer.probe_id)
         if helping is not None:
             chosen = self._pick(helping.asker)
             passed_on = digests.ProbeAnswered(helping.their_probe_id, answer.target, chosen)
@@ -238,54 +201,23 @@
         """
         if request.target not in self._hosts_by_name:
             return []
-        probe_id = self._new_probe_id()
-        self._helping_by_id[probe_id] = _Helping(sender, request.probe_id)
-        if len(self._helping_by_id) > MAX_HELPING:
-            del self._helping_by_id[next(iter(self._helping_by_id))]
+        helping = probing.HelpingProbe(sender, request.probe_id)
+        probe_id = self._probes.begin_helping(helping)
         return [effects.Send(request.target, digests.Probe(probe_id, self._pick(request.target)))]
 
     def _probe_next(self, now: float) -> list[effects.Effect]:
-        host = self._next_in_turn()
+        host = self._probes.next_host(self.other_hosts)
         if host is None:
             return []
-        probe_id = self._new_probe_id()
-        self._pending_by_id[probe_id] = _Pending(host, now, False)
+        probe_id = self._probes.begin(host, now)
         return [effects.Send(host, digests.Probe(probe_id, self._pick(host)))]
 
-    def _next_in_turn(self) -> str | None:
-        """Return the next host of a shuffled round, so that each is probed once in a round."""
-        others = self.other_hosts
-        if not others:
-            return None
-        while self._turn:
-            host = self._turn.pop()
-            if host in self._hosts_by_name:
-                return host
-        self._turn = others
-        self._rng.shuffle(self._turn)
-        return self._turn.pop()
-
-    def _check_pending(self, probe_id: int, pending: _Pending, now: float) -> list[effects.Effect]:
-        waited = now - pending.sent_at
-        if waited >= PERIOD_SECONDS + ANSWER_SECONDS:
-            del self._pending_by_id[probe_id]
-            self._note_answer(pending.host, answered=False)
-            return self._suspect(pending.host, now)
-        if waited < ANSWER_SECONDS or pending.asked_others:
-            return []
-        self._pending_by_id[probe_id] = pending._replace(asked_others=True)
+    def _ask_others(self, pending: probing.PendingProbe) -> list[effects.Effect]:
         helpers = [host for host in self.live_hosts() if host != pending.host]
         chosen = self._rng.sample(helpers, min(HELPERS, len(helpers)))
-        request = digests.ProbeRequested(probe_id, pending.host)
+        request = digests.ProbeRequested(pending.probe_id, pending.host)
         return [effects.Send(helper, request) for helper in chosen]
 
-    def _note_answer(self, host: str, *, answered: bool) -> None:
-        self._answered_by_host.pop(host, None)
-        if host in self._hosts_by_name:
-            self._answered_by_host[host] = answered
-        if len(self._answered_by_host) > MAX_PROBED_HOSTS:
-            del self._answered_by_host[next(iter(self._answered_by_host))]
-
     def _suspect(self, host: str, now: float) -> list[effects.Effect]:
         known = self._digests_by_host.get(host)
         if known is None or known.health is not digests.Health.ALIVE:
@@ -351,10 +283,6 @@
         digest = self._digests_by_host.get(host)
         return digest is None or not (digest.leaving or digest.health is digests.Health.SILENT)
 
-    def _new_probe_id(self) -> int:
-        self._next_probe_id += 1
-        return self._next_probe_id
-
 
 def _is_same_news(digest: digests.Digest, known: digests.Digest) -> bool:
     """Tell whether two digests differ in nothing that the others need to hear at once."""
