--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -53,11 +53,11 @@
 
     def on_truth(self, configuration):
         """Note since when each server is barred from new work."""
-        for server_id in self.world.engines:
-            if configuration.accepts_new_work(server_id):
-                self.barred_since_by_server.pop(server_id, None)
-            else:
+        for server_id, server in configuration.servers_by_id.items():
+            if server.leaving or server.zone in configuration.zones_out:
                 self.barred_since_by_server.setdefault(server_id, self.world.now)
+            else:
+                self.barred_since_by_server.pop(server_id, None)
 
     def on_start(self, node, server_id):
         """A node starts new work at a server."""
@@ -104,8 +104,7 @@
     def check_end(self):
         for engine in self.world.engines.values():
             held = list(engine.streams)
-            running = [s for s in engine.streams.values() if s.is_running]
-            self.check(not running, "an engine lost memory", (engine.server.server_id, held))
+            self.check(not held, "an engine lost memory", (engine.server.server_id, held))
         truth = self.world.truth.configuration.version
         for node in self.world.live_nodes():
             version = node.state.configuration.version
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,10 +7,17 @@
 import pytest
 import soak_world
 
-FIRST, _, LAST = os.environ.get("SOAK_SEEDS", "0:12").partition(":")
+FIXED_SEEDS = (*range(12), 65, 105)
+"""Seeds of a run without a choice; those after the first dozen have shown a fault once."""
 
 
-@pytest.mark.parametrize("seed", range(int(FIRST), int(LAST)))
+def choose_seeds():
+    """Return the seeds to run."""
+    first, _, last = os.environ.get("SOAK_SEEDS", "").partition(":")
+    return range(int(first), int(last)) if last else FIXED_SEEDS
+
+
+@pytest.mark.parametrize("seed", choose_seeds())
 def test_every_promise_holds_under_combined_faults(seed):
     counts = soak_world.World(seed).run()
     assert counts["Answered"] > counts["starts"] // 4
