--- a/src/dragonflycove/node/guard_messages.py
+++ b/src/dragonflycove/node/guard_messages.py
@@ -124,6 +124,13 @@
     """The start that the peer saw."""
 
 
+class PeerLost(NamedTuple):
+    """A node died or was replaced."""
+
+    node: str
+    """`host/incarnation` of the node."""
+
+
 class PeerRecord(NamedTuple):
     """A peer sent a quarantine record."""
 
@@ -167,6 +174,7 @@
     | ReportRead
     | ConfigurationChanged
     | PeerSawCold
+    | PeerLost
     | PeerRecord
     | PeerAsksLeave
     | PeerAnswersLeave
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -12,6 +12,7 @@
 from dragonflycove.quarantine import records as quarantine_records
 from dragonflycove.shares import cold_start, share_table
 from dragonflycove.telemetry import logs
+from dragonflycove.values import identifiers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,6 +45,9 @@
     tell_peers_record: Callable[[quarantine_records.Record], None]
     """Sends a quarantine record to all peers."""
 
+    tell_witnesses: Callable[[tuple[str, ...], quarantine_records.Record], None]
+    """Sends a quarantine record to a few hosts."""
+
     ask_leave: Callable[[str, quarantine_records.LeaveAsked], None]
     """Asks a host's node for leave to run a suspect."""
 
@@ -81,7 +85,7 @@
         self._context = context
         self._links = links
         self._cold = cold_start.ColdStartTracker({})
-        self._quarantine = quarantine.Quarantine(self.shares, settings.host)
+        self._quarantine = quarantine.Quarantine(self.shares, context.identity)
         self._start_by_server: dict[str, str] = {}
         self._receivers_by_request: dict[str, guard_messages.Receiver] = {}
         self._waiting: list[_Waiting] = []
@@ -114,9 +118,9 @@
             return guard_messages.StartRefused(verdict.retry_after_seconds)
         return None
 
-    def known_records(self) -> list[quarantine_records.Record]:
-        """Return the records that a peer which just started needs to know."""
-        return list(self._quarantine.known_records(asyncio.get_running_loop().time()))
+    def known_records(self, host: str) -> list[quarantine_records.Record]:
+        """Return the records that the node which just started on a host needs to know."""
+        return list(self._quarantine.known_records(host, asyncio.get_running_loop().time()))
 
     def cold_servers(self) -> tuple[str, ...]:
         """Return the identifiers of the model servers that are cold."""
@@ -126,6 +130,7 @@
         )
 
     def _review(self, now: float) -> None:
+        self._carry_out(self._quarantine.on_tick(now))
         limits = self._cold.node_limits(self.shares, now)
         self._share_rates(now)
         if limits != self._last_limits:
@@ -192,7 +197,7 @@
                 request.fingerprint,
                 request.request_id,
                 message.server_id,
-                self._context.identity.host,
+                str(self._context.identity),
             ),
         )
         self._waiting.append(_Waiting(message, now + ASK_AGAIN_SECONDS))
@@ -204,7 +209,8 @@
         answered = quarantine_records.LeaveAnswered(
             asked.fingerprint, asked.request_id, asked.server_id, granted
         )
-        self._links.answer_leave(asked.node, answered)
+        host = identifiers.NodeIdentity.parse(asked.node).host
+        self._links.answer_leave(host, answered)
 
     @_handle.register
     def _on_peer_answers_leave(self, message: guard_messages.PeerAnswersLeave, now: float) -> None:
@@ -219,7 +225,7 @@
         # The request no longer wants the leave, so the holder gets it back.
         self._links.tell_peers_record(
             quarantine_records.Trial(
-                answered.fingerprint, answered.server_id, self._context.identity.host, False
+                answered.fingerprint, answered.server_id, str(self._context.identity), False
             )
         )
 
@@ -299,6 +305,10 @@
         self._cold.on_peer_cold(message.server_id, message.start_id, now)
         self._review(now)
 
+    @_handle.register
+    def _on_peer_lost(self, message: guard_messages.PeerLost, now: float) -> None:
+        self._quarantine.on_peer_lost(message.node, now)
+
     @_handle.register
     def _on_peer_record(self, message: guard_messages.PeerRecord, now: float) -> None:
         self._carry_out(self._quarantine.on_peer_record(message.record, now))
@@ -319,6 +329,8 @@
         for effect in effects:
             if isinstance(effect, verdicts.TellPeers):
                 self._links.tell_peers_record(effect.record)
+            elif isinstance(effect, verdicts.TellWitnesses):
+                self._links.tell_witnesses(effect.hosts, effect.record)
             elif isinstance(effect, verdicts.AppendLog):
                 self._links.append_record(effect.record)
             else:
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -198,6 +198,25 @@
         whole.signal("entry-1", signal.SIGCONT)
 
 
+def test_a_crashing_prompt_takes_down_two_engines_and_no_bystander_fails(
+    whole: system.System,
+) -> None:
+    bystander = streaming.open_stream(whole, "entry-1", "stand by", TOKENS)
+    frames = bystander.read(3)
+    poison = "CRASH-ENGINE please"
+    for number in range(6):
+        whole.ask(whole.nodes[number % 2], poison)
+    frames += bystander.read()
+    assert bystander.done, bystander.error
+    check_answer("stand by", frames, TOKENS)
+    for name in whole.engines:
+        system.until(lambda name=name: whole.books(name), f"{name} is up again")
+    crashes = sum(len(whole.books(name)["crashes"]) for name in whole.engines)
+    assert crashes <= 2
+    status, body = whole.ask("entry-2", poison)
+    assert (status, body["error"]["code"]) == (422, "quarantined")
+
+
 def test_racing_operators_get_one_acceptance(shared: system.System) -> None:
     texts = []
     for weight in (2.0, 3.0, 4.0):
--- a/tests/soak/soak_node.py
+++ b/tests/soak/soak_node.py
@@ -57,7 +57,7 @@
         )
         self.shares = share_table.ShareTable(host, LAG_SECONDS, RECLAIM_SECONDS)
         self.cold = cold_start.ColdStartTracker({})
-        self.quarantine = quarantine.Quarantine(self.shares, host)
+        self.quarantine = quarantine.Quarantine(self.shares, self.identity)
         self.claims = claim_table.ClaimTable.from_config(CLAIM_LIMITS, self.identity, 50.0, rng)
         self.leases = lease_table.LeaseTable(self.identity, lease_table.LeaseRules(), rng)
         rules = reclaimer.ReclaimRules.from_config(LAG_SECONDS, RECLAIM_SECONDS)
@@ -102,6 +102,7 @@
         for request_id, life in list(self.lives.items()):
             self.carry_life(request_id, life.tick(now))
         self.carry_dispatch(self.dispatcher.tick(now))
+        self.carry_quarantine(self.quarantine.on_tick(now))
         self.carry_claims(self.claims.tick(now))
         for effect in self.leases.tick(now):
             self.world.log.append("leases", [effect.value], lambda result: None)
@@ -433,6 +434,10 @@
                 for node in self.world.nodes.values():
                     if node is not self:
                         node.peer_records.append(effect.record)
+            elif isinstance(effect, verdicts.TellWitnesses):
+                for node in self.world.nodes.values():
+                    if node.identity.host in effect.hosts:
+                        node.peer_records.append(effect.record)
             elif isinstance(effect, verdicts.AppendLog):
                 value = quarantine_records.to_wire(effect.record)
                 self.append_quarantine(value)
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -177,7 +177,7 @@
     def start_node(self, host):
         node = soak_node.SoakNode(self, host, next(self.starts))
         for peer in self.nodes.values():
-            node.peer_records += peer.quarantine.known_records(self.now)
+            node.peer_records += peer.quarantine.known_records(host, self.now)
         self.nodes[host] = node
         self.list_hosts(self.listed[-1][1] | {host})
 
