Refuse a port that another stand-in has

Cause: sharing the port with the placeholder socket let two stand-ins listen on one port; two demos at once mixed their logs (seen: 'zone latacunga was out already'). Change: the port is first bound alone. Proof: without the change the new test fails; with it tests/standins/test_platform_contract.py passes.

--- a/src/dragonflycove/standins/serving.py
+++ b/src/dragonflycove/standins/serving.py
@@ -117,6 +117,9 @@
         self._standin = standin
         self._grace_seconds = grace_seconds
         self._host, _, port = address.rpartition(":")
+        if int(port):
+            # Port sharing, as used below, would let a second stand-in take the same port unnoticed.
+            socket.create_server((self._host, int(port))).close()
         # Bound but not listening: the port stays taken while connections to it are refused.
         self._placeholder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._placeholder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
--- a/tests/standins/test_platform_contract.py
+++ b/tests/standins/test_platform_contract.py
@@ -238,3 +238,12 @@
         error = (await exchange.exchange(pooled, request, SILENCE_SECONDS)).err()
         assert isinstance(error, exchange.Unknown)
         assert (await exchange.exchange(pooled, request, TIMEOUT_SECONDS)).is_ok()
+
+
+@pytest.mark.asyncio
+async def test_a_port_that_another_stand_in_has_is_refused() -> None:
+    async with bench("plain") as plain:
+        second = kinds.build_plain({}, clock.unix_clock())
+        with pytest.raises(OSError, match="in use"):
+            async with serving.serving(second, plain.address):
+                pass
