--- a/src/dragonflycove/standins/serving.py
+++ b/src/dragonflycove/standins/serving.py
@@ -96,18 +96,27 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to whoever runs it."""
+    """A uvicorn server that leaves signals to whoever runs it, and stops at once."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stop = asyncio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Capture none."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait for the stop instead of polling for it."""
+        await self._stop.wait()
+
     def refuse_connections(self) -> None:
         """Stop listening now; the rest of the stop follows."""
         for listening in getattr(self, "servers", ()):
             listening.close()
         self.should_exit = True
+        self._stop.set()
 
 
 class _Listener:
@@ -185,6 +194,8 @@
             log_config=None,
             log_level="critical",
             access_log=False,
+            date_header=False,
+            server_header=False,
             timeout_keep_alive=KEEP_ALIVE_SECONDS,
             timeout_graceful_shutdown=self._grace_seconds,
         )
