--- a/src/dragonflycove/backends/engine_client.py
+++ b/src/dragonflycove/backends/engine_client.py
@@ -118,27 +118,61 @@
     async def cancel(
         self, address: str, attempt: str, timeout_seconds: float
     ) -> result.Result[None, Error]:
-        """Cancel an attempt and free its memory; idempotent."""
+        """Cancel an attempt and free its memory; idempotent.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            attempt: Identifier of the attempt.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            Nothing once it is cancelled, or why that is not confirmed.
+        """
         return await self._delete(address, f"/v1/streams/{_quote(attempt)}", timeout_seconds)
 
     async def load(
         self, address: str, timeout_seconds: float
     ) -> result.Result[engine_values.EngineLoad, Error]:
-        """Read the load."""
+        """Read the load.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            The load, or why there is none.
+        """
         wire = await self._get(address, "/v1/load", engine_values.WireLoad, timeout_seconds)
         return wire.map(engine_values.read_load)
 
     async def streams(
         self, address: str, timeout_seconds: float
     ) -> result.Result[engine_values.EngineStreams, Error]:
-        """Read all that holds memory."""
+        """Read all that holds memory.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            Streams, exports and reservations, or why there is no answer.
+        """
         wire = await self._get(address, "/v1/streams", engine_values.WireStreams, timeout_seconds)
         return wire.map(engine_values.read_streams)
 
     async def cache_events(
         self, address: str, from_seq: int, timeout_seconds: float
     ) -> result.Result[engine_values.CacheEvents, Error]:
-        """Read changes of the prefix cache from a sequence number on."""
+        """Read changes of the prefix cache from a sequence number on.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            from_seq: The sequence number.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            The changes, or why there are none.
+        """
         path = f"/v1/cache-events?from={from_seq}"
         wire = await self._get(address, path, engine_values.WireCacheEvents, timeout_seconds)
         return wire.map(engine_values.read_cache_events)
@@ -173,13 +207,32 @@
     async def delete_reservation(
         self, address: str, group: str, timeout_seconds: float
     ) -> result.Result[None, Error]:
-        """Give up a memory group's reservation; idempotent."""
+        """Give up a memory group's reservation; idempotent.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            group: Identifier of the group.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            Nothing once it is given up, or why that is not confirmed.
+        """
         return await self._delete(address, f"/v1/reservations/{_quote(group)}", timeout_seconds)
 
     async def export_stream(
         self, address: str, attempt: str, timeout_seconds: float
     ) -> result.Result[engine_values.Export, Error]:
-        """Export the KV cache of an attempt, which then runs no further on this engine."""
+        """Export the KV cache of an attempt, which then runs no further on this engine.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            attempt: Identifier of the attempt.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            The export, or why there is none; `NotDone` with status 404 for an unknown attempt
+            and 409 for one that is not running.
+        """
         url = f"http://{address}/v1/exports/{_quote(attempt)}"
         request = exchange.Request("POST", url)
         wire = await exchange.exchange_json(
@@ -216,19 +269,46 @@
     async def delete_export(
         self, address: str, export_id: str, timeout_seconds: float
     ) -> result.Result[None, Error]:
-        """Drop an export; idempotent."""
+        """Drop an export; idempotent.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            export_id: Identifier of the export.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            Nothing once it is dropped, or why that is not confirmed.
+        """
         return await self._delete(address, f"/v1/exports/{_quote(export_id)}", timeout_seconds)
 
     async def put_state(
         self, address: str, state: engine_values.EngineState, timeout_seconds: float
     ) -> result.Result[None, Error]:
-        """Order a state; `NotDone` with status 412 if the fencing number is old."""
+        """Order a state.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            state: The state that is wanted.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            Nothing once the order is taken, or why that is not confirmed; `NotDone` with status
+            412 if the fencing number is old.
+        """
         return await self._send(address, "PUT", "/v1/state", state._asdict(), timeout_seconds)
 
     async def get_state(
         self, address: str, timeout_seconds: float
     ) -> result.Result[engine_values.EngineState, Error]:
-        """Read the state in force."""
+        """Read the state in force.
+
+        Args:
+            address: The engine, `a.b.c.d:port`.
+            timeout_seconds: Bound on the whole call.
+
+        Returns:
+            The state, or why there is none.
+        """
         wire = await self._get(address, "/v1/state", engine_values.WireState, timeout_seconds)
         return wire.map(engine_values.read_state)
 
