Keep the shares through a short gap between host lists

Cause: after 60 s without a host list the shares waited 50 s more. Change: a gap shorter than 2 * reclaim cannot hide a host that began to use units and ceased: it is listed for the whole wait first. Only a longer gap starts the wait anew.

--- a/src/dragonflycove/shares/_views.py
+++ b/src/dragonflycove/shares/_views.py
@@ -32,6 +32,8 @@
         # A holder may see a change late, give up its excess late, and die right before that is due.
         self.wait_seconds = 2 * (lag_seconds + reclaim_seconds)
         """Time between a change of the host list and the growth of a share."""
+        # No host can begin and cease to use units unseen in a gap between lists that is shorter.
+        self._longest_gap_seconds = 2 * reclaim_seconds
         self._host = host
         self._lag_seconds = lag_seconds
         self._read_at: float | None = None
@@ -45,7 +47,7 @@
         read_at = now - max(0.0, age_seconds)
         if self._read_at is not None and read_at < self._read_at:
             return
-        covered = self._covered(now)
+        gap = 0.0 if self._read_at is None else read_at - self._read_at
         self._note_missing(names, now)
         if names - self.names or self._host not in names:
             self._changed_at = now
@@ -53,7 +55,7 @@
         self._read_at = read_at
         if self._host not in names or not self._covered(now):
             self._listed_since = None
-        elif self._listed_since is None or not covered:
+        elif self._listed_since is None or gap >= self._longest_gap_seconds:
             self._listed_since = read_at
 
     def usable(self, now: float) -> bool:
