Mend the gap rule for short reclaim times; refresh views only when they change

Change: only a list that was too old can start the wait anew. The set of hosts that may use units is built again only after a change.

--- a/src/dragonflycove/shares/_views.py
+++ b/src/dragonflycove/shares/_views.py
@@ -40,6 +40,8 @@
         self._listed_since: float | None = None
         self._changed_at = 0.0
         self._missing_since_by_name: dict[str, float] = {}
+        self._is_stale = False
+        self._next_expiry = float("inf")
         self._counted: frozenset[str] = frozenset()
 
     def on_host_list(self, names: frozenset[str], age_seconds: float, now: float) -> None:
@@ -47,15 +49,17 @@
         read_at = now - max(0.0, age_seconds)
         if self._read_at is not None and read_at < self._read_at:
             return
+        covered = self._covered(now)
         gap = 0.0 if self._read_at is None else read_at - self._read_at
         self._note_missing(names, now)
         if names - self.names or self._host not in names:
             self._changed_at = now
+        self._is_stale = self._is_stale or names != self.names
         self.names = names
         self._read_at = read_at
         if self._host not in names or not self._covered(now):
             self._listed_since = None
-        elif self._listed_since is None or gap >= self._longest_gap_seconds:
+        elif self._listed_since is None or (not covered and gap >= self._longest_gap_seconds):
             self._listed_since = read_at
 
     def usable(self, now: float) -> bool:
@@ -74,9 +78,14 @@
 
     def take_change(self, now: float) -> Change | None:
         """Return how the hosts that may use units changed since the last call."""
+        if not self._is_stale and now < self._next_expiry:
+            return None
         for name, since in list(self._missing_since_by_name.items()):
             if now >= since + self.wait_seconds:
                 del self._missing_since_by_name[name]
+        self._is_stale = False
+        first = min(self._missing_since_by_name.values(), default=float("inf"))
+        self._next_expiry = first + self.wait_seconds
         counted = self.names | self._missing_since_by_name.keys()
         if counted == self._counted:
             return None
