--- /dev/null
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -0,0 +1,392 @@
+"""The one object that a node drives to admit, order and place model requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.admission import effects, entries, gate, lanes, lifecycle, promise, scheduler
+from dragonflycove.configuration import schema
+from dragonflycove.routing import digests, policies, router
+from dragonflycove.values import outcomes
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping
+
+    from dragonflycove.routing import load_view, prefix_map
+    from dragonflycove.values import requests
+
+BLOCK_SECONDS = 0.5
+"""Time for which a server gets nothing after an attempt failed there."""
+
+QUEUE_TICK_SECONDS = 0.1
+"""Interval between looks at the queue while requests wait."""
+
+
+class Snapshot(NamedTuple):
+    """The dispatcher's state in figures."""
+
+    queued: int
+    """Requests that wait in this node."""
+    queued_tokens: int
+    """Their tokens."""
+    running: int
+    """Requests that were dispatched."""
+    awaiting_group: int
+    """Requests that wait for a memory group."""
+    decode_tokens_per_second: float
+    """Rate at which one stream is generated."""
+    counts_by_reason: dict[outcomes.Reason, int]
+    """Refusals, failures and retries since the start."""
+    preemptions: int
+    """Times that borrowed capacity was given back since the start."""
+
+
+class Dispatcher:
+    """Admits requests, queues them fairly and places them on engines."""
+
+    def __init__(self, policy: policies.Policy, rng: random.Random, host: str) -> None:
+        """Create a dispatcher without a configuration.
+
+        Args:
+            policy: The routing policy.
+            rng: The generator to draw from.
+            host: Name of the node's host.
+        """
+        self._host = host
+        self.policy = policy
+        self.router = router.Router(policy, rng)
+        self.configuration = schema.EMPTY
+        self._book = entries.Book()
+        self._promise = promise.Promise()
+        self._scheduler = scheduler.Scheduler(self._book, self.router, self._promise)
+        self._lifecycle = lifecycle.Lifecycle(
+            self._book, self.router, self._promise, self._scheduler
+        )
+        self._gate = gate.Gate(policy, self.router, self._promise, self._scheduler)
+
+    @classmethod
+    def from_config(
+        cls,
+        configuration: schema.Configuration,
+        zone: str,
+        policy: policies.Policy,
+        rng: random.Random,
+        host: str = "",
+    ) -> Dispatcher:
+        """Create a dispatcher.
+
+        Args:
+            configuration: The configuration that is in force.
+            zone: The node's availability zone.
+            policy: The routing policy.
+            rng: The generator to draw from.
+            host: Name of the node's host, for its digests.
+
+        Returns:
+            The dispatcher.
+        """
+        dispatcher = cls(policy, rng, host)
+        dispatcher.set_configuration(configuration, 0.0)
+        return dispatcher
+
+    def set_configuration(
+        self, configuration: schema.Configuration, now: float
+    ) -> list[effects.Effect]:
+        """Put a configuration in force.
+
+        Args:
+            configuration: The configuration.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that it makes possible, and failures of requests that it leaves no server.
+        """
+        self.configuration = configuration
+        self.router.set_configuration(configuration)
+        failed: list[effects.Effect] = []
+        for entry in self._book.waiting():
+            if not self.router.candidates(entry.request.model):
+                failed.append(
+                    self._lifecycle.fail(entry, outcomes.Reason.NO_SERVER, "No server is left.")
+                )
+        return failed + self._lifecycle.drain(now)
+
+    def set_limits(self, limits_by_server: Mapping[str, int], now: float) -> list[effects.Effect]:
+        """Replace this node's limits of requests running at each engine.
+
+        Args:
+            limits_by_server: Limits; an engine without one has its whole concurrency.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that it makes possible.
+        """
+        self.router.set_limits(limits_by_server)
+        return self._lifecycle.drain(now)
+
+    def on_report(self, report: load_view.EngineReport, now: float) -> list[effects.Effect]:
+        """Take in an engine's load report.
+
+        Args:
+            report: The report.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that it makes possible.
+        """
+        self.router.on_report(report, now)
+        return self._lifecycle.drain(now)
+
+    def on_cache_events(
+        self, server_id: str, page: prefix_map.CachePage, now: float
+    ) -> list[effects.Effect]:
+        """Take in events of an engine's prefix cache.
+
+        Args:
+            server_id: The engine.
+            page: The events.
+            now: Time, seconds.
+
+        Returns:
+            Nothing.
+        """
+        self.router.prefixes.on_page(server_id, page)
+        return []
+
+    def on_peer_digest(self, digest: digests.PeerDigest, now: float) -> list[effects.Effect]:
+        """Take in what a peer has sent and what waits in it.
+
+        Args:
+            digest: The peer's digest.
+            now: Time, seconds.
+
+        Returns:
+            Nothing.
+        """
+        self.router.peers.on_digest(digest, self.router.view, now)
+        return []
+
+    def digest(self, now: float) -> digests.PeerDigest:
+        """Return what to tell the peers.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            The digest, of bounded size.
+        """
+        self.router.peers.expire(self.router.view, now)
+        for item in self._scheduler.all_lanes(now):
+            admitted = self._scheduler.fleet_lanes(item.model, now).admitted_per_second[0]
+            self.router.set_first_rate(item.model, admitted)
+        works = digests.collect_works(self.router.view.loads_by_id.values())
+        return digests.PeerDigest(self._host, 0.0, works, self._scheduler.all_lanes(now))
+
+    def submit(self, request: requests.ModelRequest, now: float) -> list[effects.Effect]:
+        """Admit a new request, or refuse it at once.
+
+        Args:
+            request: The request.
+            now: Time, seconds.
+
+        Returns:
+            A refusal; or nothing yet, a dispatch, or the wish for a memory group.
+        """
+        refused = self._gate.check(request, now, self.configuration)
+        if request.request_id in self._book.by_id:
+            refused = outcomes.Refused(outcomes.Reason.ALREADY_RUNNING, "It is under way.")
+        if refused is not None:
+            self._lifecycle.count(refused.reason)
+            return [effects.Refuse(request.request_id, refused)]
+        self._lifecycle.budgets.on_admitted(request.service, now)
+        self._scheduler.on_admitted(request, now)
+        entry = entries.Entry(request, entries.demand_of(request, self.policy, frozenset()))
+        self._book.add(entry)
+        return self._lifecycle.enqueue(entry, self.configuration, now)
+
+    def resubmit(
+        self,
+        request: requests.ModelRequest,
+        now: float,
+        excluded: frozenset[str],
+        reason: outcomes.Reason,
+    ) -> list[effects.Effect]:
+        """Queue an admitted request again after its attempt broke.
+
+        Args:
+            request: The request.
+            now: Time, seconds.
+            excluded: Engines that it must not run on again.
+            reason: Why the attempt broke.
+
+        Returns:
+            A dispatch, a failure, or nothing yet.
+        """
+        entry = self._book.by_id.get(request.request_id)
+        if entry is None:
+            return []
+        return self._lifecycle.retry(entry, excluded, reason, self.configuration, now)
+
+    def on_group_ready(
+        self, request_id: str, engines: tuple[str, ...], now: float
+    ) -> list[effects.Effect]:
+        """Dispatch a request on the memory group that was built for it.
+
+        A group with a member that may get no new work any more is not used: the request waits
+        again, and the caller gives the group up, as it does whenever no dispatch follows.
+
+        Args:
+            request_id: The request.
+            engines: Members of the group, the lead first.
+            now: Time, seconds.
+
+        Returns:
+            The dispatch; nothing where the request has ended.
+        """
+        entry = self._book.by_id.get(request_id)
+        if entry is None or entry.state is not entries.State.AWAITING_GROUP:
+            return []
+        if not set(engines) <= set(self.router.candidates(entry.request.model)):
+            self._lifecycle.unplace(entry)
+            return self._lifecycle.enqueue(entry, self.configuration, now)
+        return [self._lifecycle.place(entry, engines, entry.demand.prompt_tokens, now)]
+
+    def on_first_token(self, request_id: str, now: float) -> list[effects.Effect]:
+        """Take in that a request's first token has come.
+
+        Args:
+            request_id: The request.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that it makes possible.
+        """
+        entry = self._book.by_id.get(request_id)
+        if entry is None or entry.state is not entries.State.RUNNING:
+            return []
+        self._lifecycle.on_first_token(entry, now)
+        return self._lifecycle.drain(now)
+
+    def on_tokens(self, request_id: str, count: int, now: float) -> list[effects.Effect]:
+        """Take in that tokens of a request have come.
+
+        Args:
+            request_id: The request.
+            count: Number of tokens.
+            now: Time, seconds.
+
+        Returns:
+            Nothing.
+        """
+        entry = self._book.by_id.get(request_id)
+        if entry is not None:
+            entry.tokens += count
+        return []
+
+    def on_finished(self, request_id: str, now: float) -> list[effects.Effect]:
+        """End a request that has its whole answer.
+
+        Args:
+            request_id: The request.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that the free slot makes possible.
+        """
+        entry = self._book.by_id.get(request_id)
+        if entry is None:
+            return []
+        if entry.state is entries.State.RUNNING:
+            first_token_at = now if entry.first_token_at is None else entry.first_token_at
+            self._promise.on_finished(now - entry.sent_at, now - first_token_at, entry.tokens)
+        self._promise.on_kept(lanes.lane_of(entry.request))
+        self._lifecycle.end(entry)
+        return self._lifecycle.drain(now)
+
+    def on_attempt_failed(
+        self, request_id: str, server_id: str, reason: outcomes.Reason, now: float
+    ) -> list[effects.Effect]:
+        """Free the slot of a broken attempt; `resubmit` or `withdraw` follows.
+
+        Args:
+            request_id: The request.
+            server_id: Where the attempt ran.
+            reason: Why it broke.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that the free slot makes possible.
+        """
+        is_crash = reason is outcomes.Reason.BACKEND_CRASHED
+        pause = router.RESTART_PAUSE_SECONDS if is_crash else BLOCK_SECONDS
+        self.router.block(server_id, now + pause)
+        entry = self._book.by_id.get(request_id)
+        if entry is not None and server_id in entry.servers:
+            self._lifecycle.unplace(entry)
+            entry.state = entries.State.BROKEN
+        return self._lifecycle.drain(now)
+
+    def withdraw(self, request_id: str, now: float) -> list[effects.Effect]:
+        """Forget a request that its node has ended itself.
+
+        Args:
+            request_id: The request.
+            now: Time, seconds.
+
+        Returns:
+            Dispatches that the free slot makes possible.
+        """
+        entry = self._book.by_id.get(request_id)
+        if entry is None:
+            return []
+        self._lifecycle.end(entry)
+        return self._lifecycle.drain(now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """End requests whose deadline has passed, and dispatch what can be.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            Failures and dispatches.
+        """
+        failed: list[effects.Effect] = []
+        while (entry := self._book.overdue(now)) is not None:
+            failed.append(
+                self._lifecycle.fail(entry, outcomes.Reason.DEADLINE, "The deadline passed.")
+            )
+        return failed + self._lifecycle.drain(now)
+
+    def next_tick(self, now: float) -> float:
+        """Return when to call `tick` next.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            Time, seconds; infinite where nothing is to come.
+        """
+        deadline = self._book.next_deadline()
+        if len(self._scheduler):
+            return min(deadline, now + QUEUE_TICK_SECONDS)
+        return deadline
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait in this node."""
+        return len(self._scheduler)
+
+    def snapshot(self) -> Snapshot:
+        """Return the state in figures."""
+        states = [entry.state for entry in self._book.by_id.values()]
+        return Snapshot(
+            len(self._scheduler),
+            self._scheduler.queued_tokens(),
+            states.count(entries.State.RUNNING),
+            states.count(entries.State.AWAITING_GROUP),
+            self._promise.decode_tokens_per_second,
+            dict(self._lifecycle.counts_by_reason),
+            self._lifecycle.preemptions,
+        )
--- /dev/null
+++ b/src/dragonflycove/measure/main.py
@@ -0,0 +1,30 @@
+"""The command line of `dragonflycove load` and `dragonflycove measure`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dragonflycove.measure import experiment_command, load, verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+COMMANDS_BY_WORD: dict[str, Callable[[Sequence[str]], int]] = {
+    "load": load.run,
+    "verdict": verdict.run,
+}
+"""Commands that talk to running processes; every other word names an experiment."""
+
+
+def run(argv: Sequence[str]) -> int:
+    """Run a command.
+
+    Args:
+        argv: The command line after `dragonflycove measure`, or from `load` on.
+
+    Returns:
+        The exit status.
+    """
+    if argv and argv[0] in COMMANDS_BY_WORD:
+        return COMMANDS_BY_WORD[argv[0]](argv[1:])
+    return experiment_command.run(argv)
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -38,6 +38,9 @@
 GRANT_SECONDS = 5.0
 """Time for which leave to run alone is kept for a request that has not started."""
 
+LEAVE_SECONDS = 2 * GRANT_SECONDS
+"""Time for which the holder keeps a peer's leave that has not become a trial."""
+
 TRIAL_SECONDS = 900.0
 """Time after which no word of a peer's trial is awaited."""
 
@@ -244,6 +247,26 @@
             return verdicts.Wait(now + POLL_SECONDS)
         return self._grant(fingerprint, request_id, candidates, now)
 
+    def grant_peer(self, asked: records.LeaveAsked, now: float) -> bool:
+        """Give a peer leave to run a suspect alone, as the holder of the fingerprint's one unit.
+
+        Args:
+            asked: What the peer asks.
+            now: Time of the loop's clock.
+
+        Returns:
+            Whether it may; the leave lapses unless word of the trial's start comes.
+        """
+        allowed = self.verdict(
+            asked.fingerprint, now, asked.request_id, frozenset({asked.server_id})
+        )
+        if not isinstance(allowed, verdicts.Alone):
+            return False
+        suspicion = self._book.open(asked.fingerprint, now)
+        suspicion.grant = None
+        suspicion.trial = _suspicion.RunningTrial(asked.server_id, asked.node, now + LEAVE_SECONDS)
+        return True
+
     def servers_in_trial(self, now: float) -> frozenset[str]:
         """Return the backend servers that run a suspect, which others had better avoid.
 
--- /dev/null
+++ b/src/dragonflycove/routing/router.py
@@ -0,0 +1,314 @@
+"""The node's view of the engines: candidates, free slots, capacity and the choice between them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dragonflycove.routing import (
+    demands,
+    digests,
+    groups,
+    load_view,
+    open_set,
+    policies,
+    prefix_map,
+    rooms,
+    selection,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping, Sequence
+
+    from dragonflycove.configuration import schema
+
+ADMISSION_SAMPLE = 4
+"""Engines that one admission looks at, where there are many."""
+
+RESTART_PAUSE_SECONDS = 1.5
+"""Time without new work for a restarted engine, in which this node's limit there shrinks."""
+
+OWN_BLOCKS_LIMIT = 64
+"""Most leading blocks of a prompt that are remembered from a request of this node."""
+
+
+class _ModelServers:
+    """The engines of one model."""
+
+    def __init__(
+        self, policy: policies.Policy, model: str, loads: list[load_view.EngineLoad]
+    ) -> None:
+        self.loads = loads
+        self.server_ids = tuple(load.server.server_id for load in loads)
+        self.eligible = frozenset(self.server_ids)
+        self.homes = rooms.pick_homes(policy, model, self.server_ids)
+        self.opened = open_set.OpenSet()
+        self.capacity = demands.NO_CAPACITY
+        self.first_utilisation = 0.0
+
+    def refresh(self) -> None:
+        """Compute again what follows from the limits."""
+        self.opened = open_set.OpenSet()
+        for load in self.loads:
+            if load.in_flight < load.limit:
+                self.opened.add(load.server.server_id)
+        rate = sum(load.rate for load in self.loads)
+        self.capacity = demands.Capacity(
+            rate,
+            sum(load.limit for load in self.loads),
+            max(load.server.memory_tokens for load in self.loads),
+            rate / len(self.loads),
+        )
+
+
+class Router:
+    """Chooses engines, and counts what this node runs on each."""
+
+    def __init__(self, policy: policies.Policy, rng: random.Random) -> None:
+        """Create a router that knows no engine.
+
+        Args:
+            policy: How to choose.
+            rng: The generator to draw from.
+        """
+        self.view = load_view.LoadView()
+        self.prefixes = prefix_map.PrefixMap()
+        self.peers = digests.Peers()
+        self._rng = rng
+        self._selector = selection.Selector(policy, rng)
+        self._servers_by_model: dict[str, _ModelServers] = {}
+        self._limits_by_server: Mapping[str, int] = {}
+
+    def set_configuration(self, configuration: schema.Configuration) -> None:
+        """Replace the engines.
+
+        Args:
+            configuration: The configuration that is in force.
+        """
+        engines = [s for s in configuration.servers_by_id.values() if s.memory_tokens > 0]
+        self.view.set_servers(engines)
+        self.prefixes.retain(frozenset(self.view.loads_by_id))
+        by_model: dict[str, list[load_view.EngineLoad]] = {}
+        for server in engines:
+            if configuration.accepts_new_work(server.server_id):
+                load = self.view.loads_by_id[server.server_id]
+                for model in server.models:
+                    by_model.setdefault(model, []).append(load)
+        self._servers_by_model = {
+            model: _ModelServers(self._selector.policy, model, loads)
+            for model, loads in by_model.items()
+        }
+        self._apply_limits()
+
+    def set_limits(self, limits_by_server: Mapping[str, int]) -> None:
+        """Replace this node's limits of requests running at each engine.
+
+        Args:
+            limits_by_server: Limits; an engine without one has its whole concurrency.
+        """
+        self._limits_by_server = dict(limits_by_server)
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        for server_id, load in self.view.loads_by_id.items():
+            load.limit = self._limits_by_server.get(server_id, load.server.concurrency)
+        for servers in self._servers_by_model.values():
+            servers.refresh()
+
+    def candidates(self, model: str) -> tuple[str, ...]:
+        """Return the engines that may get new work for a model.
+
+        Args:
+            model: Name of the model.
+
+        Returns:
+            Their identifiers.
+        """
+        servers = self._servers_by_model.get(model)
+        return servers.server_ids if servers else ()
+
+    def capacity(self, model: str) -> demands.Capacity:
+        """Return what the engines of a model can do together.
+
+        Args:
+            model: Name of the model.
+
+        Returns:
+            The capacity; nothing but zeros for an unknown model.
+        """
+        servers = self._servers_by_model.get(model)
+        return servers.capacity if servers else demands.NO_CAPACITY
+
+    def choose(self, demand: demands.Demand, now: float) -> demands.Choice | None:
+        """Choose an engine that can take a request now.
+
+        Args:
+            demand: What the request needs.
+            now: Time, seconds.
+
+        Returns:
+            The choice; `None` where no engine can take it now.
+        """
+        servers = self._servers_by_model.get(demand.model)
+        if not servers or not servers.opened:
+            return None
+        if self._selector.policy.is_baseline:
+            return self._selector.choose(demand, servers.loads, servers.homes, now)
+        self._selector.first_utilisation = servers.first_utilisation
+        held = self.prefixes.find(demand.prefix_hashes) if demand.prefix_hashes else {}
+        return self._selector.choose_best(
+            demand, servers.opened, self.view.loads_by_id, held, servers.homes, now
+        )
+
+    def first_token_seconds(self, demand: demands.Demand, now: float) -> float:
+        """Estimate the time from dispatch to the first token, free slot or not.
+
+        Args:
+            demand: What the request needs.
+            now: Time, seconds.
+
+        Returns:
+            Seconds on the best of a sample of engines; infinite without any.
+        """
+        servers = self._servers_by_model.get(demand.model)
+        if servers is None:
+            return float("inf")
+        loads: Sequence[load_view.EngineLoad] = servers.loads
+        if len(loads) > selection.FEW_SERVERS:
+            size = len(loads)
+            loads = [loads[int(self._rng.random() * size)] for _ in range(ADMISSION_SAMPLE)]
+        return min(
+            selection.estimate_first_token(load, demand, 0, load.backlog_seconds(now))
+            for load in loads
+        )
+
+    def group_candidates(
+        self, demand: demands.Demand, is_urgent: bool, now: float
+    ) -> tuple[str, ...]:
+        """Find engines for a memory group.
+
+        Args:
+            demand: What the request needs.
+            is_urgent: Whether it has to start by now.
+            now: Time, seconds.
+
+        Returns:
+            Engines that may be members, the best first; empty where there are too few now.
+        """
+        servers = self._servers_by_model.get(demand.model)
+        if servers is None:
+            return ()
+        return groups.find_candidates(
+            demand, servers.loads, servers.homes, servers.first_utilisation, is_urgent, now
+        )
+
+    def occupy(
+        self,
+        server_ids: tuple[str, ...],
+        request_id: str,
+        demand: demands.Demand,
+        uncached_tokens: int,
+        now: float,
+    ) -> None:
+        """Count a request that is sent to an engine or to a memory group.
+
+        Args:
+            server_ids: The engine, or the group, the lead first.
+            request_id: The request.
+            demand: What it needs.
+            uncached_tokens: Prompt tokens that have to be read.
+            now: Time, seconds.
+        """
+        share = -(-uncached_tokens // len(server_ids))
+        prefill = (0, share) if demand.priority else (share, 0)
+        memory = -(-demand.memory_tokens // len(server_ids))
+        for server_id in server_ids:
+            load = self.view.loads_by_id.get(server_id)
+            if load is None:
+                continue
+            load.add(load_view.Pending(now, request_id, prefill, memory, 1))
+            if server_id == server_ids[0]:
+                load.in_flight += 1
+                self._refresh_open(load)
+
+    def prompt_read(
+        self, server_ids: tuple[str, ...], request_id: str, demand: demands.Demand
+    ) -> None:
+        """Stop counting the prompt of a request whose first token has come.
+
+        Args:
+            server_ids: Where it runs.
+            request_id: The request.
+            demand: What it needs.
+        """
+        for server_id in server_ids:
+            load = self.view.loads_by_id.get(server_id)
+            if load is not None:
+                load.prompt_read(request_id)
+        if len(server_ids) == 1:
+            for block in demand.prefix_hashes[:OWN_BLOCKS_LIMIT]:
+                self.prefixes.store(server_ids[0], block)
+
+    def release(self, server_ids: tuple[str, ...], request_id: str) -> None:
+        """Free the slot of a request that no longer runs.
+
+        Args:
+            server_ids: Where it ran, the lead first.
+            request_id: The request.
+        """
+        for server_id in server_ids:
+            load = self.view.loads_by_id.get(server_id)
+            if load is None:
+                continue
+            load.remove(request_id)
+            if server_id == server_ids[0]:
+                load.in_flight = max(0, load.in_flight - 1)
+                self._refresh_open(load)
+
+    def set_first_rate(self, model: str, tokens_per_second: float) -> None:
+        """Take in how many tokens of the higher priority are admitted.
+
+        Args:
+            model: Name of the model.
+            tokens_per_second: Prompt tokens a second, of all nodes.
+        """
+        servers = self._servers_by_model.get(model)
+        if servers is not None:
+            own = rooms.short_share(servers.homes) * servers.capacity.prefill_tokens_per_second
+            servers.first_utilisation = tokens_per_second / max(1.0, own)
+
+    def block(self, server_id: str, until: float) -> None:
+        """Send nothing to an engine for a while.
+
+        Args:
+            server_id: The engine.
+            until: Time from which it may be chosen again, seconds.
+        """
+        load = self.view.loads_by_id.get(server_id)
+        if load is not None:
+            load.blocked_until = max(load.blocked_until, until)
+
+    def on_report(self, report: load_view.EngineReport, now: float) -> None:
+        """Take in a load report; one of an unknown engine changes nothing.
+
+        Args:
+            report: The report.
+            now: Time, seconds.
+        """
+        load = self.view.loads_by_id.get(report.server_id)
+        if load is None:
+            return
+        if load.start_id and report.start_id != load.start_id:
+            self.prefixes.on_restart(report.server_id)
+            self.block(report.server_id, now + RESTART_PAUSE_SECONDS)
+        load.on_report(report, now)
+
+    def _refresh_open(self, load: load_view.EngineLoad) -> None:
+        server_id = load.server.server_id
+        is_open = load.in_flight < load.limit
+        for model in load.server.models:
+            servers = self._servers_by_model.get(model)
+            if servers is not None and is_open and server_id in servers.eligible:
+                servers.opened.add(server_id)
+            elif servers is not None:
+                servers.opened.discard(server_id)
