Choose at random among engines whose estimates are within 0.12 s

Cause: 12% of the short prompts at load 0.8 met another node's short prompt on an engine that seemed idle and waited 0.33 s there, while engines with a lower priority prompt would have cost 0.1 s. Change: TOLERANCE_SECONDS 0.02 -> 0.12.

--- a/src/dragonflycove/routing/selection.py
+++ b/src/dragonflycove/routing/selection.py
@@ -19,7 +19,7 @@
 FEW_SERVERS = 24
 """Number of engines up to which one decision looks at all of them."""
 
-TOLERANCE_SECONDS = 0.02
+TOLERANCE_SECONDS = 0.12
 """Estimates that differ by less count as equal; the choice between them is random."""
 
 SHORT_HOME_SECONDS = 1.0
