--- a/src/dragonflycove/node/dispatch_task.py
+++ b/src/dragonflycove/node/dispatch_task.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import functools
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from dragonflycove.admission import dispatcher as dispatching
 from dragonflycove.admission import effects as dispatch_effects
-from dragonflycove.configuration import schema  # noqa: TC001
 from dragonflycove.node import tasks
-from dragonflycove.routing import load_view  # noqa: TC001
-from dragonflycove.values import outcomes, requests
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
+
+    from dragonflycove.configuration import schema
+    from dragonflycove.routing import digests, load_view
+    from dragonflycove.values import outcomes, requests
 
 
 class Assigned(NamedTuple):
@@ -101,7 +103,7 @@
     request_id: str
     """The request."""
 
-    count: int
+    token_count: int
     """Number of tokens."""
 
 
@@ -163,6 +165,34 @@
     """Most requests of this node at each server."""
 
 
+class CancelStarted(NamedTuple):
+    """An attempt is being cancelled; its place at the server is not free yet."""
+
+    server_id: str
+    """The server."""
+
+
+class CancelEnded(NamedTuple):
+    """An attempt's cancellation is confirmed, or left to the reclaim of memory."""
+
+    server_id: str
+    """The server."""
+
+
+class DigestWanted(NamedTuple):
+    """Asks for a digest of this node's load."""
+
+    take: Callable[[digests.PeerDigest], None]
+    """Called with the digest."""
+
+
+class DigestTaken(NamedTuple):
+    """A peer's digest came."""
+
+    digest: digests.PeerDigest
+    """The digest."""
+
+
 DispatchMessage = (
     Submit
     | Resubmit
@@ -175,6 +205,10 @@
     | Reported
     | Configured
     | Limited
+    | CancelStarted
+    | CancelEnded
+    | DigestWanted
+    | DigestTaken
 )
 """What the dispatch task takes."""
 
@@ -193,6 +227,8 @@
         self._dispatcher = dispatcher
         self._receivers_by_request: dict[str, Receiver] = {}
         self._refusals_by_request: dict[str, outcomes.Refused] = {}
+        self._limits_by_server: Mapping[str, int] = {}
+        self._cancels_by_server: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> None:
         """Take messages and clock ticks until cancelled."""
@@ -235,7 +271,7 @@
 
     @_decide.register
     def _on_tokens_delivered(self, message: TokensDelivered, now: float) -> None:
-        self._carry_out(self._dispatcher.on_tokens(message.request_id, message.count, now))
+        self._carry_out(self._dispatcher.on_tokens(message.request_id, message.token_count, now))
 
     @_decide.register
     def _on_attempt_failed(self, message: AttemptFailed, now: float) -> None:
@@ -257,9 +293,7 @@
 
     @_decide.register
     def _on_group_ready(self, message: GroupReady, now: float) -> None:
-        self._carry_out(
-            self._dispatcher.on_group_ready(message.request_id, message.servers, now)
-        )
+        self._carry_out(self._dispatcher.on_group_ready(message.request_id, message.servers, now))
 
     @_decide.register
     def _on_reported(self, message: Reported, now: float) -> None:
@@ -271,7 +305,34 @@
 
     @_decide.register
     def _on_limited(self, message: Limited, now: float) -> None:
-        self._carry_out(self._dispatcher.set_limits(message.limits_by_server, now))
+        self._limits_by_server = message.limits_by_server
+        self._apply_limits(now)
+
+    @_decide.register
+    def _on_cancel_started(self, message: CancelStarted, now: float) -> None:
+        self._cancels_by_server[message.server_id] += 1
+        self._apply_limits(now)
+
+    @_decide.register
+    def _on_cancel_ended(self, message: CancelEnded, now: float) -> None:
+        self._cancels_by_server[message.server_id] -= 1
+        self._apply_limits(now)
+
+    @_decide.register
+    def _on_digest_wanted(self, message: DigestWanted, now: float) -> None:
+        message.take(self._dispatcher.digest(now))
+
+    @_decide.register
+    def _on_digest_taken(self, message: DigestTaken, now: float) -> None:
+        self._carry_out(self._dispatcher.on_peer_digest(message.digest, now))
+
+    def _apply_limits(self, now: float) -> None:
+        """Hand on the limits, less the places of attempts that the servers may still run."""
+        free = {
+            server_id: max(0, limit - self._cancels_by_server[server_id])
+            for server_id, limit in self._limits_by_server.items()
+        }
+        self._carry_out(self._dispatcher.set_limits(free, now))
 
     def _carry_out(self, effects: list[dispatch_effects.Effect]) -> None:
         for effect in effects:
--- a/src/dragonflycove/node/node_gateway.py
+++ b/src/dragonflycove/node/node_gateway.py
@@ -9,15 +9,15 @@
 
 from dragonflycove.attempts import model_life
 from dragonflycove.callers import gateway, streams
-from dragonflycove.configuration import schema
-from dragonflycove.node import dispatch_task, model_request_task
+from dragonflycove.node import dispatch_task, model_request_task, request_messages, resume_tokens
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers, outcomes, requests
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from dragonflycove.node import plain_calls, services
+    from dragonflycove.configuration import schema
+    from dragonflycove.node import guard_task, plain_calls, services
 
     RunOnce = Callable[
         [requests.ServiceCall, tuple[tuple[str, str], ...], bytes],
@@ -34,6 +34,7 @@
     def __init__(
         self,
         context: services.NodeServices,
+        guard: guard_task.GuardTask,
         calls: plain_calls.PlainCalls,
         run_once: RunOnce,
         find_fault: Callable[[], str | None],
@@ -42,11 +43,13 @@
 
         Args:
             context: What all tasks of the node share.
+            guard: Knows which requests may not run.
             calls: Runs idempotent calls to plain services.
             run_once: Runs calls that may not be repeated.
             find_fault: Returns why the node can't take work now, `None` if it can.
         """
         self._context = context
+        self._guard = guard
         self._calls = calls
         self._run_once = run_once
         self._find_fault = find_fault
@@ -97,9 +100,11 @@
         Returns:
             Where its frames come, or the refusal.
         """
-        request = request._replace(
-            request_id=identifiers.new_id(self._context.rng, "request")
-        )
+        request = request._replace(request_id=self._context.new_request_id())
+        quarantined = self._screen(request.fingerprint)
+        if quarantined is not None:
+            self._context.metrics.refused(quarantined.reason)
+            return result.Err(quarantined)
         stream = streams.CallerStream()
         task = model_request_task.ModelRequestTask(self._context, request, prompt, stream)
         admitted: asyncio.Future[outcomes.Refused | None] = (
@@ -121,6 +126,13 @@
         self._context.background.start(request.request_id, task.run())
         return result.Ok(gateway.OpenStream(request.request_id, stream))
 
+    def _screen(self, fingerprint: str) -> outcomes.Refused | None:
+        refused = self._guard.screen(fingerprint)
+        if refused is None:
+            return None
+        detail = "requests like this one have crashed backend servers"
+        return outcomes.Refused(outcomes.Reason.QUARANTINED, detail, refused.retry_after_seconds)
+
     def resume(
         self, token: str, from_index: int, model: str, prompt: str, deadline: float
     ) -> result.Result[gateway.OpenStream, outcomes.Refused]:
@@ -136,7 +148,7 @@
         Returns:
             Where its frames come, or the refusal.
         """
-        point = model_request_task.parse_resume_token(token)
+        point = resume_tokens.parse_resume_token(token)
         if point is None or self._context.server_address(point.server_id) is None:
             detail = "the token names no stream of a server in the configuration"
             return result.Err(outcomes.Refused(outcomes.Reason.BAD_REQUEST, detail))
@@ -146,10 +158,10 @@
         stream = streams.CallerStream()
         own = self._find_own(point.attempt)
         if own is not None:
-            own.mailbox.post(model_request_task.CallerResumed(from_index, stream))
+            own.mailbox.post(request_messages.CallerResumed(from_index, stream))
             return result.Ok(gateway.OpenStream(own.request.request_id, stream))
         request = requests.ModelRequest(
-            identifiers.new_id(self._context.rng, "request"),
+            self._context.new_request_id(),
             "",
             self._context.configuration.servers_by_id[point.server_id].service,
             model,
@@ -160,13 +172,8 @@
             deadline,
         )
         life = model_life.ModelLife(request, self._context.rng, caller_from_index=from_index)
-        task = model_request_task.ModelRequestTask(
-            self._context, request, prompt, stream, life
-        )
-        self._context.requests_by_id[request.request_id] = task
-        self._context.metrics.count("stream_taken_over")
-        task.take_over(point)
-        self._context.background.start(request.request_id, task.run())
+        task = model_request_task.ModelRequestTask(self._context, request, prompt, stream, life)
+        self._context.take_over(task, point)
         return result.Ok(gateway.OpenStream(request.request_id, stream))
 
     def _find_own(self, attempt: str) -> model_request_task.ModelRequestTask | None:
@@ -183,7 +190,7 @@
         """
         task = self._context.requests_by_id.get(opened.request_id)
         if task is not None:
-            task.mailbox.post(model_request_task.CallerGone(opened.stream))
+            task.mailbox.post(request_messages.CallerGone(opened.stream))
 
     async def call_service(
         self,
@@ -209,7 +216,7 @@
             else:
                 answer = await self._run_once(call, headers, body)
         finally:
-            self._context.calls_running -= 1
+            self._context.call_over()
         if isinstance(answer.outcome, outcomes.Refused):
             self._context.metrics.refused(answer.outcome.reason)
         elif isinstance(answer.outcome, outcomes.Failed):
@@ -226,7 +233,9 @@
             Live hosts in zones that are not out, the caller's zone first, others in random order.
         """
         out = self._context.configuration.zones_out
-        entries = [entry for entry in self._context.hosts_by_name.values() if not entry.leaving]
+        listed = [entry for entry in self._context.hosts_by_name.values() if not entry.leaving]
+        silent = self._context.silent_hosts
+        entries = [entry for entry in listed if entry.name not in silent] or listed
         if self._context.withdrawn:
             entries = [entry for entry in entries if entry.name != self._context.identity.host]
         allowed = [entry for entry in entries if entry.zone not in out] or entries
--- a/src/dragonflycove/transport/sessions.py
+++ b/src/dragonflycove/transport/sessions.py
@@ -12,6 +12,16 @@
 READ_BUFFER_BYTES = 262_144
 """Bytes that a session buffers from one connection."""
 
+ADDED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+"""Headers that aiohttp would add to a caller's own."""
+
+IDLE_SECONDS = 2.0
+"""Time after which an unused connection is not used again.
+
+When connections go silent, every idle one to the same address is lost. With a call's time-out at
+least this long, the first call that finds out is also the last, since the others are too old then.
+"""
+
 
 class SendOnce:
     """Client middleware that keeps aiohttp from sending a request a second time.
@@ -57,15 +67,16 @@
     return aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
 
 
-def open_pooled() -> aiohttp.ClientSession:
+def open_pooled(idle_seconds: float = IDLE_SECONDS) -> aiohttp.ClientSession:
     """Open a session that keeps connections for reuse; call it inside a running loop.
 
+    Args:
+        idle_seconds: Time after which an unused connection is not used again.
+
     Returns:
         The session; the caller closes it.
     """
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0), read_bufsize=READ_BUFFER_BYTES
-    )
+    return _open(aiohttp.TCPConnector(limit=0, keepalive_timeout=idle_seconds))
 
 
 def open_fresh() -> aiohttp.ClientSession:
@@ -74,5 +85,15 @@
     Returns:
         The session; the caller closes it.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    return aiohttp.ClientSession(connector=connector, read_bufsize=READ_BUFFER_BYTES)
+    return _open(aiohttp.TCPConnector(limit=0, force_close=True))
+
+
+def _open(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Open a session that passes headers and bodies through and keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=connector,
+        read_bufsize=READ_BUFFER_BYTES,
+        skip_auto_headers=ADDED_HEADERS,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
