Hold organisations to their limits

Cause: the configured tokens a second of an organisation were not looked at. Change: a token bucket for each organisation that uses its limit, ten seconds of burst, at this node's share (set_organisation_share); refusals say ORGANISATION_LIMIT and when to come back.

--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -125,6 +125,14 @@
         self.router.set_limits(limits_by_server)
         return self._lifecycle.drain(now)
 
+    def set_organisation_share(self, share: float) -> None:
+        """Set the share of each organisation's limit that this node may give out.
+
+        Args:
+            share: From 0 to 1; 1 until it is set.
+        """
+        self._gate.limits.share = share
+
     def on_report(self, report: load_view.EngineReport, now: float) -> list[effects.Effect]:
         """Take in an engine's load report.
 
@@ -201,6 +209,7 @@
             return [effects.Refuse(request.request_id, refused)]
         self._lifecycle.budgets.on_admitted(request.service, now)
         self._scheduler.on_admitted(request, now)
+        self._gate.on_admitted(request, self.configuration, now)
         entry = entries.Entry(request, entries.demand_of(request, self.policy, frozenset()))
         self._book.add(entry)
         return self._lifecycle.enqueue(entry, self.configuration, now)
@@ -338,9 +347,8 @@
             Dispatches that the free slot makes possible.
         """
         entry = self._book.by_id.get(request_id)
-        if entry is None:
-            return []
-        self._lifecycle.end(entry)
+        if entry is not None:
+            self._lifecycle.end(entry)
         return self._lifecycle.drain(now)
 
     def tick(self, now: float) -> list[effects.Effect]:
@@ -369,9 +377,7 @@
             Time, seconds; infinite where nothing is to come.
         """
         deadline = self._book.next_deadline()
-        if len(self._scheduler):
-            return min(deadline, now + QUEUE_TICK_SECONDS)
-        return deadline
+        return min(deadline, now + QUEUE_TICK_SECONDS) if self.queued else deadline
 
     @property
     def queued(self) -> int:
--- a/src/dragonflycove/admission/gate.py
+++ b/src/dragonflycove/admission/gate.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from dragonflycove.admission import entries, lanes, promise, queue_estimate
+from dragonflycove.admission import (
+    entries,
+    lanes,
+    organisation_limits,
+    promise,
+    queue_estimate,
+)
 from dragonflycove.values import outcomes
 
 if TYPE_CHECKING:
@@ -44,6 +50,7 @@
             estimates: How requests have run so far.
             waiting: What waits in the node.
         """
+        self.limits = organisation_limits.OrganisationLimits()
         self._policy = policy
         self._router = servers
         self._promise = estimates
@@ -71,6 +78,12 @@
             return outcomes.Refused(
                 outcomes.Reason.UNKNOWN_ORGANISATION, "The organisation is not configured."
             )
+        limit = configuration.organisations_by_name[request.organisation].tokens_per_second
+        over = self.limits.wait_seconds(request.organisation, limit, now)
+        if over > 0.0:
+            return outcomes.Refused(
+                outcomes.Reason.ORGANISATION_LIMIT, "The organisation is over its limit.", over
+            )
         if not self._router.candidates(request.model):
             return outcomes.Refused(
                 outcomes.Reason.NO_SERVER, "No server has the model.", NO_SERVER_RETRY_SECONDS
@@ -79,6 +92,20 @@
             return None
         return self._check_promise(request, configuration, now)
 
+    def on_admitted(
+        self, request: requests.ModelRequest, configuration: schema.Configuration, now: float
+    ) -> None:
+        """Charge an admitted request to its organisation.
+
+        Args:
+            request: The request.
+            configuration: The configuration that is in force.
+            now: Time, seconds.
+        """
+        limit = configuration.organisations_by_name[request.organisation].tokens_per_second
+        tokens = request.prompt_tokens + request.max_tokens
+        self.limits.charge(request.organisation, limit, tokens, now)
+
     def _check_promise(
         self, request: requests.ModelRequest, configuration: schema.Configuration, now: float
     ) -> outcomes.Refused | None:
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -7,7 +7,8 @@
 import fleet
 import pytest
 
-from dragonflycove.admission import dispatcher, effects
+from dragonflycove.admission import dispatcher, effects, organisation_limits
+from dragonflycove.configuration import schema
 from dragonflycove.routing import policies
 from dragonflycove.values import outcomes
 
@@ -116,3 +117,26 @@
     [failed] = subject.set_configuration(out, 1.0)
     assert (failed.request_id, failed.outcome.ran) == ("r1", outcomes.Ran.NOT_RUN)
     assert subject.on_finished("r0", 2.0) == []
+
+
+def test_organisation_over_its_limit_is_refused_until_it_is_not():
+    limited = {"a": schema.Organisation("a", 1.0, 200.0), "b": schema.Organisation("b", 1.0, 0.0)}
+    subject = make(organisations_by_name=limited)
+    subject.set_organisation_share(0.5)
+    seen = []
+    for index, at in enumerate((0.0, 0.0, 0.2, 0.29, 1.0)):
+        [effect] = subject.submit(fleet.make_request(f"r{index}"), at)
+        seen.append(getattr(effect, "outcome", None))
+    assert seen[0] is None
+    assert {refused.reason for refused in seen[1:4]} == {outcomes.Reason.ORGANISATION_LIMIT}
+    assert seen[1].retry_after_seconds == pytest.approx(0.3)
+    assert seen[4] is None
+    [other] = subject.submit(fleet.make_request("other", organisation="b"), 1.0)
+    assert isinstance(other, effects.Dispatch)
+
+
+def test_limits_remember_only_organisations_that_use_them():
+    limits = organisation_limits.OrganisationLimits()
+    for index in range(26_000):
+        limits.charge(f"organisation-{index}", 100.0, 50, float(index))
+    assert len(limits) <= organisation_limits.BUCKETS_LIMIT
