--- a/src/dragonflycove/node/fleet_task.py
+++ b/src/dragonflycove/node/fleet_task.py
@@ -46,6 +46,8 @@
         peers.register("quarantine_crash", 1, records.Crash)
         peers.register("quarantine_trial", 1, records.Trial)
         peers.register("quarantine_cleared", 1, records.Cleared)
+        peers.register("quarantine_flight", 1, records.Flight)
+        peers.register("quarantine_node_lost", 1, records.NodeLost)
         peers.register("leave_asked", 1, records.LeaveAsked)
         peers.register("leave_answered", 1, records.LeaveAnswered)
         peers.register("load_digest", 1, digests.PeerDigest)
@@ -53,6 +55,8 @@
         peers.handle(records.Crash, self._on_record)
         peers.handle(records.Trial, self._on_record)
         peers.handle(records.Cleared, self._on_record)
+        peers.handle(records.Flight, self._on_record)
+        peers.handle(records.NodeLost, self._on_record)
         peers.handle(records.LeaveAsked, self._on_leave_asked)
         peers.handle(records.LeaveAnswered, self._on_leave_answered)
         peers.handle(digests.PeerDigest, self._on_digest)
@@ -97,6 +101,16 @@
         """
         self._peers.send(host, answered)
 
+    def tell_witnesses(self, hosts: tuple[str, ...], record: records.Record) -> None:
+        """Send a quarantine record to a few hosts.
+
+        Args:
+            hosts: Names of the hosts.
+            record: The record.
+        """
+        for host in hosts:
+            self._peers.send(host, record)
+
     def inform(self, host: str, known: Iterable[records.Record]) -> None:
         """Send a node that has just started what it needs to know of suspects.
 
--- a/src/dragonflycove/quarantine/records.py
+++ b/src/dragonflycove/quarantine/records.py
@@ -21,7 +21,7 @@
     """Fingerprints of the requests that the reporting node had in flight there."""
 
     node: str
-    """Host of the reporting node."""
+    """`host/incarnation` of the reporting node."""
 
 
 class Trial(NamedTuple):
@@ -34,7 +34,7 @@
     """Identifier of the backend server."""
 
     node: str
-    """Host of the node that runs it."""
+    """`host/incarnation` of the node that runs it."""
 
     running: bool
     """True before it is sent, false once it has ended."""
@@ -47,7 +47,7 @@
     """Fingerprint of the former suspect."""
 
     node: str
-    """Host of the node that ran it."""
+    """`host/incarnation` of the node that ran it."""
 
 
 class LeaveAsked(NamedTuple):
@@ -63,7 +63,7 @@
     """Identifier of the backend server that would run it."""
 
     node: str
-    """Host of the asking node."""
+    """`host/incarnation` of the asking node."""
 
 
 class LeaveAnswered(NamedTuple):
@@ -82,10 +82,38 @@
     """Whether the request may be sent there, within `GRANT_SECONDS` of the answer."""
 
 
-Record = Crash | Trial | Cleared
+class Flight(NamedTuple):
+    """A request is sent to a backend server, or is no longer there."""
+
+    fingerprint: str
+    """Fingerprint of the request."""
+
+    server_id: str
+    """Identifier of the backend server."""
+
+    request_id: str
+    """Identifier of the request."""
+
+    node: str
+    """`host/incarnation` of the node that sends it."""
+
+    running: bool
+    """True before it is sent, false once it has ended."""
+
+
+class NodeLost(NamedTuple):
+    """A node died or was replaced; what it had in flight ends without its word."""
+
+    node: str
+    """`host/incarnation` of the node."""
+
+
+Record = Crash | Trial | Cleared | Flight | NodeLost
 """Records between nodes; the log keeps `Crash` and `Cleared`."""
 
-_TYPE_BY_KIND: dict[str, type[Crash] | type[Trial] | type[Cleared]] = {
+_TYPE_BY_KIND: dict[str, type[Any]] = {
+    "nodelost": NodeLost,
+    "flight": Flight,
     "crash": Crash,
     "trial": Trial,
     "cleared": Cleared,
@@ -119,4 +147,5 @@
     fields = {field: value[field] for field in record_type._fields}
     if record_type is Crash:
         fields["fingerprints"] = tuple(fields["fingerprints"])
-    return record_type(**fields)
+    record: Record = record_type(**fields)
+    return record
