Measure the slopes of the control modules

Change: 'dragonflycove measure capacity' adds membership, shares, subsets, configuration, words of requests in flight, load digests and readings of engines, each at three sizes.

--- a/src/dragonflycove/measure/capacity.py
+++ b/src/dragonflycove/measure/capacity.py
@@ -35,8 +35,17 @@
     per_unit: float
 
 
-def _fit(name: str, unit: str, at: dict[int, float]) -> Slope:
-    """Fit a line by least squares."""
+def fit(name: str, unit: str, at: dict[int, float]) -> Slope:
+    """Fit a line by least squares.
+
+    Args:
+        name: What is measured.
+        unit: Unit of the slope.
+        at: Cost by size.
+
+    Returns:
+        The slope.
+    """
     count = len(at)
     mean_x = sum(at) / count
     mean_y = sum(at.values()) / count
@@ -108,19 +117,19 @@
         Cost against size.
     """
     return [
-        _fit("memory", "bytes per engine", {n: _memory(lambda n=n: _make(n, 10)[0]) for n in SERVERS}),  # type: ignore[misc]
-        _fit("reports", "us per engine and report", {n: _report_microseconds(n) for n in SERVERS}),
-        _fit(
+        fit("memory", "bytes per engine", {n: _memory(lambda n=n: _make(n, 10)[0]) for n in SERVERS}),  # type: ignore[misc]
+        fit("reports", "us per engine and report", {n: _report_microseconds(n) for n in SERVERS}),
+        fit(
             "memory of dispatcher and configuration",
             "bytes per organisation",
             {n: _memory(lambda n=n: _make(14, n)) for n in ORGANISATIONS},  # type: ignore[misc]
         ),
-        _fit(
+        fit(
             "configuration change at 600 engines",
             "us per organisation",
             {n: _configuration_microseconds(n) for n in ORGANISATIONS},
         ),
-        _fit(
+        fit(
             "submissions at 600 engines",
             "us per request",
             {n: _second_microseconds(n, seed) for n in RATES},
--- /dev/null
+++ b/src/dragonflycove/measure/control_capacity.py
@@ -0,0 +1,306 @@
+"""Measures how a node's control costs grow with peers, servers, organisations and requests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from dragonflycove.backends import engine_client, engine_stream
+from dragonflycove.measure import capacity, workload
+from dragonflycove.operators import measurement as change_measurement
+from dragonflycove.peering import codec, messages
+from dragonflycove.peering import measurement as peer_measurement
+from dragonflycove.quarantine import quarantine, records
+from dragonflycove.routing import digests
+from dragonflycove.shares import cold_start, share_table, subsets
+from dragonflycove.standins import clock, kinds, serving
+from dragonflycove.transport import sessions
+from dragonflycove.values import identifiers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.configuration import schema
+
+PEERS = (40, 160, 320)
+"""Numbers of nodes."""
+
+SUBSET_SERVERS = (6, 24, 96)
+"""Numbers of backend servers that one node works with."""
+
+ALL_SERVERS = (150, 300, 600)
+"""Numbers of backend servers in the fleet."""
+
+ORGANISATIONS = (1_000, 8_000, 26_000)
+"""Numbers of organisations."""
+
+STREAMS = (0, 50, 200)
+"""Streams that an engine lists in an inventory."""
+
+READINGS = 300
+"""Readings of an engine that are timed."""
+
+ROUNDS = 20
+"""Repetitions of what is timed in the decisions."""
+
+MEMBERSHIP_SECONDS = 60.0
+"""Virtual time for which membership is run, seconds."""
+
+HEADER = messages.Header("entry-100/start-0123456789abcdef01234567", 12_345, 1_234_567, 0.5)
+"""Header of a frame, of the usual size."""
+
+
+class Reading(NamedTuple):
+    """Cost of one reading of an engine."""
+
+    cpu_microseconds: float
+    """CPU time at the node, microseconds."""
+
+    wire_bytes: float
+    """Bytes of request and answer, headers included."""
+
+
+def measure(seed: int) -> list[capacity.Slope]:
+    """Measure the slopes of the control modules.
+
+    Args:
+        seed: Seed.
+
+    Returns:
+        Cost against size.
+    """
+    return [
+        *_measure_membership(seed),
+        *_measure_shares(),
+        *_measure_configuration(),
+        *_measure_quarantine(),
+        *_measure_digests(),
+        *_measure_readings(),
+    ]
+
+
+def _measure_membership(seed: int) -> list[capacity.Slope]:
+    costs = {
+        count: peer_measurement.measure_membership(count, MEMBERSHIP_SECONDS, seed)
+        for count in PEERS
+    }
+    sent = {count: cost.sent_bytes_per_second for count, cost in costs.items()}
+    cpu = {count: cost.cpu_fraction * 1e6 for count, cost in costs.items()}
+    return [
+        capacity.fit("membership, sent", "bytes a second per peer", sent),
+        capacity.fit("membership, CPU", "us a second per peer", cpu),
+    ]
+
+
+def _measure_shares() -> list[capacity.Slope]:
+    review = {count: _review_microseconds(320, count) for count in SUBSET_SERVERS}
+    listed = {count: _host_change_microseconds(count) for count in PEERS}
+    subset = {count: _subset_microseconds(320, count) for count in ALL_SERVERS}
+    return [
+        capacity.fit("review of limits at 320 hosts", "us per server and review", review),
+        capacity.fit("change of the host list, 24 servers", "us per host", listed),
+        capacity.fit("choice of the subset at 320 hosts", "us per server", subset),
+    ]
+
+
+def _make_servers(count: int) -> dict[str, schema.Server]:
+    size = workload.COOPERATIVE._replace(model_servers=count)
+    return workload.make_configuration(size).servers_by_id
+
+
+def _make_shares(hosts: int) -> share_table.ShareTable:
+    table = share_table.ShareTable("host-0", 3.0, 15.0)
+    names = frozenset(f"host-{number}" for number in range(hosts))
+    for second in range(60):
+        table.on_host_list(names, 0.5, float(second))
+    return table
+
+
+def _review_microseconds(hosts: int, servers: int) -> float:
+    """Return the CPU time of one computation of this node's limits."""
+    table = _make_shares(hosts)
+    tracker = cold_start.ColdStartTracker(_make_servers(servers))
+    tracker.node_limits(table, 60.0)
+    return _time(lambda turn: tracker.node_limits(table, 60.0 + turn / 100))
+
+
+def _host_change_microseconds(hosts: int) -> float:
+    """Return the CPU time of taking in a changed host list and computing the limits."""
+    table = _make_shares(hosts)
+    tracker = cold_start.ColdStartTracker(_make_servers(24))
+    tracker.node_limits(table, 60.0)
+
+    def change(turn: int) -> None:
+        names = frozenset(f"host-{number}" for number in range(hosts - turn % 2))
+        table.on_host_list(names, 0.5, 60.0 + turn / 100)
+        tracker.node_limits(table, 60.0 + turn / 100)
+
+    return _time(change)
+
+
+def _subset_microseconds(hosts: int, servers: int) -> float:
+    """Return the CPU time of choosing the subset after a change of the host list."""
+    placed = frozenset(subsets.Placed(f"server-{n}", f"zone-{n % 5}") for n in range(servers))
+    before = time.thread_time_ns()
+    for turn in range(2):
+        table = subsets.SubsetTable("host-0")
+        table.update({f"host-{n}": f"zone-{n % 5}" for n in range(hosts - turn)}, placed)
+    return (time.thread_time_ns() - before) / 2_000
+
+
+def _time(work: Callable[[int], object]) -> float:
+    """Return the mean CPU time of one call, microseconds."""
+    before = time.thread_time_ns()
+    for turn in range(ROUNDS):
+        work(turn)
+    return (time.thread_time_ns() - before) / 1_000 / ROUNDS
+
+
+def _measure_configuration() -> list[capacity.Slope]:
+    costs = {count: change_measurement.measure_change(count, 600) for count in ORGANISATIONS}
+    edit = {count: cost.edit_seconds * 1e6 for count, cost in costs.items()}
+    whole = {count: cost.whole_seconds * 1e6 for count, cost in costs.items()}
+    size = {count: float(cost.edit_bytes) for count, cost in costs.items()}
+    return [
+        capacity.fit("edit of the text at 600 servers", "us per organisation", edit),
+        capacity.fit("whole text at 600 servers", "us per organisation", whole),
+        capacity.fit("record of an edit", "bytes per organisation", size),
+    ]
+
+
+def _measure_quarantine() -> list[capacity.Slope]:
+    costs = {count: _flight_microseconds(count) for count in PEERS}
+    registry = codec.new_registry()
+    registry.register("quarantine_flight", 1, records.Flight)
+    flight = records.Flight(
+        "organisation-12345/model-1/0123456789abcdef",
+        "server-123",
+        "request-0123456789abcdef01234567",
+        HEADER.sender,
+        True,
+    )
+    frame = float(len(registry.encode(HEADER, flight).unwrap()))
+    per_request = 2 * quarantine.WITNESSES * (frame + peer_measurement.FRAME_OVERHEAD_BYTES)
+    sizes = {count: per_request * count for count in (1, 10, 100)}
+    return [
+        capacity.fit("word of a request in flight, CPU", "us per request, per peer", costs),
+        capacity.fit("word of requests in flight, sent", "bytes per request", sizes),
+    ]
+
+
+def _flight_microseconds(hosts: int) -> float:
+    node = quarantine.Quarantine(_make_shares(hosts), identifiers.NodeIdentity("host-0", "1"))
+
+    def run(turn: int) -> None:
+        for number in range(50):
+            request_id = f"{turn}-{number}"
+            node.on_start(f"organisation/model/{turn}-{number}", "server-1", request_id, 60.0)
+            node.on_end(request_id, True, 60.0)
+
+    return _time(run) / 50
+
+
+def _measure_digests() -> list[capacity.Slope]:
+    registry = codec.new_registry()
+    registry.register("load_digest", 1, digests.PeerDigest)
+    sizes = {}
+    for count in (0, 12, 48):
+        works = tuple(
+            digests.ServerWork(f"server-{number}", (12_345, 123_456), 234_567, 3)
+            for number in range(count)
+        )
+        lanes = tuple(
+            digests.ModelLanes(f"model-{number}", (1_000,) * 4, (123.4,) * 4) for number in range(5)
+        )
+        digest = digests.PeerDigest("entry-100", 0.0, works, lanes)
+        sizes[count] = float(len(registry.encode(HEADER, digest).unwrap()))
+    return [capacity.fit("load digest of 5 models", "bytes per engine with work", sizes)]
+
+
+def _measure_readings() -> list[capacity.Slope]:
+    readings = {count: _read_engine(count) for count in STREAMS}
+    cpu = {count: reading.cpu_microseconds for count, reading in readings.items()}
+    size = {count: reading.wire_bytes for count, reading in readings.items()}
+    return [
+        capacity.fit("reading of an engine's load and streams, CPU", "us per stream", cpu),
+        capacity.fit("reading of an engine's load and streams", "bytes per stream", size),
+    ]
+
+
+def _read_engine(streams: int) -> Reading:
+    """Read the load and the inventory of an engine stand-in that runs on another thread."""
+    started = threading.Event()
+    stop = threading.Event()
+    address: list[str] = []
+
+    async def serve() -> None:
+        parameters: dict[str, Any] = {
+            "models": ["m"],
+            "starts_cold": False,
+            "concurrency": 1_000,
+            "keep_seconds": 600.0,
+        }
+        standin = kinds.build_engine(parameters, clock.unix_clock())
+        async with serving.serving(standin, "127.0.0.1:0", 1) as where:
+            address.append(where)
+            started.set()
+            while not stop.is_set():  # noqa: ASYNC110 - set by another thread
+                await asyncio.sleep(0.05)
+
+    thread = threading.Thread(target=lambda: asyncio.run(serve()))
+    thread.start()
+    started.wait()
+    try:
+        return asyncio.run(_time_readings(address[0], streams))
+    finally:
+        stop.set()
+        thread.join()
+
+
+async def _time_readings(address: str, streams: int) -> Reading:
+    session = sessions.open_pooled()
+    client = engine_client.EngineClient(session)
+    try:
+        await _fill(client, address, streams)
+        size = 0.0
+        for path in ("/v1/load", "/v1/streams"):
+            size += await _wire_bytes(address, path)
+        before = time.thread_time_ns()
+        for _ in range(READINGS):
+            await client.load(address, 5.0)
+            await client.streams(address, 5.0)
+        return Reading((time.thread_time_ns() - before) / 1_000 / READINGS, size)
+    finally:
+        await client.close()
+        await session.close()
+
+
+async def _fill(client: engine_client.EngineClient, address: str, streams: int) -> None:
+    """Start streams that stay on the engine's list."""
+    rng = random.Random(1)
+    timeouts = engine_stream.StreamTimeouts(1.0, 5.0, 60.0)
+    for number in range(streams):
+        attempt = identifiers.new_id(rng, "attempt")
+        order = engine_client.Generate(attempt, HEADER.sender, "m", f"prompt {number}", 500, 1)
+        events = client.generate(address, order, timeouts)
+        async for _ in events:
+            break
+        await events.aclose()  # type: ignore[attr-defined]
+
+
+async def _wire_bytes(address: str, path: str) -> float:
+    """Return the bytes of one request and its answer."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    request = (
+        f"GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: */*\r\n"
+        "Accept-Encoding: gzip, deflate\r\nUser-Agent: Python/3.11 aiohttp/3.14\r\n"
+        "Connection: close\r\n\r\n"
+    ).encode()
+    writer.write(request)
+    answer = await reader.read()
+    writer.close()
+    return float(len(request) + len(answer))
--- a/src/dragonflycove/measure/experiment_command.py
+++ b/src/dragonflycove/measure/experiment_command.py
@@ -9,7 +9,7 @@
 
 from absl import flags
 
-from dragonflycove.measure import capacity, decision, experiments, plots, workload
+from dragonflycove.measure import capacity, control_capacity, decision, experiments, plots, workload
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -57,7 +57,7 @@
 
 
 def _run_capacity(values: flags.FlagValues, name: str) -> None:
-    _write(values, name, capacity.measure(values.seed))
+    _write(values, name, [*capacity.measure(values.seed), *control_capacity.measure(values.seed)])
 
 
 COMMANDS_BY_NAME: dict[str, Callable[[flags.FlagValues, str], None]] = {
