Let no dead host that never answered keep its rank in reclaim

Cause: the reclaim state machine found it in a run with other tests (its examples depend on the modules that are loaded): a node that started after a listed host had died never heard it, left it its rank, and nobody looked after the engine.

--- a/src/dragonflycove/reclaim/owners.py
+++ b/src/dragonflycove/reclaim/owners.py
@@ -94,13 +94,18 @@
         return dead_at if now >= dead_at else None
 
     def is_silent(self, host: str, now: float) -> bool:
-        """Tell whether a host answered once and has not for a long time.
+        """Tell whether a host has not answered for a long time, or never since this node's start.
+
+        This only spreads the work: a host that never answered may live, and its owners do not
+        count as dead.
 
         Args:
             host: Name of the host.
             now: Time of the loop's clock, seconds.
         """
-        return now >= self._silent_at(host)
+        started_at = now if self._started_at is None else self._started_at
+        heard_at = self._heard_at_by_host.get(host, started_at)
+        return now >= heard_at + self._silent_seconds
 
     def _silent_at(self, host: str) -> float:
         """Return when a host counts as silent if it does not answer again."""
