--- a/src/dragonflycove/attempts/model_life.py
+++ b/src/dragonflycove/attempts/model_life.py
@@ -61,11 +61,6 @@
         """Frames taken in so far."""
         return self._delivery.tokens
 
-    @property
-    def delivered_count(self) -> int:
-        """Frames taken in so far."""
-        return self._delivery.count
-
     def on_dispatched(
         self, server_id: str, priority: int, now: float, group: tuple[str, ...] = ()
     ) -> list[effects.Effect]:
@@ -148,7 +143,6 @@
             self.frames_dropped.duplicate += 1
             return []
         if position > self._delivery.count:
-            self.frames_dropped.gap += 1
             return self._on_gap(current, now)
         current.note_progress()
         self._retries.ran = outcomes.Ran.RAN
@@ -332,8 +326,7 @@
 
     def _accept(self, token: str, finish: str | None) -> list[effects.Effect]:
         """Take in the next frame of the caller's stream."""
-        emitted = self._delivery.append(token, finish)
-        return [*emitted, *self._finish_if_complete()]
+        return [*self._delivery.append(token, finish), *self._finish_if_complete()]
 
     def _finish_if_complete(self) -> list[effects.Effect]:
         """End the request once the caller was sent the last frame."""
@@ -346,6 +339,7 @@
     def _on_gap(self, current: attempts.Attempt, now: float) -> list[effects.Effect]:
         """Fetch lost frames again, or leave an engine that does not give them."""
         reason = outcomes.Reason.STREAM_GAP
+        self.frames_dropped.gap += 1
         if current.is_awaiting_gap():
             return []
         if current.may_resume:
@@ -367,11 +361,9 @@
         self._retries.note_sent()
         self._retries.broken_attempts += 1
         self._retries.exclude_broken(current.server_id, now)
-        cancel = current.cancel()
         if self._retries.is_exhausted:
-            detail = f"{self._retries.broken_attempts} attempts broke"
-            return self._fail(reason, detail)
-        return [cancel, *self._replace_current(reason, now)]
+            return self._fail(reason, f"{self._retries.broken_attempts} attempts broke")
+        return [current.cancel(), *self._replace_current(reason, now)]
 
     def _replace_current(self, reason: outcomes.Reason, now: float) -> list[effects.Effect]:
         """Go back to the attempt on standby, or ask for a server."""
