--- a/src/dragonflycove/shares/subsets.py
+++ b/src/dragonflycove/shares/subsets.py
@@ -47,7 +47,7 @@
     """
     if len(zone_by_host) <= nodes_per_server:
         return tuple(sorted(zone_by_host))
-    ranked = identifiers.rendezvous_rank(f"subset/{server.name}", zone_by_host)
+    ranked = identifiers.rendezvous_rank(_key(server), zone_by_host)
     local = [name for name in ranked if zone_by_host[name] == server.zone][:local_nodes]
     chosen = set(local)
     others = [name for name in ranked if name not in chosen]
@@ -77,11 +77,36 @@
         Returns:
             Identifiers of the backend servers that this host works with.
         """
-        if dict(zone_by_host) != self._zone_by_host:
-            self._zone_by_host = dict(zone_by_host)
-            self._nodes_by_server.clear()
-        for server in servers - self._nodes_by_server.keys():
-            self._nodes_by_server[server] = frozenset(choose_nodes(server, self._zone_by_host))
-        for server in self._nodes_by_server.keys() - servers:
-            del self._nodes_by_server[server]
+        before = self._zone_by_host
+        self._zone_by_host = dict(zone_by_host)
+        changed = frozenset(
+            name
+            for name in before.keys() | zone_by_host.keys()
+            if before.get(name) != zone_by_host.get(name)
+        )
+        known = self._nodes_by_server
+        self._nodes_by_server = {
+            server: (
+                known[server]
+                if server in known and not _moves(server, known[server], changed)
+                else frozenset(choose_nodes(server, self._zone_by_host))
+            )
+            for server in servers
+        }
         return frozenset(s.name for s, n in self._nodes_by_server.items() if self._host in n)
+
+
+def _moves(server: Placed, nodes: frozenset[str], changed: frozenset[str]) -> bool:
+    """Tell whether a change of hosts may change the nodes of a backend server."""
+    if not changed:
+        return False
+    if changed & nodes or len(nodes) < NODES_PER_SERVER:
+        return True
+    key = _key(server)
+    worst = min(identifiers.stable_hash(key, name) for name in nodes)
+    return any(identifiers.stable_hash(key, name) >= worst for name in changed)
+
+
+def _key(server: Placed) -> str:
+    """Return the rendezvous key of a backend server."""
+    return f"subset/{server.name}"
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -66,7 +66,8 @@
     cleared = records.Cleared("f", "a")
     assert [effect.record for effect in node.on_end("r1", True, 102.0)][0][0] == "f"  # type: ignore[union-attr]
     for other in nodes.values():
-        other.on_peer_record(cleared, 102.0)
+        if other is not node:
+            other.on_peer_record(cleared, 102.0)
         other.on_log_record(records.Crash("s1", "x", ("f",), "a"), 5, 103.0)
         assert other.verdict("f", 103.0) == verdicts.Allowed()
 
@@ -85,6 +86,17 @@
     assert by_log.verdict("f", 102.0) == verdicts.Refused(quarantine.REFUSAL_SECONDS - 60.0)
 
 
+def test_a_suspect_waits_while_a_copy_may_still_run() -> None:
+    nodes = {host: make(host) for host in HOSTS}
+    nodes["a"].on_start("f", "s1", "r1", 100.0)
+    crash_everywhere(nodes, "s1", "x", 100.0)
+    node = nodes[holder_of(nodes, "f", 101.5)]
+    node.on_peer_record(records.Flight("f", "s3", "r2", "b/9", True), 101.5)
+    assert isinstance(node.verdict("f", 101.6, "r1", SERVERS), verdicts.Wait)
+    node.on_peer_record(records.Flight("f", "s3", "r2", "b/9", False), 102.0)
+    assert isinstance(node.verdict("f", 102.0, "r1", SERVERS), verdicts.Alone)
+
+
 def test_records_survive_the_wire() -> None:
     for record in (
         records.Crash("s1", "x", ("f", "g"), "a"),
--- a/tests/shares/test_cold_start.py
+++ b/tests/shares/test_cold_start.py
@@ -108,7 +108,7 @@
 def test_a_server_that_turned_cold_warms_again_by_work_finished_since() -> None:
     tracker = warm_tracker()
     tracker.on_cache_lost("engine-1", 101.0)
-    for finished, bound in [(12, 2), (16, 6), (20, 10)]:
+    for finished, bound in [(12, 2), (16, 2), (19, 2), (20, 10)]:
         tracker.on_report("engine-1", "s1", finished, 0, 0.0, 102.0)
         assert tracker.bound("engine-1", 102.0) == bound
         # In cold start slow first tokens are expected and must not begin it anew.
@@ -124,8 +124,9 @@
     assert tracker.node_limits(table, 100.0) == {"engine-1": 10, "engine-2": 2}
     tracker.on_cache_lost("engine-1", 101.0)
     assert tracker.node_limits(table, 101.0)["engine-1"] == 0
-    tracker.on_report("engine-1", "s1", 12, 2, 0.0, 102.0)
-    assert tracker.node_limits(table, 102.0)["engine-1"] == 2
+    for running, limit in [(3, 0), (2, 0), (1, 2)]:
+        tracker.on_report("engine-1", "s1", 12, running, 0.0, 102.0)
+        assert tracker.node_limits(table, 102.0)["engine-1"] == limit
 
 
 def test_without_a_host_list_only_warm_servers_get_work() -> None:
--- a/tests/shares/test_cold_zone.py
+++ b/tests/shares/test_cold_zone.py
@@ -36,14 +36,6 @@
         report = (now, f"start-{self.start}", self.finished, len(self.runs))
         self.reports = [*self.reports[-8:], report]
 
-    def bears(self) -> int:
-        grown = (
-            (SERVER.concurrency - SERVER.cold_concurrency)
-            * self.finished
-            // SERVER.warm_after_requests
-        )
-        return SERVER.cold_concurrency + grown
-
 
 class Node:
     """One start of a node."""
@@ -99,7 +91,7 @@
         if step >= 52:
             # A warm server refuses what is too much; one in cold start falls over.
             cold = [e for e in engines.values() if e.finished < SERVER.warm_after_requests]
-            assert all(len(engine.runs) <= engine.bears() for engine in cold)
+            assert all(len(engine.runs) <= SERVER.cold_concurrency for engine in cold)
             sent_cold += sum(len(engine.runs) for engine in cold)
     assert sent_cold > 0
     assert all(engine.finished > 0 for engine in engines.values())
--- a/tests/shares/test_subsets.py
+++ b/tests/shares/test_subsets.py
@@ -38,3 +38,14 @@
     assert len(table.update(few, frozenset(SERVERS[:18]))) == 18
     chosen = table.update(ZONE_BY_HOST, frozenset(SERVERS))
     assert chosen == {s.name for s in SERVERS if "entry-1" in subsets.choose_nodes(s, ZONE_BY_HOST)}
+
+
+def test_the_table_that_follows_changes_equals_a_fresh_one() -> None:
+    table = subsets.SubsetTable("entry-1")
+    zone_by_host = dict(ZONE_BY_HOST)
+    for number in range(30):
+        zone_by_host.pop(f"entry-{number * 7 + 2}")
+        zone_by_host[f"new-{number}"] = ZONES[number % 3]
+        if number % 3 == 0:
+            fresh = subsets.SubsetTable("entry-1").update(zone_by_host, frozenset(SERVERS))
+            assert table.update(zone_by_host, frozenset(SERVERS)) == fresh
