--- a/src/dragonflycove/quarantine/_book.py
+++ b/src/dragonflycove/quarantine/_book.py
@@ -96,8 +96,9 @@
                 continue
             for server_id, start_id in suspicion.crash_keys():
                 yield records.Crash(server_id, start_id, (fingerprint,), node)
-            if suspicion.trial is not None:
-                trial = suspicion.trial
+            trial = suspicion.trial
+            # A living node tells of its trials, and of their end, itself.
+            if trial is not None and (trial.node == node or trial.is_lost):
                 yield records.Trial(fingerprint, trial.server_id, trial.node, True)
 
     def _make_room(self, now: float) -> None:
--- a/src/dragonflycove/quarantine/_flights.py
+++ b/src/dragonflycove/quarantine/_flights.py
@@ -129,3 +129,10 @@
         yield from self._own_by_request.values()
         for witnessed in self._witnessed_by_key.values():
             yield witnessed.flight
+
+    def untold(self) -> Iterator[records.Flight]:
+        """Return the requests that no other node tells of: this one's and those of lost nodes."""
+        yield from self._own_by_request.values()
+        for witnessed in self._witnessed_by_key.values():
+            if witnessed.is_lost:
+                yield witnessed.flight
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -267,6 +267,22 @@
         suspicion.trial = _suspicion.RunningTrial(asked.server_id, asked.node, now + LEAVE_SECONDS)
         return True
 
+    def may_use_leave(self, answered: records.LeaveAnswered, now: float) -> bool:
+        """Tell whether leave that a peer gave is still of use; others may have moved on since.
+
+        Args:
+            answered: The peer's answer.
+            now: Time of the loop's clock.
+
+        Returns:
+            False where it was denied, where the server has come to run another suspect, and
+            where the fingerprint may run no more.
+        """
+        suspicion = self._book.find(answered.fingerprint, now)
+        if not answered.granted or (suspicion is not None and suspicion.crashes >= MOST_CRASHES):
+            return False
+        return answered.server_id not in self._book.servers_in_trial(now)
+
     def servers_in_trial(self, now: float) -> frozenset[str]:
         """Return the backend servers that run a suspect, which others had better avoid.
 
@@ -289,7 +305,7 @@
             Records for its `on_peer_record`, on the connection that carries all later ones.
         """
         yield from self._book.records(self._node, now)
-        for flight in self._flights.known():
+        for flight in self._flights.untold():
             # Only witnesses hear when a request has ended.
             if host in self._witnesses(flight, now):
                 yield flight
