Check leave from the holder again before it is used

Cause: leave may come after another suspect has begun on the same server (found by the fuzzing of the fleet), and an answer for another server dropped the request from those that wait. Change: guard_task asks Quarantine.may_use_leave, and takes a request off the waiting list only if the answer is for its start.

--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -215,19 +215,17 @@
     @_handle.register
     def _on_peer_answers_leave(self, message: guard_messages.PeerAnswersLeave, now: float) -> None:
         answered = message.answered
-        if not answered.granted:
+        wanted = [w.asked for w in self._waiting if _answers(answered, w.asked)]
+        if wanted and self._quarantine.may_use_leave(answered, now):
+            self._take_waiting(answered.request_id)
+            self._grant(wanted[0], now)
             return
-        waiting = self._take_waiting(answered.request_id)
-        for asked in waiting:
-            if asked.server_id == answered.server_id:
-                self._grant(asked, now)
-                return
-        # The request no longer wants the leave, so the holder gets it back.
-        self._links.tell_peers_record(
-            quarantine_records.Trial(
-                answered.fingerprint, answered.server_id, str(self._context.identity), False
+        if answered.granted:
+            # The leave is of no use any more, so the holder gets it back.
+            me = str(self._context.identity)
+            self._links.tell_peers_record(
+                quarantine_records.Trial(answered.fingerprint, answered.server_id, me, False)
             )
-        )
 
     def _take_waiting(self, request_id: str) -> list[guard_messages.StartAsked]:
         """Take a request's starts out of those that were put off."""
@@ -337,3 +335,9 @@
                 receiver = self._receivers_by_request.get(effect.request_id)
                 if receiver is not None:
                     receiver.post(guard_messages.Suspended(effect.server_id))
+
+
+def _answers(answered: quarantine_records.LeaveAnswered, asked: guard_messages.StartAsked) -> bool:
+    """Tell whether an answer is for a start."""
+    same_request = answered.request_id == asked.request.request_id
+    return same_request and answered.server_id == asked.server_id
