Test the quarantine's witnesses and leave alone

Each now has a test of its own that fails with it off: witnesses, lost nodes, explained crashes, leave checked again.

--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -97,6 +97,31 @@
     assert isinstance(node.verdict("f", 102.0, "r1", SERVERS), verdicts.Alone)
 
 
+def test_witnesses_report_for_a_lost_node_unless_the_crash_is_explained() -> None:
+    told = make("a").on_start("f", "s1", "r1", 100.0)
+    assert isinstance(told[0], verdicts.TellWitnesses)
+    assert sorted(told[0].hosts) == ["b", "c"]
+    for explained in (False, True):
+        witness = make("b")
+        witness.on_peer_record(told[0].record, 100.0)
+        witness.on_peer_lost("a/1", 101.0)
+        witness.on_crash("s1", 102.0, "x")
+        for server_id, start_id in (("s1", "x"), ("s2", "y")) if explained else ():
+            witness.on_peer_record(records.Crash(server_id, start_id, ("g",), "c/1"), 102.5)
+        reported = [e.record for e in witness.on_tick(103.0) if isinstance(e, verdicts.TellPeers)]
+        assert reported == ([] if explained else [records.Crash("s1", "x", ("f",), "b/1")])
+        assert isinstance(witness.verdict("f", 103.0), verdicts.Allowed) == explained
+
+
+def test_leave_is_of_no_use_once_the_server_runs_another_suspect() -> None:
+    node = make("a")
+    answered = records.LeaveAnswered("f", "r1", "s2", True)
+    assert node.may_use_leave(answered, 100.0)
+    assert not node.may_use_leave(answered._replace(granted=False), 100.0)
+    node.on_peer_record(records.Trial("g", "s2", "b/1", True), 100.0)
+    assert not node.may_use_leave(answered, 100.0)
+
+
 def test_records_survive_the_wire() -> None:
     for record in (
         records.Crash("s1", "x", ("f", "g"), "a"),
