Keep counts in the lanes so that a decision costs less

Change: fair queues keep a count, lanes are walked as pairs and sorted only while batch requests wait.

--- a/src/dragonflycove/admission/fair_queue.py
+++ b/src/dragonflycove/admission/fair_queue.py
@@ -50,6 +50,7 @@
         self._items_by_id: dict[str, Item] = {}
         self._urgent: list[tuple[float, int, Item]] = []
         self._sequence = 0
+        self.count = 0
         self.tokens = 0
         self.active_weight = 0.0
 
@@ -101,6 +102,7 @@
         state.tokens += item.cost_tokens
         self.tokens += item.cost_tokens
         self._items_by_id[request_id] = item
+        self.count += 1
 
     def organisation_tokens(self, organisation: str) -> int:
         """Return the tokens that wait for an organisation.
@@ -189,6 +191,7 @@
         return list(self._items_by_id.values())
 
     def _drop(self, item: Item, state: _Organisation) -> None:
+        self.count -= 1
         state.tokens -= item.cost_tokens
         self.tokens -= item.cost_tokens
         while state.items and not self._waits(state.items[0]):
--- a/src/dragonflycove/admission/lanes.py
+++ b/src/dragonflycove/admission/lanes.py
@@ -55,12 +55,13 @@
     def __init__(self) -> None:
         """Create empty lanes."""
         self.queues_by_lane = {key: fair_queue.FairQueue() for key in LANE_ORDER}
+        self._pairs = tuple(self.queues_by_lane.items())
         self._batch_credit = 0.0
         self._served_by_batch_lane = dict.fromkeys(LANE_ORDER[FIRST_BATCH_INDEX:], 0.0)
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return sum(map(len, self.queues_by_lane.values()))
+        return sum([queue.count for _, queue in self._pairs])
 
     def next_lane(self, now: float, blocked: Collection[LaneKey]) -> LaneKey | None:
         """Return the lane to serve next.
@@ -73,18 +74,25 @@
             A lane with a request that has to start by now; else a batch lane that is owed its
             share; else the first in order; `None` where nothing waits that can be served.
         """
-        batch = sorted(self._served_by_batch_lane, key=self._served_by_batch_lane.__getitem__)
-        interactive = LANE_ORDER[:FIRST_BATCH_INDEX]
-        order = [*batch, *interactive] if self._batch_is_owed() else [*interactive, *batch]
-        waiting = [key for key in order if self.queues_by_lane[key] and key not in blocked]
-        for key in waiting:
-            if self.queues_by_lane[key].has_urgent(now):
+        waiting = [pair for pair in self._pairs if pair[1].count and pair[0] not in blocked]
+        if not waiting:
+            return None
+        if waiting[-1][0].urgency is requests.Urgency.BATCH:
+            is_owed = self._batch_is_owed()
+            waiting.sort(key=lambda pair: self._rank(pair[0], is_owed))
+        for key, queue in waiting:
+            if queue.has_urgent(now):
                 return key
-        return waiting[0] if waiting else None
+        return waiting[0][0]
+
+    def _rank(self, lane: LaneKey, is_owed: bool) -> tuple[bool, float]:
+        """Return the sort key of a lane; batch lanes go by what they have had."""
+        is_batch = lane.urgency is requests.Urgency.BATCH
+        return is_batch != is_owed, self._served_by_batch_lane[lane] if is_batch else 0.0
 
     def interactive_waits(self) -> bool:
         """Tell whether a short or medium interactive request waits."""
-        return any(self.queues_by_lane[key] for key in LANE_ORDER[:2])
+        return bool(self._pairs[0][1].count or self._pairs[1][1].count)
 
     def charge(self, lane: LaneKey, tokens: int) -> None:
         """Account for tokens that were dispatched.
@@ -114,10 +122,10 @@
 
     def queued_tokens(self) -> tuple[int, ...]:
         """Return the waiting tokens by lane, in the order of service."""
-        return tuple(self.queues_by_lane[key].tokens for key in LANE_ORDER)
+        return tuple([queue.tokens for _, queue in self._pairs])
 
     def _batch_waits(self) -> bool:
-        return any(self.queues_by_lane[key] for key in LANE_ORDER[FIRST_BATCH_INDEX:])
+        return any([queue.count for _, queue in self._pairs[FIRST_BATCH_INDEX:]])
 
     def _batch_is_owed(self) -> bool:
         if self._batch_credit <= 0.0:
