Count every member of a memory group against the limits

Change: each member takes a slot; candidates have a free one; a group that became ready is used only if every member still has one.

--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -242,8 +242,8 @@
     ) -> list[effects.Effect]:
         """Dispatch a request on the memory group that was built for it.
 
-        A group with a member that may get no new work any more is not used: the request waits
-        again, and the caller gives the group up, as it does whenever no dispatch follows.
+        A group with a member that may get no new work from this node is not used: the request
+        waits again, and the caller gives the group up, as it does whenever no dispatch follows.
 
         Args:
             request_id: The request.
@@ -256,7 +256,7 @@
         entry = self._book.by_id.get(request_id)
         if entry is None or entry.state is not entries.State.AWAITING_GROUP:
             return []
-        if not set(engines) <= set(self.router.candidates(entry.request.model)):
+        if not self.router.has_slots(engines, entry.request.model, now):
             self._lifecycle.unplace(entry)
             return self._lifecycle.enqueue(entry, self.configuration, now)
         return [self._lifecycle.place(entry, engines, entry.demand.prompt_tokens, now)]
--- a/src/dragonflycove/routing/groups.py
+++ b/src/dragonflycove/routing/groups.py
@@ -71,8 +71,8 @@
         home = homes.get(server_id, rooms.Home.LONG)
         backlog = load.backlog_seconds(now)[1]
         is_full = home is rooms.Home.SHORT and first_utilisation > rooms.FULL_UTILISATION
-        is_busy = backlog > BACKLOG_LIMIT_SECONDS or is_full or load.limit <= 0
-        if load.memory_free() >= part and (is_urgent or not is_busy):
+        is_busy = backlog > BACKLOG_LIMIT_SECONDS or is_full
+        if load.has_slot(now) and load.memory_free() >= part and (is_urgent or not is_busy):
             ranked.append((is_busy, _ORDER[home], backlog, server_id))
     if len(ranked) < count:
         return ()
--- a/src/dragonflycove/routing/load_view.py
+++ b/src/dragonflycove/routing/load_view.py
@@ -220,6 +220,17 @@
             (both + pending_first + pending_second) / self.rate,
         )
 
+    def has_slot(self, now: float) -> bool:
+        """Tell whether this node may have one more request running there.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            False also while nothing is to be sent there.
+        """
+        return self.in_flight < self.limit and self.blocked_until <= now
+
     def memory_free(self) -> int:
         """Return the KV memory that is believed free, tokens."""
         return self.server.memory_tokens - self.memory_used - self.pending_memory
--- a/src/dragonflycove/routing/router.py
+++ b/src/dragonflycove/routing/router.py
@@ -202,6 +202,22 @@
             demand, servers.loads, servers.homes, servers.first_utilisation, is_urgent, now
         )
 
+    def has_slots(self, server_ids: tuple[str, ...], model: str, now: float) -> bool:
+        """Tell whether this node may send a request to every member of a memory group.
+
+        Args:
+            server_ids: The members.
+            model: Name of the model.
+            now: Time, seconds.
+
+        Returns:
+            False where one may get no new work or this node's limit there is used up.
+        """
+        servers = self._servers_by_model.get(model)
+        if servers is None or not servers.eligible.issuperset(server_ids):
+            return False
+        return all(self.view.loads_by_id[server_id].has_slot(now) for server_id in server_ids)
+
     def occupy(
         self,
         server_ids: tuple[str, ...],
@@ -227,9 +243,8 @@
             if load is None:
                 continue
             load.add(load_view.Pending(now, request_id, prefill, memory, 1))
-            if server_id == server_ids[0]:
-                load.in_flight += 1
-                self._refresh_open(load)
+            load.in_flight += 1
+            self._refresh_open(load)
 
     def prompt_read(
         self, server_ids: tuple[str, ...], request_id: str, demand: demands.Demand
@@ -250,7 +265,7 @@
                 self.prefixes.store(server_ids[0], block)
 
     def release(self, server_ids: tuple[str, ...], request_id: str) -> None:
-        """Free the slot of a request that no longer runs.
+        """Free the slots of a request that no longer runs.
 
         Args:
             server_ids: Where it ran, the lead first.
@@ -261,9 +276,8 @@
             if load is None:
                 continue
             load.remove(request_id)
-            if server_id == server_ids[0]:
-                load.in_flight = max(0, load.in_flight - 1)
-                self._refresh_open(load)
+            load.in_flight = max(0, load.in_flight - 1)
+            self._refresh_open(load)
 
     def set_first_rate(self, model: str, tokens_per_second: float) -> None:
         """Take in how many tokens of the higher priority are admitted.
