Promise less of the spare time

Cause: a fifth to a third of the medium prompts admitted under overload failed at their deadline. Change: the estimated wait may fill 0.4 of the spare time (0.6 before), 0.3 (0.4) for an organisation over its share, and a broken promise lowers that by a fifth (a tenth).

--- a/src/dragonflycove/admission/promise.py
+++ b/src/dragonflycove/admission/promise.py
@@ -19,16 +19,16 @@
 RUN_MARGIN = 0.95
 """Share of the time to the deadline that waiting and running may fill."""
 
-OWN_SHARE_PATIENCE = 0.6
+OWN_SHARE_PATIENCE = 0.4
 """Share of the spare time that the wait may fill for an organisation within its share."""
 
-OVER_SHARE_PATIENCE = 0.4
+OVER_SHARE_PATIENCE = 0.3
 """The same for an organisation with more than its share of the waiting tokens."""
 
 LEAST_CONFIDENCE = 0.3
 """Lowest factor on the patience after broken promises."""
 
-CONFIDENCE_LOSS = 0.9
+CONFIDENCE_LOSS = 0.8
 """Factor on the confidence for each broken promise."""
 
 CONFIDENCE_GAIN = 0.004
