--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,6 +59,7 @@
   --seconds 36 --rate 6 --long 4 --seed 7 --out "$OUT/load.json" \
   --organisations andrade,quito-shops,cuenca-shops,audit >"$OUT/load.out" 2>"$OUT/load.log" &
 LOAD=$!
+PID[load]=$LOAD
 sleep 12
 say "taking availability zone latacunga out"
 "$PYTHON" -m dragonflycove zone out --log 127.0.0.1:18401 latacunga
--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -112,17 +112,23 @@
                 )
         return failed + self._lifecycle.drain(now)
 
-    def set_limits(self, limits_by_server: Mapping[str, int], now: float) -> list[effects.Effect]:
+    def set_limits(
+        self,
+        limits_by_server: Mapping[str, int],
+        now: float,
+        good_for_seconds: float = float("inf"),
+    ) -> list[effects.Effect]:
         """Replace this node's limits of requests running at each engine.
 
         Args:
             limits_by_server: Limits; an engine without one has its whole concurrency.
             now: Time, seconds.
+            good_for_seconds: Time after which no engine gets new work unless they are set again.
 
         Returns:
             Dispatches that it makes possible.
         """
-        self.router.set_limits(limits_by_server)
+        self.router.set_limits(limits_by_server, now + good_for_seconds)
         return self._lifecycle.drain(now)
 
     def set_organisation_share(self, share: float) -> None:
--- a/src/dragonflycove/admission/lifecycle.py
+++ b/src/dragonflycove/admission/lifecycle.py
@@ -123,6 +123,7 @@
         Returns:
             Dispatches and preemptions.
         """
+        self._router.expire_limits(now)
         drained: list[effects.Effect] = []
         for entry, choice, candidates in self._scheduler.placements(model, now):
             if choice is None:
--- a/src/dragonflycove/measure/experiment_command.py
+++ b/src/dragonflycove/measure/experiment_command.py
@@ -78,6 +78,10 @@
         Exit status: 0, or 2 for a wrong command line.
     """
     values = _make_flags()
+    if "--help" in argv:
+        print(f"experiments: {', '.join(COMMANDS_BY_NAME)}")
+        print(values.get_help())  # type: ignore[no-untyped-call]
+        return 0
     try:
         names = values(["dragonflycove measure", *argv])[1:]
     except flags.Error as error:
--- a/src/dragonflycove/measure/load.py
+++ b/src/dragonflycove/measure/load.py
@@ -44,6 +44,9 @@
     flags.DEFINE_float("rate", 6.0, "Model requests a second.", flag_values=values)
     flags.DEFINE_integer("long", 4, "Prompts of 100,000 to 1,000,000 tokens.", flag_values=values)
     flags.DEFINE_string("out", "", "File for the result, JSON.", flag_values=values)
+    if "--help" in argv:
+        print(values.get_help())  # type: ignore[no-untyped-call]
+        return EXIT_OK
     try:
         values(["dragonflycove load", *argv])
     except flags.Error as error:
--- a/src/dragonflycove/measure/verdict.py
+++ b/src/dragonflycove/measure/verdict.py
@@ -45,6 +45,9 @@
     flags.DEFINE_list("nodes", [], "Addresses of nodes.", flag_values=values)
     flags.DEFINE_list("engines", [], "Addresses of engine stand-ins.", flag_values=values)
     flags.DEFINE_list("plain", [], "Addresses of plain stand-ins.", flag_values=values)
+    if "--help" in argv:
+        print(values.get_help())  # type: ignore[no-untyped-call]
+        return EXIT_OK
     try:
         values(["dragonflycove measure verdict", *argv])
         report = json.loads(pathlib.Path(values.load).read_text())
@@ -86,9 +89,18 @@
 
 
 async def _read_books(session: aiohttp.ClientSession, address: str) -> Books:
-    async with session.get(f"http://{address}/_standin/books") as response:
-        books: Books = await response.json()
-    return books
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + SETTLE_SECONDS
+    while True:
+        try:
+            async with session.get(f"http://{address}/_standin/books") as response:
+                books: Books = await response.json()
+            return books
+        except (aiohttp.ClientError, OSError):
+            # An engine that fell over refuses connections until its restart.
+            if loop.time() >= ends_at:
+                raise
+            await asyncio.sleep(0.2)
 
 
 async def _settled(session: aiohttp.ClientSession, engines: list[str]) -> dict[str, Books]:
--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -191,8 +191,10 @@
         """
         async with self._changing:
             size = len(snapshot.text)
+            before = self.configuration
             applied = await _offload(size, acceptance.adopt, self._state, snapshot)
             self._install(applied)
+            self._hand_on(before)
         logs.event("snapshot_taken", version=self.configuration.version)
         if self.configuration.version:
             self._ready.set()
@@ -214,6 +216,7 @@
 
     async def _take_page(self, page: log_client.ReadPage, asked_at: float) -> None:
         async with self._changing:
+            before = self.configuration
             skipped = acceptance.skip_expired(self._state, page.first_retained)
             self._state = skipped
             for entry in page.records:
@@ -222,16 +225,19 @@
                 size = len(record.text) if isinstance(record, records.TextProposed) else 0
                 applied = await _offload(size, acceptance.apply, self._state, entry.offset, record)
                 self._install(applied)
+            # Only the last of a page is handed on: a version in between is no longer in force.
+            self._hand_on(before)
         if len(page.records) < PAGE_RECORDS and self._state.anchored:
             self._view().on_log_read(asked_at)
             self._ready.set()
 
     def _install(self, applied: acceptance.Applied) -> None:
-        before = self.configuration
         self._state = applied.state
         if isinstance(applied.verdict, verdicts.Accepted | verdicts.Rejected):
             outcome = applied.verdict.outcome
             logs.event("operation_decided", **outcome._asdict())
+
+    def _hand_on(self, before: schema.Configuration) -> None:
         if self.configuration.version == before.version:
             return
         for subscriber in self._subscribers:
--- a/src/dragonflycove/node/daemon.py
+++ b/src/dragonflycove/node/daemon.py
@@ -40,6 +40,9 @@
     """
     values = flags.FlagValues()  # type: ignore[no-untyped-call]
     flags.DEFINE_string("settings", None, "Path of the settings file.", flag_values=values)
+    if "--help" in argv:
+        print(values.get_help())  # type: ignore[no-untyped-call]
+        return EXIT_OK
     try:
         values(["dragonflycove node", *argv])
     except flags.Error as error:
--- a/src/dragonflycove/node/dispatch_task.py
+++ b/src/dragonflycove/node/dispatch_task.py
@@ -15,9 +15,12 @@
     from collections.abc import Callable, Mapping
 
     from dragonflycove.configuration import schema
-    from dragonflycove.routing import digests, load_view
+    from dragonflycove.routing import digests, load_view, prefix_map
     from dragonflycove.values import outcomes, requests
 
+LIMITS_LIFETIME_SECONDS = 1.0
+"""Time for which this node's limits at the servers count unless they are renewed, seconds."""
+
 
 class Assigned(NamedTuple):
     """Tells a request's task to run it at a backend server."""
@@ -164,6 +167,9 @@
     limits_by_server: Mapping[str, int]
     """Most requests of this node at each server."""
 
+    computed_at: float
+    """Time of the loop's clock at which they were computed, seconds."""
+
 
 class CancelStarted(NamedTuple):
     """An attempt is being cancelled; its place at the server is not free yet."""
@@ -179,6 +185,23 @@
     """The server."""
 
 
+class CacheChanged(NamedTuple):
+    """Events of an engine's prefix cache were read."""
+
+    server_id: str
+    """The engine."""
+
+    page: prefix_map.CachePage
+    """The events."""
+
+
+class OrganisationsShared(NamedTuple):
+    """This node's share of the organisations' limits changed."""
+
+    share: float
+    """The share, from 0 to 1."""
+
+
 class DigestWanted(NamedTuple):
     """Asks for a digest of this node's load."""
 
@@ -207,6 +230,8 @@
     | Limited
     | CancelStarted
     | CancelEnded
+    | CacheChanged
+    | OrganisationsShared
     | DigestWanted
     | DigestTaken
 )
@@ -228,6 +253,7 @@
         self._receivers_by_request: dict[str, Receiver] = {}
         self._refusals_by_request: dict[str, outcomes.Refused] = {}
         self._limits_by_server: Mapping[str, int] = {}
+        self._limited_at = float("-inf")
         self._cancels_by_server: collections.Counter[str] = collections.Counter()
 
     async def run(self) -> None:
@@ -306,6 +332,7 @@
     @_decide.register
     def _on_limited(self, message: Limited, now: float) -> None:
         self._limits_by_server = message.limits_by_server
+        self._limited_at = message.computed_at
         self._apply_limits(now)
 
     @_decide.register
@@ -318,6 +345,14 @@
         self._cancels_by_server[message.server_id] -= 1
         self._apply_limits(now)
 
+    @_decide.register
+    def _on_cache_changed(self, message: CacheChanged, now: float) -> None:
+        self._carry_out(self._dispatcher.on_cache_events(message.server_id, message.page, now))
+
+    @_decide.register
+    def _on_organisations_shared(self, message: OrganisationsShared, now: float) -> None:
+        self._dispatcher.set_organisation_share(message.share)
+
     @_decide.register
     def _on_digest_wanted(self, message: DigestWanted, now: float) -> None:
         message.take(self._dispatcher.digest(now))
@@ -328,11 +363,12 @@
 
     def _apply_limits(self, now: float) -> None:
         """Hand on the limits, less the places of attempts that the servers may still run."""
+        left = self._limited_at + LIMITS_LIFETIME_SECONDS - now
         free = {
             server_id: max(0, limit - self._cancels_by_server[server_id])
             for server_id, limit in self._limits_by_server.items()
         }
-        self._carry_out(self._dispatcher.set_limits(free, now))
+        self._carry_out(self._dispatcher.set_limits(free, now, left))
 
     def _carry_out(self, effects: list[dispatch_effects.Effect]) -> None:
         for effect in effects:
--- a/src/dragonflycove/node/drain.py
+++ b/src/dragonflycove/node/drain.py
@@ -48,7 +48,8 @@
         logs.event("drain_ended", running=self._running())
 
     def _running(self) -> int:
-        return len(self._context.requests_by_id) + self._context.calls_running
+        waited_for = [task for task in self._context.requests_by_id.values() if task.has_caller]
+        return len(waited_for) + self._context.calls_running
 
     async def _wait_for_end(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
--- a/src/dragonflycove/node/engine_poll_task.py
+++ b/src/dragonflycove/node/engine_poll_task.py
@@ -10,7 +10,7 @@
 
 from dragonflycove.configuration import schema
 from dragonflycove.node import dispatch_task
-from dragonflycove.routing import load_view
+from dragonflycove.routing import load_view, prefix_map
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +38,7 @@
         """
         self._context = context
         self._on_report = on_report
+        self._next_event_by_server: dict[str, int] = {}
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -62,6 +63,25 @@
         report = _to_report(server.server_id, answer.ok_value)
         self._on_report(report)
         self._context.dispatch.post(dispatch_task.Reported(report))
+        await self._read_cache(server)
+
+    async def _read_cache(self, server: schema.Server) -> None:
+        from_sequence = self._next_event_by_server.get(server.server_id, 0)
+        answer = await self._context.engines.cache_events(
+            server.address, from_sequence, REPORT_TIMEOUT_SECONDS
+        )
+        if isinstance(answer, result.Err):
+            self._context.metrics.count("cache_events_missing")
+            return
+        found = answer.ok_value
+        self._next_event_by_server[server.server_id] = found.next_seq
+        if not found.events and found.first <= from_sequence:
+            return
+        events = tuple(
+            prefix_map.CacheEvent(event.seq, event.stored, event.hashes) for event in found.events
+        )
+        page = prefix_map.CachePage(found.first, found.next_seq, events)
+        self._context.dispatch.post(dispatch_task.CacheChanged(server.server_id, page))
 
 
 def _to_report(server_id: str, load: engine_values.EngineLoad) -> load_view.EngineReport:
--- a/src/dragonflycove/node/fleet_task.py
+++ b/src/dragonflycove/node/fleet_task.py
@@ -16,9 +16,6 @@
     from dragonflycove.node import peer_task, services
     from dragonflycove.values import identifiers
 
-DIGEST_SECONDS = 1.0
-"""Time between two digests of this node's load, seconds."""
-
 DIGEST_FAN_OUT = 5
 """Peers that get each digest; who they are changes from one to the next."""
 
@@ -64,7 +61,7 @@
     async def run(self) -> None:
         """Send digests until cancelled."""
         while True:
-            await asyncio.sleep(DIGEST_SECONDS)
+            await asyncio.sleep(self._context.settings.digest_seconds)
             self._context.dispatch.post(dispatch_task.DigestWanted(self._send_digest))
 
     def tell_cold(self, effect: cold_start.TellPeersCold) -> None:
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -20,6 +20,9 @@
     from dragonflycove.node import services
     from dragonflycove.values import requests
 
+ORGANISATION_PARTS = 10_000
+"""Parts into which each organisation's limit is divided among the nodes."""
+
 RATE_WINDOW_SECONDS = 10.0
 """Time over which the units of a rate are divided, seconds."""
 
@@ -133,9 +136,9 @@
         self._carry_out(self._quarantine.on_tick(now))
         limits = self._cold.node_limits(self.shares, now)
         self._share_rates(now)
-        if limits != self._last_limits:
-            self._last_limits = limits
-            self._context.dispatch.post(dispatch_task.Limited(limits))
+        self._last_limits = limits
+        # Told at every review: limits that are not renewed count for a short time only.
+        self._context.dispatch.post(dispatch_task.Limited(limits, now))
         due = [waiting for waiting in self._waiting if waiting.until <= now]
         self._waiting = [waiting for waiting in self._waiting if waiting.until > now]
         for waiting in due:
@@ -152,6 +155,9 @@
         appends = int(settings.log_appends_per_second * RATE_WINDOW_SECONDS)
         share = self.shares.last_units(share_table.Limit("log-appends", appends), now)
         self._links.set_append_rate(share / RATE_WINDOW_SECONDS)
+        parts = share_table.Limit("organisations", ORGANISATION_PARTS)
+        part = self.shares.last_units(parts, now) / ORGANISATION_PARTS
+        self._context.dispatch.post(dispatch_task.OrganisationsShared(part))
         weights = int(settings.weight_units_per_second * RATE_WINDOW_SECONDS)
         share = self.shares.units(share_table.Limit("weight-store", weights), now)
         self._links.set_weight_rate(share / RATE_WINDOW_SECONDS)
@@ -179,6 +185,10 @@
 
     def _grant(self, message: guard_messages.StartAsked, now: float) -> None:
         request = message.request
+        if not self._context.configuration.accepts_new_work(message.server_id):
+            # The zone or the server was taken out since the dispatcher chose it.
+            message.receiver.post(guard_messages.StartElsewhere(self._candidates(request)))
+            return
         self._receivers_by_request[request.request_id] = message.receiver
         # Peers are told before the request is sent.
         self._carry_out(
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -80,6 +80,9 @@
         self._tokens_since_notice = 0
         self._retries_counted: collections.Counter[outcomes.Reason] = collections.Counter()
         self._handed_over = False
+        self._is_taken_over = False
+        self.has_caller = True
+        """Whether a caller's connection waits for the answer."""
 
     async def run(self) -> None:
         """Work until the request has its outcome."""
@@ -97,6 +100,20 @@
         finally:
             await self._close_readers()
 
+    def _submit(self) -> None:
+        """Offer a request that another node had admitted to this node's dispatcher."""
+        self._is_taken_over = False
+        admitted: asyncio.Future[outcomes.Refused | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        admitted.add_done_callback(self._on_admission)
+        self._context.dispatch.post(dispatch_task.Submit(self.request, self.mailbox, admitted))
+
+    def _on_admission(self, admitted: asyncio.Future[outcomes.Refused | None]) -> None:
+        refused = None if admitted.cancelled() else admitted.result()
+        if refused is not None:
+            self.mailbox.post(dispatch_task.Denied(refused))
+
     def take_over(self, point: attempt_values.ResumePoint) -> None:
         """Go on with a stream that another node started.
 
@@ -104,6 +121,7 @@
             point: Where the stream runs.
         """
         now = asyncio.get_running_loop().time()
+        self._is_taken_over = True
         self.current_server = point.server_id
         self._carry_out(self._life.on_taken_over(point, now))
 
@@ -216,11 +234,13 @@
     @_handle.register
     def _on_caller_gone(self, message: request_messages.CallerGone, now: float) -> None:
         if message.stream is self._stream:
+            self.has_caller = False
             self._carry_out(self._life.on_caller_gone(now))
 
     @_handle.register
     def _on_caller_resumed(self, message: request_messages.CallerResumed, now: float) -> None:
         self._stream = message.stream
+        self.has_caller = True
         self._post_resume_token()
         self._carry_out(self._life.on_caller_resumed(message.from_index, now))
 
@@ -337,6 +357,9 @@
         if not self._prompt:
             self._carry_out(self._life.on_no_server(_PROMPT_UNKNOWN, self._now()))
             return
+        if self._is_taken_over:
+            self._submit()
+            return
         failed = dispatch_task.AttemptFailed(
             self.request.request_id, self.current_server, effect.reason
         )
@@ -370,6 +393,10 @@
         if isinstance(effect.outcome, outcomes.Answered):
             self._context.metrics.answered("model")
             self._context.dispatch.post(dispatch_task.Finished(request_id))
+        elif not self.has_caller:
+            # The caller may have its answer from another node.
+            self._context.metrics.count("caller_did_not_return")
+            self._context.dispatch.post(dispatch_task.Withdrawn(request_id))
         else:
             self._context.metrics.failed(effect.outcome.reason)
             self._context.dispatch.post(dispatch_task.Withdrawn(request_id))
--- a/src/dragonflycove/routing/router.py
+++ b/src/dragonflycove/routing/router.py
@@ -78,6 +78,7 @@
         self._selector = selection.Selector(policy, rng)
         self._servers_by_model: dict[str, _ModelServers] = {}
         self._limits_by_server: Mapping[str, int] = {}
+        self._limits_end_at = float("inf")
 
     def set_configuration(self, configuration: schema.Configuration) -> None:
         """Replace the engines.
@@ -100,13 +101,27 @@
         }
         self._apply_limits()
 
-    def set_limits(self, limits_by_server: Mapping[str, int]) -> None:
+    def set_limits(self, limits_by_server: Mapping[str, int], end_at: float) -> None:
         """Replace this node's limits of requests running at each engine.
 
         Args:
             limits_by_server: Limits; an engine without one has its whole concurrency.
+            end_at: Time after which they count no longer, seconds.
         """
         self._limits_by_server = dict(limits_by_server)
+        self._limits_end_at = end_at
+        self._apply_limits()
+
+    def expire_limits(self, now: float) -> None:
+        """Let no engine have new work once the limits are too old, as after a pause.
+
+        Args:
+            now: Time, seconds.
+        """
+        if now <= self._limits_end_at:
+            return
+        self._limits_by_server = dict.fromkeys(self.view.loads_by_id, 0)
+        self._limits_end_at = float("inf")
         self._apply_limits()
 
     def _apply_limits(self) -> None:
--- a/src/dragonflycove/settings/node.py
+++ b/src/dragonflycove/settings/node.py
@@ -48,6 +48,9 @@
     report_seconds: Seconds = 0.25
     """Time between readings of an engine's load, seconds."""
 
+    digest_seconds: Seconds = 0.25
+    """Time between two digests of this node's load to its peers, seconds."""
+
     silence_seconds: Seconds = 2.0
     """Time without a frame after which a connection counts as silent, seconds."""
 
--- a/src/dragonflycove/standins/main.py
+++ b/src/dragonflycove/standins/main.py
@@ -44,6 +44,9 @@
     flags.DEFINE_string("settings", None, "File with the settings.", flag_values=values)
     names = ["kind", "settings"]
     flags.mark_flags_as_required(names, flag_values=values)  # type: ignore[no-untyped-call]
+    if "--help" in argv:
+        print(values.get_help())  # type: ignore[no-untyped-call]
+        return 0
     try:
         values(["dragonflycove standin", *argv])  # type: ignore[no-untyped-call]
         text = pathlib.Path(values.settings).read_text(encoding="utf-8")
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -57,6 +57,15 @@
     assert subject.snapshot().queued == 0
 
 
+def test_limits_that_were_not_renewed_let_nothing_start():
+    subject = make()
+    subject.set_limits({"s1": 2}, 0.0, 1.0)
+    assert len(subject.submit(fleet.make_request("in time"), 1.0)) == 1
+    assert subject.submit(fleet.make_request("after a pause"), 1.1) == []
+    [late] = subject.set_limits({"s1": 2}, 1.2, 1.0)
+    assert late.request.request_id == "after a pause"
+
+
 @pytest.mark.parametrize("is_sent", [True, False])
 def test_deadline_ends_a_request(is_sent):
     subject = make()
--- a/tests/soak/soak_node.py
+++ b/tests/soak/soak_node.py
@@ -208,7 +208,7 @@
         limits = self.cold.node_limits(self.shares, now)
         for server_id in [*self.cancels.values(), *self.standbys.values()]:
             limits[server_id] = max(0, limits.get(server_id, 0) - 1)
-        self.carry_dispatch(self.dispatcher.set_limits(limits, now))
+        self.carry_dispatch(self.dispatcher.set_limits(limits, now, 1.0))
 
     def tell_cold(self, found, now):
         for effect in found:
