Split the large modules of the node, and hand on only the last version of a page

Change: the two tests append one version after the other and expect the same sequence as before; a new test expects exactly the last of versions that come at once.

--- a/src/dragonflycove/admission/dispatcher.py
+++ b/src/dragonflycove/admission/dispatcher.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
-
-from dragonflycove.admission import effects, entries, gate, lanes, lifecycle, promise, scheduler
+from typing import TYPE_CHECKING
+
+from dragonflycove.admission import (
+    effects,
+    entries,
+    gate,
+    lanes,
+    lifecycle,
+    promise,
+    scheduler,
+    snapshot,
+)
 from dragonflycove.configuration import schema
 from dragonflycove.routing import digests, policies, router
 from dragonflycove.values import outcomes
@@ -23,25 +32,6 @@
 """Interval between looks at the queue while requests wait."""
 
 
-class Snapshot(NamedTuple):
-    """The dispatcher's state in figures."""
-
-    queued: int
-    """Requests that wait in this node."""
-    queued_tokens: int
-    """Their tokens."""
-    running: int
-    """Requests that were dispatched."""
-    awaiting_group: int
-    """Requests that wait for a memory group."""
-    decode_tokens_per_second: float
-    """Rate at which one stream is generated."""
-    counts_by_reason: dict[outcomes.Reason, int]
-    """Refusals, failures and retries since the start."""
-    preemptions: int
-    """Times that borrowed capacity was given back since the start."""
-
-
 class Dispatcher:
     """Admits requests, queues them fairly and places them on engines."""
 
@@ -390,10 +380,10 @@
         """Number of requests that wait in this node."""
         return len(self._scheduler)
 
-    def snapshot(self) -> Snapshot:
+    def snapshot(self) -> snapshot.Snapshot:
         """Return the state in figures."""
         states = [entry.state for entry in self._book.by_id.values()]
-        return Snapshot(
+        return snapshot.Snapshot(
             len(self._scheduler),
             self._scheduler.queued_tokens(),
             states.count(entries.State.RUNNING),
--- a/src/dragonflycove/node/engine_poll_task.py
+++ b/src/dragonflycove/node/engine_poll_task.py
@@ -9,7 +9,7 @@
 import result
 
 from dragonflycove.configuration import schema
-from dragonflycove.node import dispatch_task
+from dragonflycove.node import dispatch_messages
 from dragonflycove.routing import load_view, prefix_map
 
 if TYPE_CHECKING:
@@ -62,7 +62,7 @@
             return
         report = _to_report(server.server_id, answer.ok_value)
         self._on_report(report)
-        self._context.dispatch.post(dispatch_task.Reported(report))
+        self._context.dispatch.post(dispatch_messages.Reported(report))
         await self._read_cache(server)
 
     async def _read_cache(self, server: schema.Server) -> None:
@@ -81,7 +81,7 @@
             prefix_map.CacheEvent(event.seq, event.stored, event.hashes) for event in found.events
         )
         page = prefix_map.CachePage(found.first, found.next_seq, events)
-        self._context.dispatch.post(dispatch_task.CacheChanged(server.server_id, page))
+        self._context.dispatch.post(dispatch_messages.CacheChanged(server.server_id, page))
 
 
 def _to_report(server_id: str, load: engine_values.EngineLoad) -> load_view.EngineReport:
--- a/src/dragonflycove/node/fleet_task.py
+++ b/src/dragonflycove/node/fleet_task.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from dragonflycove.node import dispatch_task, guard_messages
+from dragonflycove.node import dispatch_messages, guard_messages
 from dragonflycove.quarantine import records
 from dragonflycove.routing import digests
 from dragonflycove.shares import cold_start
@@ -62,7 +62,7 @@
         """Send digests until cancelled."""
         while True:
             await asyncio.sleep(self._context.settings.digest_seconds)
-            self._context.dispatch.post(dispatch_task.DigestWanted(self._send_digest))
+            self._context.dispatch.post(dispatch_messages.DigestWanted(self._send_digest))
 
     def tell_cold(self, effect: cold_start.TellPeersCold) -> None:
         """Tell all peers that a server turned cold.
@@ -143,4 +143,4 @@
         self._context.guard.post(guard_messages.PeerAnswersLeave(message))
 
     def _on_digest(self, sender: identifiers.NodeIdentity, message: digests.PeerDigest) -> None:
-        self._context.dispatch.post(dispatch_task.DigestTaken(message))
+        self._context.dispatch.post(dispatch_messages.DigestTaken(message))
--- a/src/dragonflycove/node/group_task.py
+++ b/src/dragonflycove/node/group_task.py
@@ -8,7 +8,7 @@
 
 import result
 
-from dragonflycove.node import dispatch_task, tasks
+from dragonflycove.node import dispatch_messages, tasks
 from dragonflycove.placement import memory_groups
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import exchange
@@ -162,7 +162,7 @@
     def _perform_ready(self, effect: memory_groups.GroupReady) -> None:
         logs.event("group_ready", group=effect.group_id, servers=",".join(effect.servers))
         self._context.group_id_by_request[effect.request_id] = effect.group_id
-        self._context.dispatch.post(dispatch_task.GroupReady(effect.request_id, effect.servers))
+        self._context.dispatch.post(dispatch_messages.GroupReady(effect.request_id, effect.servers))
 
     @_perform.register
     def _perform_failed(self, effect: memory_groups.GroupFailed) -> None:
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.configuration import schema
-from dragonflycove.node import dispatch_task, guard_messages
+from dragonflycove.node import dispatch_messages, guard_messages
 from dragonflycove.quarantine import quarantine, verdicts
 from dragonflycove.quarantine import records as quarantine_records
 from dragonflycove.shares import cold_start, share_table
@@ -138,7 +138,7 @@
         self._share_rates(now)
         self._last_limits = limits
         # Told at every review: limits that are not renewed count for a short time only.
-        self._context.dispatch.post(dispatch_task.Limited(limits, now))
+        self._context.dispatch.post(dispatch_messages.Limited(limits, now))
         due = [waiting for waiting in self._waiting if waiting.until <= now]
         self._waiting = [waiting for waiting in self._waiting if waiting.until > now]
         for waiting in due:
@@ -157,7 +157,7 @@
         self._links.set_append_rate(share / RATE_WINDOW_SECONDS)
         parts = share_table.Limit("organisations", ORGANISATION_PARTS)
         part = self.shares.last_units(parts, now) / ORGANISATION_PARTS
-        self._context.dispatch.post(dispatch_task.OrganisationsShared(part))
+        self._context.dispatch.post(dispatch_messages.OrganisationsShared(part))
         weights = int(settings.weight_units_per_second * RATE_WINDOW_SECONDS)
         share = self.shares.units(share_table.Limit("weight-store", weights), now)
         self._links.set_weight_rate(share / RATE_WINDOW_SECONDS)
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -133,10 +133,18 @@
             self._context, self._control.peers, self._control.membership.members.live_hosts
         )
         self._handover = handover.Handover(self._context, self._control.peers)
+        self._build_log_tasks()
+        self._build_engine_tasks(settings)
+        hosts = host_list_client.HostListClient(self._session, settings.host_list_address)
+        self._hosts = host_list_task.HostListTask(self._context, hosts, self._on_hosts)
+
+    def _build_log_tasks(self) -> None:
         self._claims = claim_task.ClaimTask(
             self._log, self._context.plain, self._context.identity, self._context.rng
         )
         self._quarantine_log = quarantine_log_task.QuarantineLogTask(self._log, self._context.guard)
+
+    def _build_engine_tasks(self, settings: node_settings.NodeSettings) -> None:
         self._reclaim = reclaim_task.ReclaimTask(
             self._context.engines,
             self._context.identity,
@@ -168,8 +176,6 @@
         )
         self._guard = guard_task.GuardTask(self._context, links)
         self._engines = engine_poll_task.EnginePollTask(self._context, self._on_report)
-        hosts = host_list_client.HostListClient(self._session, settings.host_list_address)
-        self._hosts = host_list_task.HostListTask(self._context, hosts, self._on_hosts)
 
     async def run(self, stop: asyncio.Event, hurry: asyncio.Event) -> bool:
         """Run until told to stop, then drain.
--- a/src/dragonflycove/node/node_gateway.py
+++ b/src/dragonflycove/node/node_gateway.py
@@ -9,7 +9,12 @@
 
 from dragonflycove.attempts import model_life
 from dragonflycove.callers import gateway, streams
-from dragonflycove.node import dispatch_task, model_request_task, request_messages, resume_tokens
+from dragonflycove.node import (
+    dispatch_messages,
+    model_request_task,
+    request_messages,
+    resume_tokens,
+)
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers, outcomes, requests
 
@@ -111,7 +116,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._context.requests_by_id[request.request_id] = task
-        self._context.dispatch.post(dispatch_task.Submit(request, task.mailbox, admitted))
+        self._context.dispatch.post(dispatch_messages.Submit(request, task.mailbox, admitted))
         refused = await admitted
         if refused is not None:
             self._context.request_over(request.request_id)
--- a/src/dragonflycove/node/request_messages.py
+++ b/src/dragonflycove/node/request_messages.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.node import dispatch_task, guard_messages
+from dragonflycove.node import dispatch_messages, guard_messages
 
 if TYPE_CHECKING:
     from dragonflycove.backends import engine_stream
@@ -57,7 +57,7 @@
 
 
 RequestMessage = (
-    dispatch_task.RequestNotice
+    dispatch_messages.RequestNotice
     | guard_messages.StartAnswer
     | EngineEvent
     | CallerGone
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -10,7 +10,13 @@
 import result
 
 from dragonflycove.configuration import schema
-from dragonflycove.node import dispatch_task, group_task, guard_messages, model_request_task, tasks
+from dragonflycove.node import (
+    dispatch_messages,
+    group_task,
+    guard_messages,
+    model_request_task,
+    tasks,
+)
 from dragonflycove.placement import memory_groups
 from dragonflycove.telemetry import logs
 from dragonflycove.values import identifiers
@@ -57,7 +63,7 @@
     plain: plain_client.PlainClient
     """Client of plain services."""
 
-    dispatch: tasks.Mailbox[dispatch_task.DispatchMessage]
+    dispatch: tasks.Mailbox[dispatch_messages.DispatchMessage]
     """Mailbox of the dispatch task."""
 
     guard: tasks.Mailbox[guard_messages.GuardMessage]
@@ -156,7 +162,7 @@
         """
         address = self.server_address(server_id)
         if address is not None:
-            self.dispatch.post(dispatch_task.CancelStarted(server_id))
+            self.dispatch.post(dispatch_messages.CancelStarted(server_id))
             work = self._cancel_and_tell(address, attempt, server_id)
             self.background.start(f"cancel-{attempt}", work)
 
@@ -164,7 +170,7 @@
         try:
             await self._cancel(address, attempt, server_id)
         finally:
-            self.dispatch.post(dispatch_task.CancelEnded(server_id))
+            self.dispatch.post(dispatch_messages.CancelEnded(server_id))
 
     async def _cancel(self, address: str, attempt: str, server_id: str) -> None:
         for _ in range(CANCEL_TRIES):
@@ -263,4 +269,4 @@
         """
         task = self.requests_by_id.get(request_id)
         if task is not None:
-            task.mailbox.post(dispatch_task.Denied(failed))
+            task.mailbox.post(dispatch_messages.Denied(failed))
--- a/src/dragonflycove/node/subset_task.py
+++ b/src/dragonflycove/node/subset_task.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.node import dispatch_task, guard_messages, tasks
+from dragonflycove.node import dispatch_messages, guard_messages, tasks
 from dragonflycove.shares import subsets
 
 if TYPE_CHECKING:
@@ -95,5 +95,5 @@
         if subset == self._context.subset:
             return
         self._context.subset = subset
-        self._context.dispatch.post(dispatch_task.Configured(subset))
+        self._context.dispatch.post(dispatch_messages.Configured(subset))
         self._context.guard.post(guard_messages.ConfigurationChanged(subset))
--- a/tests/node/test_configuration_task.py
+++ b/tests/node/test_configuration_task.py
@@ -143,11 +143,25 @@
     node.subscribe(lambda configuration: seen.append(configuration.version))
     log.put(records.TextProposed("op-1", 1, "ana", TEXT + " "))
     log.put(records.TextProposed("op-lost", 1, "sisa", TEXT))
+    await run_for(log, [node], 10.0)
     log.put(records.TextProposed("op-2", 2, "ana", TEXT))
     await run_for(log, [node], 10.0)
     assert seen == [1, 2, 3]
 
 
+async def test_of_versions_that_come_at_once_only_the_last_is_handed_on() -> None:
+    """A version that a later record has replaced already must not start any work."""
+    log = ExpiringLog()
+    log.put(records.TextProposed("op-0", 0, "ana", TEXT))
+    log.put(records.TextProposed("op-1", 1, "ana", TEXT + " "))
+    log.put(records.TextProposed("op-2", 2, "ana", TEXT))
+    node = make_node("a", log)
+    seen: list[int] = []
+    node.subscribe(lambda configuration: seen.append(configuration.version))
+    await run_for(log, [node], 10.0)
+    assert seen == [3]
+
+
 @pytest.mark.parametrize(
     ("frames", "expects_peers", "reachable", "expected"),
     [
