Build a request's memory group again after its engine died, and give up groups that are not used

Cause: the dispatcher asks for a group again where it could not use one or its attempt broke, but the node kept the first and ignored the wish; a group that failed under a running request failed the request. Once that was mended, the quarantine sent the suspect to another engine than its group's lead, so that the group never fitted and the request ran into its deadline. Change: a wish replaces the group before; each group has an identifier of its own; a group that fails while its request runs leaves it to the request's life; a start on a group can only be on its lead. Ruled out: the dispatcher (with a prompt that needs three engines where two are left it rightly waits).

--- a/src/dragonflycove/node/group_task.py
+++ b/src/dragonflycove/node/group_task.py
@@ -12,7 +12,7 @@
 from dragonflycove.placement import memory_groups
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import exchange
-from dragonflycove.values import outcomes
+from dragonflycove.values import identifiers, outcomes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -89,8 +89,12 @@
         self._context = context
         self._request = request
         self._candidates = candidates
+        self._was_ready = False
+        # A request may have one group after another, whose reservations must not be mixed up.
         wanted = memory_groups.GroupRequest(
-            request.request_id, request.prompt_tokens + request.max_tokens, request.deadline
+            identifiers.new_id(context.rng, "group"),
+            request.prompt_tokens + request.max_tokens,
+            request.deadline,
         )
         self._builder = memory_groups.GroupBuilder(wanted, str(context.identity), context.rng)
 
@@ -111,7 +115,7 @@
             self._carry_out(self._builder.on_tick(now))
             if self._builder.wants_candidates(now):
                 self._carry_out(self._builder.on_start(self._candidates(), now))
-        self._context.group_over(self._request.request_id)
+        self._context.group_over(self._request.request_id, self)
 
     @functools.singledispatchmethod
     def _handle(self, message: object, now: float) -> None:
@@ -160,20 +164,26 @@
 
     @_perform.register
     def _perform_ready(self, effect: memory_groups.GroupReady) -> None:
+        self._was_ready = True
         logs.event("group_ready", group=effect.group_id, servers=",".join(effect.servers))
-        self._context.group_id_by_request[effect.request_id] = effect.group_id
-        self._context.dispatch.post(dispatch_messages.GroupReady(effect.request_id, effect.servers))
+        self._context.group_id_by_request[self._request.request_id] = effect.group_id
+        self._context.dispatch.post(
+            dispatch_messages.GroupReady(self._request.request_id, effect.servers)
+        )
 
     @_perform.register
     def _perform_failed(self, effect: memory_groups.GroupFailed) -> None:
-        logs.event("group_failed", request=effect.request_id, reason=effect.reason.value)
+        logs.event("group_failed", request=self._request.request_id, reason=effect.reason.value)
+        if self._was_ready:
+            # Its attempt breaks with the engine, and the request's life asks for another group.
+            return
         failed = outcomes.Failed(
             effect.reason,
             "no memory group could be built or kept",
             outcomes.Ran.NOT_RUN,
             effect.retry_after_seconds,
         )
-        self._context.fail_request(effect.request_id, failed)
+        self._context.fail_request(self._request.request_id, failed)
 
     async def _reserve(self, effect: memory_groups.Reserve) -> None:
         address = self._context.server_address(effect.server_id)
--- a/src/dragonflycove/node/guard_messages.py
+++ b/src/dragonflycove/node/guard_messages.py
@@ -54,11 +54,14 @@
     """The request."""
 
     server_id: str
-    """The server."""
+    """The server; the lead of a memory group."""
 
     receiver: Receiver
     """Where the answer goes."""
 
+    has_group: bool = False
+    """Whether it runs on a memory group, so that no other server can take it."""
+
 
 class AttemptEnded(NamedTuple):
     """A request no longer runs at its server."""
--- a/src/dragonflycove/node/guard_task.py
+++ b/src/dragonflycove/node/guard_task.py
@@ -18,7 +18,6 @@
     from collections.abc import Callable
 
     from dragonflycove.node import services
-    from dragonflycove.values import requests
 
 ORGANISATION_PARTS = 10_000
 """Parts into which each organisation's limit is divided among the nodes."""
@@ -170,7 +169,7 @@
     def _on_start_asked(self, message: guard_messages.StartAsked, now: float) -> None:
         request = message.request
         verdict = self._quarantine.verdict(
-            request.fingerprint, now, request.request_id, self._candidates(request)
+            request.fingerprint, now, request.request_id, self._candidates(message)
         )
         if isinstance(verdict, verdicts.Wait):
             self._waiting.append(_Waiting(message, verdict.until))
@@ -187,7 +186,7 @@
         request = message.request
         if not self._context.configuration.accepts_new_work(message.server_id):
             # The zone or the server was taken out since the dispatcher chose it.
-            message.receiver.post(guard_messages.StartElsewhere(self._candidates(request)))
+            message.receiver.post(guard_messages.StartElsewhere(self._candidates(message)))
             return
         self._receivers_by_request[request.request_id] = message.receiver
         # Peers are told before the request is sent.
@@ -243,7 +242,11 @@
         self._waiting = [w for w in self._waiting if w.asked.request.request_id != request_id]
         return taken
 
-    def _candidates(self, request: requests.ModelRequest) -> frozenset[str]:
+    def _candidates(self, message: guard_messages.StartAsked) -> frozenset[str]:
+        """Return the servers on which the request could start."""
+        if message.has_group:
+            return frozenset({message.server_id})
+        request = message.request
         configuration = self._context.subset
         return frozenset(
             server.server_id
--- a/src/dragonflycove/node/model_request_task.py
+++ b/src/dragonflycove/node/model_request_task.py
@@ -172,7 +172,9 @@
     def _on_assigned(self, message: dispatch_messages.Assigned, now: float) -> None:
         self._assigned = message
         self._context.guard.post(
-            guard_messages.StartAsked(self.request, message.server_id, self.mailbox)
+            guard_messages.StartAsked(
+                self.request, message.server_id, self.mailbox, bool(message.group)
+            )
         )
 
     @_handle.register
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -231,14 +231,16 @@
             group.mailbox.post(group_task.EngineDied(server_id))
 
     def build_group(self, request: requests.ModelRequest, candidates: tuple[str, ...]) -> None:
-        """Build a memory group for a request, unless one is being built.
+        """Build a memory group for a request; one that it had before is given up.
 
         Args:
             request: The request.
             candidates: Engines that may take part.
         """
-        if request.request_id in self.groups_by_request:
-            return
+        earlier = self.groups_by_request.get(request.request_id)
+        if earlier is not None:
+            # The dispatcher asks again where it could not use the group or its attempt broke.
+            earlier.mailbox.post(group_task.RequestEnded())
         group = group_task.GroupTask(self, request, lambda: self._free_engines(candidates))
         self.groups_by_request[request.request_id] = group
         self.background.start(f"group-{request.request_id}", group.run())
@@ -255,10 +257,11 @@
         group_id = self.group_id_by_request.get(request_id)
         return (group_id,) if group_id is not None else ()
 
-    def group_over(self, request_id: str) -> None:
-        """Forget a memory group that holds nothing any more."""
-        self.groups_by_request.pop(request_id, None)
-        self.group_id_by_request.pop(request_id, None)
+    def group_over(self, request_id: str, group: group_task.GroupTask) -> None:
+        """Forget a memory group that holds nothing any more, unless another took its place."""
+        if self.groups_by_request.get(request_id) is group:
+            del self.groups_by_request[request_id]
+            self.group_id_by_request.pop(request_id, None)
 
     def fail_request(self, request_id: str, failed: outcomes.Failed) -> None:
         """End a request that cannot be run.
--- a/src/dragonflycove/settings/node.py
+++ b/src/dragonflycove/settings/node.py
@@ -63,7 +63,7 @@
     host_list_lag_seconds: Seconds = 3.0
     """Bound on the lag of the host list, seconds."""
 
-    reclaim_seconds: Seconds = 15.0
+    reclaim_seconds: Seconds = 8.0
     """Time within which what a dead node left on an engine is given back, seconds."""
 
     log_retention_seconds: Seconds = 3600.0
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -253,6 +253,10 @@
         """Wait for the end of a process and return its exit status."""
         return self._processes_by_name[name].wait(WAIT_SECONDS)
 
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process was not ended."""
+        return self._processes_by_name[name].poll() is None
+
     def kill(self, name: str) -> None:
         """Kill a process."""
         self.signal(name, signal.SIGKILL)
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -217,6 +217,23 @@
     assert (status, body["error"]["code"]) == (422, "quarantined")
 
 
+def test_a_memory_group_whose_lead_dies_is_built_again(whole: system.System) -> None:
+    # 120,000 tokens, where an engine has 100,000: two engines are needed, and three are there.
+    prompt = "long ledger " * 40_000
+    stream = streaming.open_stream(whole, "entry-1", prompt, TOKENS)
+    frames = stream.read(3)
+    whole.kill(server_of(stream))
+    frames += stream.read()
+    assert stream.done, stream.error
+    check_answer(prompt, frames, TOKENS)
+    for engine in whole.engines:
+        if whole.is_running(engine):
+            system.until(
+                lambda engine=engine: not whole.books(engine)["reservations"],
+                f"{engine} has no reservation left",
+            )
+
+
 def test_racing_operators_get_one_acceptance(shared: system.System) -> None:
     texts = []
     for weight in (2.0, 3.0, 4.0):
