--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -78,8 +78,16 @@
 class System:
     """The processes of one system."""
 
-    def __init__(self, folder: pathlib.Path, nodes: int, engines: int, plain: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        nodes: int,
+        engines: int,
+        plain: int,
+        report_seconds: float = 0.1,
+    ) -> None:
         self._folder = folder
+        self._report_seconds = report_seconds
         self._processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._files: list[Any] = []
         self._pool = futures.ThreadPoolExecutor(4)
@@ -165,7 +173,7 @@
             "host_list_address": self.address_by_name["hosts"],
             "lookup_ttl_seconds": 0.5,
             "heartbeat_seconds": 0.5,
-            "report_seconds": 0.1,
+            "report_seconds": self._report_seconds,
             "silence_seconds": 1.5,
             "host_list_lag_seconds": 0.8,
             "reclaim_seconds": 2.5,
@@ -253,6 +261,10 @@
         """Wait for the end of a process and return its exit status."""
         return self._processes_by_name[name].wait(WAIT_SECONDS)
 
+    def pid(self, name: str) -> int:
+        """Return the identifier of a process."""
+        return self._processes_by_name[name].pid
+
     def is_running(self, name: str) -> bool:
         """Tell whether a process was not ended."""
         return self._processes_by_name[name].poll() is None
