--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,6 +59,7 @@
   --seconds 36 --rate 6 --long 4 --seed 7 --out "$OUT/load.json" \
   --organisations andrade,quito-shops,cuenca-shops,audit >"$OUT/load.out" 2>"$OUT/load.log" &
 LOAD=$!
+say "all engines are cold, and no node has a share of them yet: the first answers wait some 14 s"
 PID[load]=$LOAD
 sleep 12
 say "taking availability zone latacunga out"
