--- /dev/null
+++ b/scripts/platform_node.py
@@ -0,0 +1,13 @@
+"""Starts a node on the platform, from a checkout whose libraries were built into target/deps."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+
+from dragonflycove.gateway import daemon  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(daemon.run(sys.argv[1:]))
--- a/src/dragonflycove/cli/config_commands.py
+++ b/src/dragonflycove/cli/config_commands.py
@@ -19,7 +19,7 @@
     from collections.abc import Sequence
 
     from dragonflycove.configuration import acceptance
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
 
 WHOLE_TEXT_CHARACTERS = 16_384
 """Longest text that is always sent whole, characters."""
--- a/src/dragonflycove/cli/connections.py
+++ b/src/dragonflycove/cli/connections.py
@@ -8,7 +8,7 @@
 import result
 
 from dragonflycove.cli import command_line
-from dragonflycove.platform import log_client
+from dragonflycove.infrastructure import log_client
 from dragonflycove.transport import exchange, sessions
 
 if TYPE_CHECKING:
--- a/src/dragonflycove/cli/inspect_commands.py
+++ b/src/dragonflycove/cli/inspect_commands.py
@@ -20,7 +20,7 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from dragonflycove.configuration import records
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
 
 SHOW = command_line.Command(
     "config show",
--- /dev/null
+++ b/src/dragonflycove/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a node that serves the platform's deployments: values in, values out, no I/O."""
--- /dev/null
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -0,0 +1,234 @@
+"""A request that is forwarded: what the caller sent, what a server said, what may follow."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from dragonflycove.fleet import catalog
+
+LEAST_SILENCE_SECONDS = 0.9
+"""Shortest silence after which a stream is moved; passes beside long reads take less."""
+
+SILENT_GAPS = 2.5
+"""Silence, in longest pauses that are in time, after which a running stream is moved."""
+
+FIRST_EVENT_FACTOR = 2.5
+"""Silence before the first event, in predicted times, after which a stream is moved."""
+
+FIRST_EVENT_MARGIN_SECONDS = 0.7
+"""Silence before the first event that is allowed beside that; covers an engine's stall of a pass."""
+
+PATIENCE_SHARE = 0.7
+"""Share of the time after which callers give a silent stream up at which it is moved at the latest."""
+
+CALLER_PATIENCE_SECONDS = 2.0
+"""Shortest silence after which callers give a stream up."""
+
+CALLER_PATIENCE_GOALS = 4.0
+"""That silence in goals for the first event."""
+
+CALLER_PATIENCE_GAPS = 8.0
+"""That silence in longest pauses that are in time."""
+
+REPEAT_GOALS = 1.5
+"""Goals after which a lookup without an answer is sent to another server."""
+
+REPEAT_SECONDS = 0.25
+"""Shortest time after which a lookup is sent to another server."""
+
+
+class CallerRequest(NamedTuple):
+    """A caller's request."""
+
+    method: bytes
+    """Method."""
+
+    target: bytes
+    """Path and query as sent."""
+
+    path: str
+    """Path."""
+
+    host: str
+    """Host header in lower case."""
+
+    headers: tuple[tuple[bytes, bytes], ...]
+    """All headers; names in lower case."""
+
+    body: bytes
+    """Body."""
+
+    attempt_id: str
+    """The caller's id of this try; empty if it sent none."""
+
+    deadline_seconds: float | None
+    """How long the caller waits; None if it does not say."""
+
+    key: str | None
+    """The caller's key; None if it sent none."""
+
+    prompt_tokens: int
+    """Prompt length; 0 where there is no prompt."""
+
+    output_tokens: int
+    """Expected output length; 0 where there is none."""
+
+    last_event_number: int | None
+    """Number of the last event that the caller has of a broken stream; None for a new request."""
+
+    content_hash: int
+    """Hash of target and body."""
+
+
+class AnswerHead(NamedTuple):
+    """What the head of a server's answer says."""
+
+    status: int
+    """Status code."""
+
+    headers: tuple[tuple[bytes, bytes], ...]
+    """Headers to pass on."""
+
+    attempt_id: str | None
+    """Id of the request that it answers; None if it names none."""
+
+    is_signed: bool
+    """Whether it bears the server's signature."""
+
+    is_not_run: bool
+    """Whether the server did not run the request and never will."""
+
+    is_encoded: bool
+    """Whether something on the way encoded the body."""
+
+    closes: bool
+    """Whether the server closes the connection after it."""
+
+    idle_seconds: float | None
+    """How long the server keeps the connection open while idle; None if it does not say."""
+
+    faulty_server: str | None
+    """Id of the server at fault, where it is another one; None if it names none."""
+
+    is_event_stream: bool
+    """Whether the body is a series of events."""
+
+
+class End(enum.Enum):
+    """How one send ended."""
+
+    DELIVERED = "delivered"
+    """The caller has the whole answer."""
+
+    ERROR_STATUS = "error_status"
+    """A whole answer with a status of 500 or above, which another server might not give."""
+
+    NOT_RUN = "not_run"
+    """The server says that it did not run the request."""
+
+    NOT_SENT = "not_sent"
+    """Nothing was sent."""
+
+    STALE = "stale"
+    """A kept connection broke without a byte of an answer; the request may have run."""
+
+    BROKEN = "broken"
+    """The connection broke, or the answer was damaged; the request may have run."""
+
+    SILENT = "silent"
+    """Nothing came in time; the request may have run."""
+
+
+PROVEN_NOT_RUN = frozenset({End.NOT_RUN, End.NOT_SENT})
+"""Ends after which the request has not run and never will."""
+
+
+class Final(NamedTuple):
+    """An answer of this system itself."""
+
+    status: int
+    """Status code."""
+
+    reason: str
+    """Reason, in snake case."""
+
+    retry_after_seconds: float | None
+    """When to come back; None to say nothing."""
+
+
+def silence_before_first_event(route: catalog.Route, predicted_seconds: float) -> float:
+    """Return how long to wait for a stream's first event before it is moved.
+
+    Args:
+        route: The route.
+        predicted_seconds: Predicted time to the first event.
+    """
+    wanted = FIRST_EVENT_FACTOR * predicted_seconds + FIRST_EVENT_MARGIN_SECONDS
+    return min(wanted, PATIENCE_SHARE * caller_patience(route))
+
+
+def silence_between_events(route: catalog.Route) -> float:
+    """Return how long a running stream may be silent before it is moved.
+
+    Args:
+        route: The route.
+    """
+    wanted = max(LEAST_SILENCE_SECONDS, SILENT_GAPS * route.gap_goal_seconds)
+    return min(wanted, PATIENCE_SHARE * caller_patience(route))
+
+
+def caller_patience(route: catalog.Route) -> float:
+    """Return the silence after which callers give a stream up.
+
+    Args:
+        route: The route.
+    """
+    return max(
+        CALLER_PATIENCE_SECONDS,
+        CALLER_PATIENCE_GOALS * route.goal_seconds,
+        CALLER_PATIENCE_GAPS * route.gap_goal_seconds,
+    )
+
+
+def repeat_after(route: catalog.Route) -> float | None:
+    """Return when an unanswered call is sent to another server.
+
+    Args:
+        route: The route.
+
+    Returns:
+        The time in seconds; None if the call must not be sent again.
+    """
+    if route.kind is not catalog.CallKind.IDEMPOTENT:
+        return None
+    return max(REPEAT_SECONDS, REPEAT_GOALS * route.goal_seconds)
+
+
+def may_send_again(end: End, route: catalog.Route) -> bool:
+    """Whether a request may go to another server after a send.
+
+    Args:
+        end: How the send ended.
+        route: The request's route.
+    """
+    if end in PROVEN_NOT_RUN:
+        return True
+    return end is not End.DELIVERED and route.is_repeatable
+
+
+def final_after(ends: list[End], *, out_of_time: bool) -> Final:
+    """Choose the answer to a request that was sent but not served.
+
+    Args:
+        ends: How its sends ended.
+        out_of_time: Whether its time has run out.
+
+    Returns:
+        The answer; it promises that nothing ran only where that is so.
+    """
+    if all(end in PROVEN_NOT_RUN for end in ends):
+        return Final(503, "servers_refused" if ends else "no_time_left", 0.3)
+    if out_of_time:
+        return Final(504, "out_of_time", None)
+    return Final(502, ends[-1].value, None)
--- /dev/null
+++ b/src/dragonflycove/fleet/retry_share.py
@@ -0,0 +1,89 @@
+"""This node's share of the repeated sends that the fleet allows itself per service.
+
+A service may get a ratio of its requests, and an allowance beside it, as repeats in any window,
+summed over all nodes. Each node spends the ratio of the requests that it sent itself and an equal
+part of the allowance, so the sum stays within the bound without a message.
+"""
+
+from __future__ import annotations
+
+import collections
+
+ALLOWANCE_SHARE = 0.7
+"""Share of the allowance that all nodes together spend; the rest covers nodes not known to others."""
+
+RATIO_SHARE = 0.9
+"""Share of the ratio that is spent; windows of the two counts don't begin together."""
+
+
+class RetryShare:
+    """Sends and repeats of one node within the window, by service."""
+
+    def __init__(self, ratio: float, allowance: float, window_seconds: float) -> None:
+        """Create a share that has spent nothing.
+
+        Args:
+            ratio: Repeats allowed per request, over the fleet.
+            allowance: Repeats allowed per window beside the ratio, over the fleet.
+            window_seconds: The window.
+        """
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window_seconds = window_seconds
+        self._requests_by_service: dict[str, collections.deque[float]] = {}
+        self._repeats_by_service: dict[str, collections.deque[float]] = {}
+
+    def on_request(self, service: str, now: float) -> None:
+        """Count a request's first send.
+
+        Args:
+            service: The service.
+            now: Loop time.
+        """
+        self._window(self._requests_by_service, service, now).append(now)
+
+    def spend(self, service: str, nodes: int, now: float) -> bool:
+        """Take one repeat if the share allows it.
+
+        Args:
+            service: The service.
+            nodes: Nodes that may be sending, this one included.
+            now: Loop time.
+
+        Returns:
+            Whether the request may be sent again.
+        """
+        repeats = self._window(self._repeats_by_service, service, now)
+        if len(repeats) + 1 > self.limit(service, nodes, now):
+            return False
+        repeats.append(now)
+        return True
+
+    def limit(self, service: str, nodes: int, now: float) -> float:
+        """Return the repeats that this node may have in the window.
+
+        Args:
+            service: The service.
+            nodes: Nodes that may be sending.
+            now: Loop time.
+        """
+        requests = len(self._window(self._requests_by_service, service, now))
+        own = self._ratio * RATIO_SHARE * requests
+        return own + self._allowance * ALLOWANCE_SHARE / max(1, nodes)
+
+    def spent(self, service: str, now: float) -> int:
+        """Return the repeats within the window.
+
+        Args:
+            service: The service.
+            now: Loop time.
+        """
+        return len(self._window(self._repeats_by_service, service, now))
+
+    def _window(
+        self, by_service: dict[str, collections.deque[float]], service: str, now: float
+    ) -> collections.deque[float]:
+        times = by_service.setdefault(service, collections.deque())
+        while times and times[0] <= now - self._window_seconds:
+            times.popleft()
+        return times
--- /dev/null
+++ b/src/dragonflycove/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The node's tasks on the platform: listeners, forwarding, peers and knowledge of the store."""
--- /dev/null
+++ b/src/dragonflycove/gateway/callers.py
@@ -0,0 +1,367 @@
+"""Callers' connections: reads requests, writes answers, notices callers who leave."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import TYPE_CHECKING, Protocol
+
+import h11
+
+from dragonflycove.platform import requests
+from dragonflycove.telemetry import logs
+from dragonflycove.transport import http1
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from dragonflycove.fleet import catalog, forwarding
+
+BACKLOG = 1_024
+"""Connections that the kernel holds until they are accepted; a burst opens hundreds at once."""
+
+LINGER_SECONDS = 1.0
+"""Time for a caller to read the last answer before the connection is closed."""
+
+PIPELINED_BYTES = 262_144
+"""Bytes of further requests that are read while one is served."""
+
+WRITE_SECONDS = 10.0
+"""Longest time for which a caller may leave an answer unread; callers give up before that."""
+
+
+class CallerGoneError(Exception):
+    """The caller's connection is gone."""
+
+
+class Reply:
+    """The answer to one request."""
+
+    def __init__(
+        self,
+        parser: h11.Connection,
+        writer: asyncio.StreamWriter,
+        attempt_id: str,
+        *,
+        is_last: bool,
+    ) -> None:
+        """Create an answer of which nothing is written.
+
+        Args:
+            parser: The connection's protocol state.
+            writer: Its writing end.
+            attempt_id: Id of the request.
+            is_last: Whether the connection closes after it.
+        """
+        self._parser = parser
+        self._writer = writer
+        self._attempt_id = attempt_id
+        self._is_last = is_last
+        self.is_started = False
+        """Whether the head has been written."""
+        self.is_aborted = False
+        """Whether the connection was cut before the answer was whole."""
+        self.status = 0
+        """Status that was written."""
+
+    async def answer(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Write a whole answer.
+
+        Args:
+            status: Status code.
+            headers: Headers without framing.
+            body: Body.
+        """
+        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        data = self._head(status, framed)
+        data += self._parser.send(h11.Data(data=body)) or b""
+        data += self._parser.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+
+    async def refuse(self, final: forwarding.Final) -> None:
+        """Write an answer of this system itself.
+
+        Args:
+            final: Status, reason and when to come back.
+        """
+        headers = requests.own_headers(self._attempt_id, final.retry_after_seconds)
+        body = json.dumps({"reason": final.reason}).encode()
+        await self.answer(final.status, headers, body)
+
+    async def start(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], data: bytes
+    ) -> None:
+        """Write the head of a stream and its first bytes.
+
+        Args:
+            status: Status code.
+            headers: Headers without framing.
+            data: The first bytes.
+        """
+        head = self._head(status, headers)
+        await self._write(head + (self._parser.send(h11.Data(data=data)) or b""))
+
+    async def send(self, data: bytes) -> None:
+        """Write the next bytes of a stream.
+
+        Args:
+            data: The bytes.
+        """
+        await self._write(self._parser.send(h11.Data(data=data)) or b"")
+
+    async def end(self) -> None:
+        """Write the end of a stream that is whole."""
+        await self._write(self._parser.send(h11.EndOfMessage()) or b"")
+
+    def abort(self) -> None:
+        """Cut the connection, so that a partial answer does not look whole."""
+        self.is_aborted = True
+        self._writer.transport.abort()
+
+    def _head(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> bytes:
+        self.is_started = True
+        self.status = status
+        listed = list(headers)
+        if self._is_last:
+            listed.append((b"Connection", b"close"))
+        return self._parser.send(h11.Response(status_code=status, headers=listed)) or b""
+
+    async def _write(self, data: bytes) -> None:
+        if self._writer.is_closing():
+            raise CallerGoneError
+        self._writer.write(data)
+        try:
+            async with asyncio.timeout(WRITE_SECONDS):
+                await self._writer.drain()
+        except (OSError, TimeoutError) as error:
+            raise CallerGoneError from error
+
+
+class Handler(Protocol):
+    """Serves one request."""
+
+    async def serve(self, request: forwarding.CallerRequest, reply: Reply) -> None:
+        """Serve a request and write its answer."""
+        ...
+
+
+class CallerListener:
+    """Accepts callers' connections."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], catalog.CallerLimits],
+    ) -> None:
+        """Create a listener that does not listen yet.
+
+        Args:
+            handler: Serves the requests.
+            limits: Returns the limits in force.
+        """
+        self._handler = handler
+        self._limits = limits
+        self._server: asyncio.Server | None = None
+        self._connections: set[_CallerConnection] = set()
+        self.is_stopping = False
+        """Whether answers tell callers to connect elsewhere."""
+        self.active = 0
+        """Requests that are being read or served."""
+
+    async def listen(self, address: catalog.Address) -> None:
+        """Begin to accept connections.
+
+        Args:
+            address: Where to listen.
+        """
+        self._server = await asyncio.start_server(
+            self._on_connection, address.ip, address.port, backlog=BACKLOG
+        )
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        http1.set_socket_options(writer)
+        connection = _CallerConnection(self, self._handler, self._limits, reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        except asyncio.CancelledError:
+            writer.transport.abort()
+        finally:
+            self._connections.discard(connection)
+            with contextlib.suppress(OSError):  # The connection is given up either way.
+                writer.close()
+
+    def stop_accepting(self) -> None:
+        """Accept no further connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has arrived."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+
+class _CallerConnection:
+    """One caller's connection."""
+
+    def __init__(
+        self,
+        listener: CallerListener,
+        handler: Handler,
+        limits: Callable[[], catalog.CallerLimits],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._listener = listener
+        self._handler = handler
+        self._limits = limits
+        self._reader = reader
+        self._writer = writer
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().header_bytes + 1_024
+        )
+        self._is_idle = True
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            try:
+                request = await self._read_request()
+            except h11.RemoteProtocolError as error:
+                await self._reject(error.error_status_hint)
+                return
+            if request is None:
+                return
+            if not await self._serve(request):
+                return
+            if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
+                await self._linger()
+                return
+            self._parser.start_next_cycle()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no byte of a request has arrived."""
+        if self._is_idle and not self._parser.trailing_data[0]:
+            self._writer.close()
+
+    async def _read_request(self) -> forwarding.CallerRequest | None:
+        """Read a whole request; None if the connection ended or stayed idle too long."""
+        self._is_idle = True
+        head: h11.Request | None = None
+        body = bytearray()
+        loop = asyncio.get_running_loop()
+        idle_since = loop.time()
+        longest_idle = self._limits().idle_seconds
+        counted = False
+        try:
+            while True:
+                event = self._parser.next_event()
+                if isinstance(event, h11.Request):
+                    head = event
+                    if self._parser.they_are_waiting_for_100_continue:
+                        await self._send_continue()
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > self._limits().body_bytes:
+                        raise h11.RemoteProtocolError("body too large", 413)
+                elif isinstance(event, h11.EndOfMessage) and head is not None:
+                    return requests.decode_request(head.method, head.target, head.headers, bytes(body))
+                elif isinstance(event, h11.ConnectionClosed):
+                    return None
+                else:
+                    if self._is_idle and self._parser.trailing_data[0]:
+                        self._is_idle = False
+                    if not self._is_idle and not counted:
+                        counted = True
+                        self._listener.active += 1
+                    longest_idle = max(longest_idle, self._limits().idle_seconds)
+                    data = await self._read_some(idle_since + longest_idle - loop.time())
+                    if data is None:
+                        return None
+                    self._parser.receive_data(data)
+                    if data:
+                        self._is_idle = False
+        finally:
+            if counted:
+                self._listener.active -= 1
+
+    async def _read_some(self, idle_left: float) -> bytes | None:
+        """Read bytes; None when the time for them is over or the connection broke."""
+        seconds = idle_left if self._is_idle else self._limits().header_seconds
+        try:
+            async with asyncio.timeout(max(0.0, seconds)):
+                return await self._reader.read(http1.READ_BYTES)
+        except (TimeoutError, OSError):
+            return None
+
+    async def _send_continue(self) -> None:
+        response = h11.InformationalResponse(status_code=100, headers=[])
+        self._writer.write(self._parser.send(response) or b"")
+
+    async def _serve(self, request: forwarding.CallerRequest) -> bool:
+        """Serve a request; returns whether the connection can go on."""
+        self._is_idle = False
+        self._listener.active += 1
+        reply = Reply(
+            self._parser, self._writer, request.attempt_id, is_last=self._listener.is_stopping
+        )
+        serving = asyncio.ensure_future(self._handler.serve(request, reply))
+        watching = asyncio.ensure_future(self._watch())
+        try:
+            await asyncio.wait({serving, watching}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._listener.active -= 1
+            for task in (serving, watching):
+                if not task.done():
+                    task.cancel()
+            outcomes = await asyncio.gather(serving, watching, return_exceptions=True)
+        return self._is_whole(outcomes[0], reply)
+
+    def _is_whole(self, outcome: BaseException | None, reply: Reply) -> bool:
+        if isinstance(outcome, asyncio.CancelledError | CallerGoneError) or reply.is_aborted:
+            self._writer.transport.abort()
+            return False
+        if outcome is not None:
+            logs.exception(outcome)
+            self._writer.transport.abort()
+            return False
+        return True
+
+    async def _watch(self) -> None:
+        """Return when the caller closes its side; keeps what it sends ahead."""
+        ahead = 0
+        while ahead < PIPELINED_BYTES:
+            try:
+                data = await self._reader.read(http1.READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            ahead += len(data)
+            self._parser.receive_data(data)
+        await asyncio.Event().wait()
+
+    async def _reject(self, status: int) -> None:
+        """Answer a request that is not proper, and close."""
+        logs.warning("request_rejected", status=status)
+        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            data = self._parser.send(h11.Response(status_code=status, headers=headers)) or b""
+            data += self._parser.send(h11.EndOfMessage()) or b""
+            self._writer.write(data)
+            await self._linger()
+
+    async def _linger(self) -> None:
+        """Let the caller read the answer before the connection closes."""
+        with contextlib.suppress(OSError, TimeoutError):  # The connection ends in any case.
+            if self._writer.can_write_eof():
+                self._writer.write_eof()
+            async with asyncio.timeout(LINGER_SECONDS):
+                while await self._reader.read(http1.READ_BYTES):
+                    pass
--- /dev/null
+++ b/src/dragonflycove/gateway/daemon.py
@@ -0,0 +1,242 @@
+"""The node on the platform: starts the tasks, follows its settings and stops gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+from typing import TYPE_CHECKING
+
+import result
+
+from dragonflycove.fleet import (
+    catalog,
+    crash_suspects,
+    entry_points,
+    knowledge,
+    placer,
+    retry_share,
+)
+from dragonflycove.gateway import (
+    callers,
+    directory,
+    forwarder,
+    knowledge_task,
+    placing,
+    reservations,
+    server_pool,
+)
+from dragonflycove.platform import settings as platform_settings
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dragonflycove.fleet import host_settings
+
+EXIT_OK = 0
+"""Exit status after a graceful stop."""
+
+EXIT_FAILED = 1
+"""Exit status when an address can't be bound."""
+
+EXIT_USAGE = 2
+"""Exit status for faulty settings."""
+
+STOP_MARGIN_SECONDS = 0.5
+"""Time before the platform's SIGKILL at which the process ends by itself."""
+
+LEAVE_SECONDS = 4.0
+"""Time after SIGTERM in which callers learn of it; twice the directory's time to live."""
+
+SETTINGS_SECONDS = 1.0
+"""Time between two looks at the settings file, which may change without a signal."""
+
+SWEEP_SECONDS = 1.0
+"""Time between two sweeps of idle connections and old memory."""
+
+
+class Daemon:
+    """All tasks of one node."""
+
+    def __init__(self, settings: host_settings.HostSettings, path: str) -> None:
+        """Create the node's parts.
+
+        Args:
+            settings: Settings of the process.
+            path: Path of the settings file.
+        """
+        self._settings = settings
+        self._path = path
+        self._stopping = asyncio.Event()
+        self._reload = asyncio.Event()
+        rng = random.Random()
+        self._belief = knowledge.Knowledge()
+        self._placer = placer.Placer(self._belief, settings.zone)
+        self._placing = placing.LocalPlacing(self._placer)
+        self._pool = server_pool.ServerPool()
+        self._reserving = reservations.Reservations(self._pool)
+        bounds = settings.bounds
+        retries = retry_share.RetryShare(
+            bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_seconds
+        )
+        # Wall-clock milliseconds tell starts of the same host apart.
+        identity = forwarder.NodeIdentity(settings.host, int(time.time() * 1000), settings.zone)
+        self._forwarder = forwarder.Forwarder(
+            identity,
+            self._belief,
+            self._placing,
+            self._pool,
+            retries,
+            crash_suspects.CrashSuspects(),
+            self._reserving,
+            rng,
+        )
+        self._callers = callers.CallerListener(self._forwarder, self._limits)
+        self._directory = directory.Directory(
+            self._points, self._is_ready, lambda: (b"", "text/plain"), bounds.answer_ttl_seconds
+        )
+        self._knowledge = knowledge_task.KnowledgeTask(
+            settings.store.address,
+            self._belief,
+            lambda: knowledge_task.Schedule(0.5),
+            lambda: None,
+        )
+        self._control: list[callers.CallerListener] = []
+
+    def _limits(self) -> catalog.CallerLimits:
+        configuration = self._belief.configuration
+        return configuration.limits if configuration else catalog.CallerLimits()
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._belief.configuration is not None
+            and self._belief.server_count > 0
+        )
+
+    def _points(self) -> list[entry_points.EntryPoint]:
+        settings = self._settings
+        if settings.caller_address is None or not self._is_ready():
+            return []
+        return [
+            entry_points.EntryPoint(
+                settings.caller_address, settings.zone, settings.region, settings.cores
+            )
+        ]
+
+    async def run(self) -> int:
+        """Serve until SIGTERM and the end of all requests.
+
+        Returns:
+            The exit status.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        tasks = [
+            asyncio.ensure_future(work)
+            for work in (
+                self._knowledge.run(),
+                self._placing.run(),
+                self._sweep(),
+                self._follow_settings(),
+            )
+        ]
+        try:
+            await self._listen()
+        except OSError as error:
+            logs.warning("bind_failed", error=str(error))
+            return EXIT_FAILED
+        logs.event("started", host=self._settings.host, zone=self._settings.zone)
+        await self._stopping.wait()
+        await self._stop()
+        for task in tasks:
+            task.cancel()
+        logs.event("stopped", host=self._settings.host)
+        return EXIT_OK
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        for address in {settings.readiness_address, settings.directory_address} - {None}:
+            listener = callers.CallerListener(self._directory, self._limits)
+            await listener.listen(address)
+            self._control.append(listener)
+        if settings.caller_address is not None:
+            await self._callers.listen(settings.caller_address)
+
+    async def _stop(self) -> None:
+        """Finish what callers have sent, while they learn to connect elsewhere."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
+        logs.event("stopping", active=self._callers.active, grace=grace)
+        self._callers.is_stopping = True
+        while loop.time() < began + grace:
+            left = loop.time() >= began + min(LEAVE_SECONDS, grace)
+            if left and not self._callers.active:
+                break
+            await asyncio.sleep(0.05)
+        self._callers.stop_accepting()
+        self._callers.close_idle()
+        await self._reserving.finish()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self._pool.sweep()
+            self._belief.forget_old(asyncio.get_running_loop().time())
+
+    async def _follow_settings(self) -> None:
+        """Read the settings file again after SIGHUP, and when it has changed without one."""
+        modified = _modified_at(self._path)
+        while True:
+            try:
+                async with asyncio.timeout(SETTINGS_SECONDS):
+                    await self._reload.wait()
+            except TimeoutError:
+                if _modified_at(self._path) == modified:
+                    continue
+            self._reload.clear()
+            modified = _modified_at(self._path)
+            read = platform_settings.read_file(self._path)
+            if isinstance(read, result.Err):
+                logs.warning("settings_rejected", why=read.err_value)
+                continue
+            self._settings = read.ok_value
+            logs.event("settings_reloaded", seeds=len(read.ok_value.seed_ips))
+
+
+def _modified_at(path: str) -> float:
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
+
+
+def run(argv: Sequence[str]) -> int:
+    """Run a node on the platform until it is told to stop.
+
+    Args:
+        argv: Further arguments; none are known.
+
+    Returns:
+        The exit status.
+    """
+    if argv:
+        print(f"dragonflycove: unknown argument {argv[0]}", file=sys.stderr)
+        return EXIT_USAGE
+    path = os.environ.get(platform_settings.PATH_VARIABLE, platform_settings.DEFAULT_PATH)
+    read = platform_settings.read_file(path)
+    if isinstance(read, result.Err):
+        print(f"dragonflycove: {read.err_value}", file=sys.stderr)
+        return EXIT_USAGE
+    logs.configure()
+    return asyncio.run(_serve(read.ok_value, path))
+
+
+async def _serve(settings: host_settings.HostSettings, path: str) -> int:
+    return await Daemon(settings, path).run()
--- /dev/null
+++ b/src/dragonflycove/gateway/directory.py
@@ -0,0 +1,72 @@
+"""Answers callers that ask where to connect, and the platform's question for readiness."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+from typing import TYPE_CHECKING
+
+from dragonflycove.fleet import entry_points, forwarding
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.gateway import callers
+
+TTL_SECONDS = 2.0
+"""Time for which callers keep an answer; some keep it three times as long, under the grace time."""
+
+_JSON = [(b"Content-Type", b"application/json")]
+
+
+class Directory:
+    """Serves the directory and the readiness check."""
+
+    def __init__(
+        self,
+        points: Callable[[], list[entry_points.EntryPoint]],
+        is_ready: Callable[[], bool],
+        render_metrics: Callable[[], tuple[bytes, str]],
+        ttl_seconds: float,
+    ) -> None:
+        """Create a directory.
+
+        Args:
+            points: Returns the nodes that take callers.
+            is_ready: Tells whether this node takes callers.
+            render_metrics: Returns this node's metrics and their media type.
+            ttl_seconds: Longest time that an answer may be kept.
+        """
+        self._points = points
+        self._is_ready = is_ready
+        self._render_metrics = render_metrics
+        self._ttl_seconds = min(TTL_SECONDS, ttl_seconds)
+
+    async def serve(self, request: forwarding.CallerRequest, reply: callers.Reply) -> None:
+        """Serve a request and write its answer.
+
+        Args:
+            request: The request.
+            reply: Its answer.
+        """
+        if request.path == "/resolve":
+            await self._resolve(request, reply)
+        elif request.path == "/readyz":
+            await reply.answer(200 if self._is_ready() else 503, [], b"")
+        elif request.path == "/metrics":
+            content, media_type = self._render_metrics()
+            await reply.answer(200, [(b"Content-Type", media_type.encode())], content)
+        else:
+            await reply.refuse(forwarding.Final(404, "unknown_path", None))
+
+    async def _resolve(self, request: forwarding.CallerRequest, reply: callers.Reply) -> None:
+        query = urllib.parse.parse_qs(request.target.decode("latin-1").partition("?")[2])
+        region = query.get("region", [""])[0]
+        zone = query.get("zone", [""])[0]
+        chosen = entry_points.choose(self._points(), region, zone)
+        if not chosen:
+            await reply.refuse(forwarding.Final(503, "no_node_ready", 0.5))
+            return
+        addresses = [str(point.address) for point in chosen]
+        body = json.dumps({"addresses": addresses, "ttl_s": self._ttl_seconds}).encode()
+        await reply.answer(200, _JSON, body)
--- /dev/null
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -0,0 +1,396 @@
+"""Serves one caller's request: route, placement, sends, resumption and the final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+import result
+import xxhash
+
+from dragonflycove.fleet import catalog, forwarding, server_health, work
+from dragonflycove.gateway import sends
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import crash_suspects, knowledge, retry_share
+    from dragonflycove.gateway import callers, reservations, server_pool
+
+LEAST_SEND_SECONDS = 0.03
+"""Time left below which nothing is sent; no server answers faster."""
+
+DEFAULT_DEADLINE_SECONDS = 10.0
+"""Deadline of a caller that names none."""
+
+FINAL_MARGIN_SECONDS = 0.05
+"""Time before the route's time-out at which the final answer is written."""
+
+RETRY_AFTER_LEAST_SECONDS = 0.1
+"""Shortest time to come back after."""
+
+RETRY_AFTER_SPREAD = 0.5
+"""Share of the time to come back by which callers are spread, so that they don't return together."""
+
+MOST_SENDS = 4
+"""Sends of one request, refused ones included; each costs the fleet's retry budget."""
+
+
+class Placing(Protocol):
+    """Finds servers for requests."""
+
+    async def place(self, job: work.Job) -> work.Grant | work.Refusal:
+        """Wait until a request is placed or refused."""
+        ...
+
+    def on_first_event(self, key: work.JobKey) -> None:
+        """Note that a prompt has been read."""
+        ...
+
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
+        """Note that a send ended; returns whether its server became a suspect."""
+        ...
+
+
+class NodeIdentity(NamedTuple):
+    """Who sends."""
+
+    host: str
+    """Name of this host."""
+
+    incarnation: int
+    """Start of this process."""
+
+    zone: str
+    """Availability zone of this host."""
+
+
+class Life(NamedTuple):
+    """What stays the same over the sends of one request."""
+
+    request: forwarding.CallerRequest
+    """The request."""
+
+    route: catalog.Route
+    """Its route."""
+
+    service: str
+    """Service that runs it."""
+
+    organisation: catalog.Organisation | None
+    """Organisation that sent it; None on a public route without a key."""
+
+    received_at: float
+    """Loop time at which it had been read."""
+
+    deadline_at: float
+    """Loop time at which its time is over."""
+
+    fingerprint: int
+    """Hash of what makes the request itself."""
+
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty for none."""
+        return self.organisation.name if self.organisation else ""
+
+    @property
+    def priority(self) -> int:
+        """Rank; the organisation's goes before the route's."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+
+class Forwarder:
+    """Serves callers' requests."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        belief: knowledge.Knowledge,
+        placing: Placing,
+        pool: server_pool.ServerPool,
+        retries: retry_share.RetryShare,
+        suspects: crash_suspects.CrashSuspects,
+        reserving: reservations.Reservations,
+        rng: random.Random,
+    ) -> None:
+        """Create a forwarder.
+
+        Args:
+            identity: This node.
+            belief: What is known of configuration and servers.
+            placing: Finds servers.
+            pool: Connections to them.
+            retries: This node's share of repeated sends.
+            suspects: Requests that crash servers.
+            reserving: Memory set aside at engines.
+            rng: Chooses among weighted services and spreads returns.
+        """
+        self._identity = identity
+        self._belief = belief
+        self._placing = placing
+        self._retries = retries
+        self._suspects = suspects
+        self._reserving = reserving
+        self._rng = rng
+        self._sender = sends.Sender(pool, belief)
+        self._numbers = itertools.count(1)
+        self.node_count = 1
+        """Nodes that may be sending, this one included."""
+
+    async def serve(self, request: forwarding.CallerRequest, reply: callers.Reply) -> None:
+        """Serve a request and write its answer.
+
+        Args:
+            request: The request.
+            reply: Its answer.
+        """
+        life = self._admit(request)
+        if isinstance(life, result.Err):
+            await self._refuse(request, reply, life.err_value)
+            return
+        try:
+            await self._run(life.ok_value, reply)
+        except asyncio.CancelledError:
+            logs.event("caller_gone", request=request.attempt_id)
+            raise
+
+    def _admit(
+        self, request: forwarding.CallerRequest
+    ) -> result.Result[Life, forwarding.Final]:
+        """Find the route and the organisation of a request."""
+        configuration = self._belief.configuration
+        if configuration is None:
+            return result.Err(forwarding.Final(503, "no_configuration", 0.5))
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            return result.Err(forwarding.Final(404, "no_route", None))
+        organisation = configuration.organisation_by_key.get(request.key or "")
+        if organisation is None and configuration.needs_keys and not route.is_public:
+            return result.Err(forwarding.Final(401, "unknown_key", None))
+        now = asyncio.get_running_loop().time()
+        wanted = request.deadline_seconds
+        deadline = DEFAULT_DEADLINE_SECONDS if wanted is None else wanted
+        seconds = min(deadline, route.timeout_seconds - FINAL_MARGIN_SECONDS)
+        services = [name for name, _ in route.weights_by_service]
+        weights = [weight for _, weight in route.weights_by_service]
+        service = self._rng.choices(services, weights)[0] if sum(weights) else services[0]
+        name = organisation.name if organisation else ""
+        life = Life(
+            request=request,
+            route=route,
+            service=service,
+            organisation=organisation,
+            received_at=now,
+            deadline_at=now + seconds,
+            fingerprint=request.content_hash ^ hash_text(name),
+        )
+        return result.Ok(life)
+
+    async def _run(self, life: Life, reply: callers.Reply) -> None:
+        """Send a request until it is answered, or nothing more can be done."""
+        loop = asyncio.get_running_loop()
+        stream = sends.StreamState(life.request.last_event_number)
+        ends: list[forwarding.End] = []
+        excluded: list[str] = []
+        kept: sends.KeptAnswer | None = None
+        while True:
+            now = loop.time()
+            final = self._may_send(life, ends, now)
+            if final is not None:
+                break
+            job = self._job(life, excluded, stream, now)
+            decision = await self._placing.place(job)
+            if isinstance(decision, work.Refusal):
+                final = self._refused(life, ends, decision)
+                break
+            outcome = await self._send(life, job, decision, reply, stream)
+            ends.append(outcome.end)
+            excluded.append(decision.lead.instance.server_id)
+            if outcome.faulty_server:
+                excluded.append(outcome.faulty_server)
+            if outcome.end is forwarding.End.DELIVERED:
+                return
+            kept = outcome.kept or kept
+            if not forwarding.may_send_again(outcome.end, life.route):
+                final = forwarding.final_after(ends, out_of_time=loop.time() >= life.deadline_at)
+                break
+        await self._finish(life, reply, kept, final)
+
+    def _may_send(
+        self, life: Life, ends: list[forwarding.End], now: float
+    ) -> forwarding.Final | None:
+        """Return why a request is not sent, or not again; None if it is."""
+        if now + LEAST_SEND_SECONDS > life.deadline_at:
+            return forwarding.final_after(ends, out_of_time=True)
+        if self._suspects.is_refused(life.fingerprint, now):
+            logs.event("crasher_refused", request=life.request.attempt_id)
+            if all(end in forwarding.PROVEN_NOT_RUN for end in ends):
+                return forwarding.Final(503, "crashes_servers", 5.0)
+            return forwarding.Final(502, "crashes_servers", None)
+        if not ends:
+            self._retries.on_request(life.service, now)
+            return None
+        ran = sum(
+            end not in forwarding.PROVEN_NOT_RUN and end is not forwarding.End.STALE
+            for end in ends
+        )
+        if ran >= life.route.max_attempts or len(ends) >= MOST_SENDS:
+            return forwarding.final_after(ends, out_of_time=False)
+        if ends[-1] is forwarding.End.NOT_SENT:
+            return None
+        if not self._retries.spend(life.service, self.node_count, now):
+            logs.event(
+                "retry_refused",
+                request=life.request.attempt_id,
+                service=life.service,
+                spent=self._retries.spent(life.service, now),
+                limit=self._retries.limit(life.service, self.node_count, now),
+            )
+            return forwarding.final_after(ends, out_of_time=False)
+        logs.event(
+            "retried",
+            request=life.request.attempt_id,
+            after=ends[-1].value,
+            sends=len(ends),
+            spent=self._retries.spent(life.service, now),
+        )
+        return None
+
+    def _job(
+        self, life: Life, excluded: list[str], stream: sends.StreamState, now: float
+    ) -> work.Job:
+        request = life.request
+        elapsed = now - life.received_at
+        return work.Job(
+            key=work.JobKey(
+                self._identity.host, self._identity.incarnation, next(self._numbers)
+            ),
+            service=life.service,
+            organisation=life.organisation_name,
+            priority=life.priority,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens or work.DEFAULT_OUTPUT_TOKENS,
+            goal_seconds=max(0.001, life.route.goal_seconds - elapsed),
+            gap_goal_seconds=life.route.gap_goal_seconds,
+            deadline_seconds=life.deadline_at - now,
+            zone=self._identity.zone,
+            excluded=tuple(excluded),
+            fingerprint=life.fingerprint,
+            resumed_events=stream.delivered,
+        )
+
+    async def _send(
+        self,
+        life: Life,
+        job: work.Job,
+        grant: work.Grant,
+        reply: callers.Reply,
+        stream: sends.StreamState,
+    ) -> sends.Outcome:
+        """Send a request to the servers that it was placed on."""
+        logs.event(
+            "sent",
+            request=life.request.attempt_id,
+            server=grant.lead.instance.server_id,
+            helpers=len(grant.helpers),
+            tokens=job.prompt_tokens,
+            predicted=grant.first_event_seconds,
+            waited=asyncio.get_running_loop().time() - life.received_at,
+            version=self._belief.configuration.version if self._belief.configuration else 0,
+        )
+        judged = server_health.Outcome.ABANDONED
+        held: reservations.Held | None = None
+        try:
+            reserved = await self._reserving.reserve(grant, job)
+            if isinstance(reserved, result.Err):
+                judged = server_health.Outcome.FULL
+                return sends.Outcome(forwarding.End.NOT_SENT, judged)
+            held = reserved.ok_value
+            plan = sends.Plan(
+                grant=grant,
+                helpers=held.helpers,
+                predicted_seconds=grant.first_event_seconds,
+                on_first_event=lambda: self._placing.on_first_event(job.key),
+            )
+            outcome = await self._sender.send(life, plan, reply, stream)
+            judged = outcome.judged
+        finally:
+            if held is not None:
+                self._reserving.release(held)
+            is_suspect = self._placing.on_end(job.key, judged)
+        now = asyncio.get_running_loop().time()
+        self._judge_request(life, outcome, stream, now)
+        logs.event(
+            "send_ended",
+            request=life.request.attempt_id,
+            server=grant.lead.instance.server_id,
+            end=outcome.end.value,
+            judged=judged.value,
+            first=outcome.first_event_seconds,
+            events=stream.delivered,
+            seconds=now - life.received_at,
+            suspect=is_suspect,
+        )
+        return outcome
+
+    def _judge_request(
+        self, life: Life, outcome: sends.Outcome, stream: sends.StreamState, now: float
+    ) -> None:
+        """Count a lost server against the request that it was running."""
+        if outcome.end is forwarding.End.DELIVERED:
+            self._suspects.on_answer(life.fingerprint)
+        elif outcome.judged is server_health.Outcome.BROKEN:
+            self._suspects.on_lost_server(life.fingerprint, now)
+
+    def _refused(
+        self, life: Life, ends: list[forwarding.End], refusal: work.Refusal
+    ) -> forwarding.Final:
+        """Choose the answer to a request for which there is no place."""
+        if any(end not in forwarding.PROVEN_NOT_RUN for end in ends):
+            return forwarding.final_after(ends, out_of_time=False)
+        base = max(RETRY_AFTER_LEAST_SECONDS, refusal.retry_after_seconds)
+        spread = base * (1 + RETRY_AFTER_SPREAD * self._rng.random())
+        return forwarding.Final(503, refusal.reason, spread)
+
+    async def _finish(
+        self,
+        life: Life,
+        reply: callers.Reply,
+        kept: sends.KeptAnswer | None,
+        final: forwarding.Final,
+    ) -> None:
+        """Write the final answer of a request that was not served."""
+        if reply.is_started:
+            logs.event("stream_cut", request=life.request.attempt_id, reason=final.reason)
+            reply.abort()
+            return
+        if kept is not None:
+            logs.event("failed", request=life.request.attempt_id, status=kept.head.status)
+            await reply.answer(kept.head.status, kept.head.headers, kept.body)
+            return
+        await self._refuse(life.request, reply, final)
+
+    async def _refuse(
+        self, request: forwarding.CallerRequest, reply: callers.Reply, final: forwarding.Final
+    ) -> None:
+        logs.event(
+            "refused" if final.status in (503, 429) else "failed",
+            request=request.attempt_id,
+            status=final.status,
+            reason=final.reason,
+            retry_after=final.retry_after_seconds or 0.0,
+        )
+        await reply.refuse(final)
+
+
+def hash_text(text: str) -> int:
+    """Return a hash of a text that is the same in all processes.
+
+    Args:
+        text: The text.
+    """
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/src/dragonflycove/gateway/knowledge_task.py
@@ -0,0 +1,255 @@
+"""Reads the operators' and servers' records from the store into this node's belief."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+import result
+
+from dragonflycove.platform import records, store
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from dragonflycove.fleet import catalog, knowledge
+
+TICK_SECONDS = 0.05
+"""Time between two looks at whether a read is due."""
+
+OUTAGE_FAILURES = 2
+"""Reads that fail in a row before the store counts as lost; one may be a broken connection."""
+
+
+class TopicPosition:
+    """How far one topic has been read."""
+
+    def __init__(self, topic: str) -> None:
+        """Start with nothing read.
+
+        Args:
+            topic: The topic.
+        """
+        self.topic = topic
+        """The topic."""
+        self.next_offset: int | None = None
+        """Offset to read from next; None before the first listing."""
+        self.read_at = float("-inf")
+        """Loop time up to which this node's belief holds the topic, as far as it knows."""
+        self.record_by_key: dict[str, store.Record] = {}
+        """Newest record of each key, for peers."""
+
+    def note(self, record: store.Record) -> bool:
+        """Remember a record unless a newer one of its key is known.
+
+        Args:
+            record: The record.
+
+        Returns:
+            Whether it is newer.
+        """
+        known = self.record_by_key.get(record.key)
+        if known is not None and known.offset >= record.offset:
+            return False
+        self.record_by_key[record.key] = record
+        return True
+
+
+class Schedule(NamedTuple):
+    """When this node reads a topic by itself."""
+
+    age_seconds: float
+    """Age of the belief at which it reads."""
+
+
+class KnowledgeTask:
+    """Keeps the belief fresh."""
+
+    def __init__(
+        self,
+        address: catalog.Address,
+        belief: knowledge.Knowledge,
+        schedule: Callable[[], Schedule],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Create a task that has read nothing.
+
+        Args:
+            address: Address of the store.
+            belief: What is filled.
+            schedule: Tells how old the belief may get before this node reads.
+            on_change: Called when the belief changed.
+        """
+        self._client_by_topic = {
+            topic: store.StoreClient(address)
+            for topic in (records.OPERATOR_TOPIC, records.SERVER_TOPIC)
+        }
+        self._belief = belief
+        self._schedule = schedule
+        self._on_change = on_change
+        self._failures = 0
+        self.operators = TopicPosition(records.OPERATOR_TOPIC)
+        """Position in the operators' topic."""
+        self.servers = TopicPosition(records.SERVER_TOPIC)
+        """Position in the servers' topic."""
+
+    @property
+    def calls(self) -> int:
+        """Calls made to the store."""
+        return sum(client.calls for client in self._client_by_topic.values())
+
+    async def run(self) -> None:
+        """Read both topics for ever."""
+        await asyncio.gather(self._follow(self.operators), self._follow(self.servers))
+
+    async def _follow(self, position: TopicPosition) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            age = loop.time() - position.read_at
+            due = self._schedule().age_seconds
+            if age < due:
+                await asyncio.sleep(min(TICK_SECONDS, due - age))
+                continue
+            started_at = loop.time()
+            if await self._read_once(position, started_at):
+                continue
+            # A store that is away is asked at the same pace, which bounds the calls.
+            await asyncio.sleep(max(TICK_SECONDS, due - (loop.time() - started_at)))
+
+    async def _read_once(self, position: TopicPosition, started_at: float) -> bool:
+        """Read what is new in a topic; returns whether the store answered."""
+        if position.next_offset is None:
+            return await self._list(position, started_at)
+        client = self._client_by_topic[position.topic]
+        read = await client.read(position.topic, position.next_offset)
+        if isinstance(read, result.Err):
+            if read.err_value is store.Failure.EXPIRED:
+                logs.event("history_gone", topic=position.topic, offset=position.next_offset)
+                position.next_offset = None
+                return await self._list(position, started_at)
+            self._on_failure(position, read.err_value)
+            return False
+        self._on_success()
+        batch = read.ok_value
+        if batch.end >= position.next_offset:
+            self.apply(position, batch.records)
+            position.next_offset = max(position.next_offset, batch.next_offset)
+            position.read_at = started_at
+        return True
+
+    async def _list(self, position: TopicPosition, started_at: float) -> bool:
+        listed = await self._client_by_topic[position.topic].newest(position.topic)
+        if isinstance(listed, result.Err):
+            self._on_failure(position, listed.err_value)
+            return False
+        self._on_success()
+        listing = listed.ok_value
+        self.apply(position, listing.records)
+        self._drop_missing(position, listing)
+        position.next_offset = listing.end
+        position.read_at = started_at
+        logs.event(
+            "listed",
+            topic=position.topic,
+            keys=len(listing.records),
+            end=listing.end,
+            servers=self._belief.server_count,
+        )
+        return True
+
+    def _drop_missing(self, position: TopicPosition, listing: store.Listing) -> None:
+        present = [record.key for record in listing.records if record.value is not None]
+        now = asyncio.get_running_loop().time()
+        if position is self.servers:
+            for server_id in self._belief.drop_missing_servers(present, listing.end, now):
+                position.note(store.Record(server_id, None, listing.end - 1))
+                logs.event("server_gone", server=server_id, cause="not_listed")
+        else:
+            zones = [zone for key in present if (zone := records.evacuated_zone(key))]
+            for zone in self._belief.drop_missing_zones(zones, listing.end):
+                logs.event("zone_back", zone=zone, cause="not_listed")
+
+    def _on_failure(self, position: TopicPosition, failure: store.Failure) -> None:
+        self._failures += 1
+        now = asyncio.get_running_loop().time()
+        if self._failures == OUTAGE_FAILURES:
+            self._belief.on_store_lost(now)
+            logs.event(
+                "store_lost",
+                topic=position.topic,
+                failure=failure.value,
+                age=now - position.read_at,
+            )
+
+    def _on_success(self) -> None:
+        if self._failures >= OUTAGE_FAILURES:
+            now = asyncio.get_running_loop().time()
+            lost_at = self._belief.store_lost_at
+            self._belief.on_store_regained(now)
+            logs.event("store_regained", seconds=now - lost_at if lost_at else 0.0)
+        self._failures = 0
+
+    def apply(self, position: TopicPosition, read: Iterable[store.Record]) -> None:
+        """Take records into the belief.
+
+        Args:
+            position: Their topic.
+            read: The records.
+        """
+        changed = False
+        for record in read:
+            if not position.note(record):
+                continue
+            if position is self.servers:
+                changed |= self._apply_server(record)
+            else:
+                changed |= self._apply_operator(record)
+        if changed:
+            self._on_change()
+
+    def _apply_operator(self, record: store.Record) -> bool:
+        zone = records.evacuated_zone(record.key)
+        if zone is not None:
+            is_out = record.value is not None
+            if self._belief.apply_evacuation(zone, is_out, record.offset):
+                logs.event("zone_out" if is_out else "zone_back", zone=zone, offset=record.offset)
+                return True
+            return False
+        if record.key != records.CONFIGURATION_KEY or record.value is None:
+            return False
+        decoded = records.decode_configuration(record.value)
+        if isinstance(decoded, result.Err):
+            logs.warning("configuration_unreadable", offset=record.offset, why=decoded.err_value)
+            return False
+        if self._belief.apply_configuration(decoded.ok_value, record.offset):
+            logs.event(
+                "configuration_in_force",
+                version=decoded.ok_value.version,
+                offset=record.offset,
+                routes=len(decoded.ok_value.route_by_host_prefix),
+            )
+            return True
+        return False
+
+    def _apply_server(self, record: store.Record) -> bool:
+        now = asyncio.get_running_loop().time()
+        server = None
+        if record.value is not None:
+            decoded = records.decode_server(record.key, record.value)
+            if isinstance(decoded, result.Err):
+                logs.warning("server_unreadable", server=record.key, why=decoded.err_value)
+            else:
+                server = decoded.ok_value
+        if not self._belief.apply_server(record.key, server, record.offset, now):
+            return False
+        logs.event(
+            "server_changed" if server else "server_gone",
+            server=record.key,
+            offset=record.offset,
+            state=server.state.value if server else "gone",
+            service=server.service if server else "",
+            zone=server.zone if server else "",
+            cold=server.cold_seconds if server else 0.0,
+        )
+        return True
--- /dev/null
+++ b/src/dragonflycove/gateway/placing.py
@@ -0,0 +1,95 @@
+"""Gets placements for this node's requests from the placer in this process."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dragonflycove.fleet import server_health, waiting_line, work
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import placer
+
+ADVANCE_SECONDS = 0.02
+"""Time between two looks at the line; ends of requests cause one at once."""
+
+
+class LocalPlacing:
+    """Places requests by this node's own belief."""
+
+    def __init__(self, deciding: placer.Placer) -> None:
+        """Create a line without requests.
+
+        Args:
+            deciding: Places the requests.
+        """
+        self._placer = deciding
+        self._line = waiting_line.WaitingLine(deciding)
+        self._future_by_key: dict[work.JobKey, asyncio.Future[work.Grant | work.Refusal]] = {}
+
+    async def place(self, job: work.Job) -> work.Grant | work.Refusal:
+        """Wait until a request is placed or refused.
+
+        Args:
+            job: The request.
+
+        Returns:
+            Where it goes, or why it goes nowhere.
+        """
+        loop = asyncio.get_running_loop()
+        decision = self._line.offer(job, loop.time())
+        if not isinstance(decision, work.Wait):
+            return decision
+        future: asyncio.Future[work.Grant | work.Refusal] = loop.create_future()
+        self._future_by_key[job.key] = future
+        try:
+            return await future
+        finally:
+            self._future_by_key.pop(job.key, None)
+            self._line.withdraw(job.key)
+            if future.cancelled():
+                self._advance_soon()
+
+    def on_first_event(self, key: work.JobKey) -> None:
+        """Note that a prompt has been read.
+
+        Args:
+            key: The request.
+        """
+        self._placer.on_first_event(key, asyncio.get_running_loop().time())
+
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
+        """Note that a send ended.
+
+        Args:
+            key: The request.
+            outcome: How it ended.
+
+        Returns:
+            Whether its server became a suspect by this.
+        """
+        suspected = self._placer.on_end(key, outcome, asyncio.get_running_loop().time())
+        self._advance_soon()
+        return suspected
+
+    async def run(self) -> None:
+        """Look at the line at intervals; runs until cancelled."""
+        while True:
+            await asyncio.sleep(ADVANCE_SECONDS)
+            if len(self._line):
+                self.advance()
+
+    def _advance_soon(self) -> None:
+        if len(self._line):
+            asyncio.get_running_loop().call_soon(self.advance)
+
+    def advance(self) -> None:
+        """Place the requests for which there is room now."""
+        now = asyncio.get_running_loop().time()
+        for placed in self._line.advance(now):
+            future = self._future_by_key.get(placed.key)
+            if future is not None and not future.done():
+                future.set_result(placed.decision)
+            elif isinstance(placed.decision, work.Grant):
+                self._placer.on_end(placed.key, server_health.Outcome.ABANDONED, now)
+
--- /dev/null
+++ b/src/dragonflycove/gateway/sends.py
@@ -0,0 +1,355 @@
+"""One send of a request to a server, and what it brought."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
+
+import result
+
+from dragonflycove.fleet import catalog, event_stream, forwarding, server_health
+from dragonflycove.platform import requests
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from dragonflycove.fleet import knowledge, work
+    from dragonflycove.gateway import callers, forwarder, server_pool
+    from dragonflycove.transport import http1
+
+ANSWER_BYTES = 16_777_216
+"""Longest answer that is held until it is whole; the users' plain answers have a few kilobytes."""
+
+DRAIN_SECONDS = 0.5
+"""Time to read the rest of an answer that is of no use, so that its connection stays usable."""
+
+_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise the caller that nothing ran."""
+
+
+_T = TypeVar("_T")
+
+
+class KeptAnswer(NamedTuple):
+    """A server's whole answer that is passed on if no better one comes."""
+
+    head: forwarding.AnswerHead
+    """Its head."""
+
+    body: bytes
+    """Its body."""
+
+
+class Outcome(NamedTuple):
+    """How a send ended."""
+
+    end: forwarding.End
+    """What it means for the request."""
+
+    judged: server_health.Outcome
+    """What it tells of the server."""
+
+    kept: KeptAnswer | None = None
+    """The server's failure, if it gave a whole one."""
+
+    faulty_server: str | None = None
+    """Id of another server that was at fault."""
+
+    first_event_seconds: float = 0.0
+    """Time from the send to the first event or the answer; 0 if there was none."""
+
+
+class Plan(NamedTuple):
+    """Where and how a request is sent."""
+
+    grant: work.Grant
+    """The servers."""
+
+    helpers: tuple[str, ...]
+    """Helping engines, encoded."""
+
+    predicted_seconds: float
+    """Predicted time to the first event."""
+
+    on_first_event: Callable[[], None]
+    """Called when the first event comes."""
+
+
+class StreamState:
+    """How far a caller's stream has come, over all sends."""
+
+    def __init__(self, last_number: int | None) -> None:
+        """Start after the events that the caller has.
+
+        Args:
+            last_number: Number of its last event; None if it has none.
+        """
+        self.position = event_stream.StreamPosition(last_number)
+        """Position in the events."""
+        self.delivered = 0
+        """Events passed on."""
+
+
+class Sender:
+    """Sends requests to servers and passes answers on."""
+
+    def __init__(self, pool: server_pool.ServerPool, belief: knowledge.Knowledge) -> None:
+        """Create a sender.
+
+        Args:
+            pool: Connections to servers.
+            belief: What is known of the servers.
+        """
+        self._pool = pool
+        self._belief = belief
+
+    async def send(
+        self, life: forwarder.Life, plan: Plan, reply: callers.Reply, stream: StreamState
+    ) -> Outcome:
+        """Send a request once.
+
+        Args:
+            life: The request.
+            plan: Where and how.
+            reply: The caller's answer.
+            stream: How far the caller's stream has come.
+
+        Returns:
+            How it ended.
+        """
+        server = plan.grant.lead
+        loop = asyncio.get_running_loop()
+        taken = await self._pool.take(
+            server.address,
+            fresh=not life.route.is_repeatable,
+            timeout=max(0.01, life.deadline_at - loop.time()),
+        )
+        if isinstance(taken, result.Err):
+            return Outcome(forwarding.End.NOT_SENT, server_health.Outcome.UNREACHABLE)
+        connection = taken.ok_value
+        left = life.deadline_at - loop.time()
+        if left <= 0 or not self._belief.is_usable(server.instance, loop.time()):
+            connection.close()
+            return Outcome(forwarding.End.NOT_SENT, server_health.Outcome.ABANDONED)
+        exchange = _Exchange(life, plan, reply, stream, connection, self._pool)
+        try:
+            return await exchange.run(left)
+        finally:
+            if not exchange.is_kept:
+                connection.close()
+
+
+class _Exchange:
+    """A request and its answer on one connection."""
+
+    def __init__(
+        self,
+        life: forwarder.Life,
+        plan: Plan,
+        reply: callers.Reply,
+        stream: StreamState,
+        connection: http1.Connection,
+        pool: server_pool.ServerPool,
+    ) -> None:
+        self._life = life
+        self._plan = plan
+        self._reply = reply
+        self._stream = stream
+        self._connection = connection
+        self._pool = pool
+        self._started_at = asyncio.get_running_loop().time()
+        self._was_used = connection.exchanges > 0
+        self._first_seconds = 0.0
+        self.is_kept = False
+        """Whether the connection went back to the pool."""
+
+    async def run(self, left: float) -> Outcome:
+        life = self._life
+        organisation = life.organisation.name if life.organisation else None
+        send = requests.Send(
+            server=self._plan.grant.lead,
+            seconds_left=left,
+            organisation=organisation,
+            priority=life.priority,
+            helpers=self._plan.helpers,
+            last_event_number=self._stream.position.last_number,
+        )
+        self._connection.send(requests.encode_for_server(life.request, send))
+        head = await self._within(self._first_limit(), self._read_own_head())
+        if isinstance(head, result.Err):
+            return self._lost(head.err_value, began=False)
+        return await self._on_head(head.ok_value)
+
+    def _first_limit(self) -> float:
+        route = self._life.route
+        if route.kind is catalog.CallKind.STREAMING and route.is_resumable:
+            return forwarding.silence_before_first_event(route, self._plan.predicted_seconds)
+        return forwarding.repeat_after(route) or float("inf")
+
+    async def _within(
+        self, seconds: float, reading: Awaitable[result.Result[_T, object]]
+    ) -> result.Result[_T, forwarding.End]:
+        """Wait for a part of the answer; an error names how the send ended."""
+        loop = asyncio.get_running_loop()
+        until = min(self._life.deadline_at, loop.time() + seconds)
+        try:
+            async with asyncio.timeout_at(until):
+                got = await reading
+        except TimeoutError:
+            return result.Err(forwarding.End.SILENT)
+        if isinstance(got, result.Err):
+            return result.Err(forwarding.End.BROKEN)
+        return got
+
+    async def _read_own_head(self) -> result.Result[forwarding.AnswerHead, object]:
+        """Read heads until one answers this request; answers to earlier ones are dropped."""
+        while True:
+            head = await self._connection.read_head()
+            if isinstance(head, result.Err):
+                return head
+            answer = requests.decode_answer(head.ok_value)
+            own_id = self._life.request.attempt_id
+            if answer.attempt_id is None or answer.attempt_id == own_id:
+                return result.Ok(answer)
+            logs.event("crossed_answer", request=own_id, other=answer.attempt_id)
+            while (piece := await self._connection.read_body()) is not None:
+                if isinstance(piece, result.Err):
+                    return piece
+            if answer.closes or not self._connection.skip_answer():
+                return result.Err("connection_ends")
+
+    def _lost(self, end: forwarding.End, *, began: bool) -> Outcome:
+        """Judge a send whose answer did not come whole."""
+        now = asyncio.get_running_loop().time()
+        if end is forwarding.End.SILENT:
+            out_of_time = now >= self._life.deadline_at
+            judged = server_health.Outcome.SILENT
+            if out_of_time and self._first_seconds:
+                judged = server_health.Outcome.ABANDONED
+            return Outcome(end, judged, first_event_seconds=self._first_seconds)
+        if self._was_used and not began:
+            return Outcome(forwarding.End.STALE, server_health.Outcome.ABANDONED)
+        return Outcome(end, server_health.Outcome.BROKEN, first_event_seconds=self._first_seconds)
+
+    async def _on_head(self, answer: forwarding.AnswerHead) -> Outcome:
+        if answer.is_not_run:
+            await self._drain(answer)
+            return self._not_run(answer)
+        is_success = 200 <= answer.status < 300
+        if is_success and (not answer.is_signed or answer.is_encoded):
+            return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+        if is_success and self._life.route.kind is catalog.CallKind.STREAMING:
+            return await self._pass_stream(answer)
+        body = await self._within(float("inf"), self._read_body())
+        if isinstance(body, result.Err):
+            return self._lost(body.err_value, began=True)
+        self._keep(answer)
+        return await self._on_whole(answer, body.ok_value)
+
+    def _not_run(self, answer: forwarding.AnswerHead) -> Outcome:
+        lead = self._plan.grant.lead.instance.server_id
+        faulty = answer.faulty_server
+        judged = server_health.Outcome.FULL
+        if answer.status == 421:
+            judged = server_health.Outcome.WRONG_INSTANCE
+        if faulty is not None and faulty != lead:
+            judged = server_health.Outcome.ABANDONED
+        return Outcome(forwarding.End.NOT_RUN, judged, faulty_server=faulty)
+
+    async def _on_whole(self, answer: forwarding.AnswerHead, body: bytes) -> Outcome:
+        """Pass a whole answer on, unless another server may give a better one."""
+        seconds = asyncio.get_running_loop().time() - self._started_at
+        if answer.status in _PROMISES:
+            # Passed on, the status would promise that the request never ran.
+            return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+        kept = KeptAnswer(answer, body)
+        if answer.status >= 500:
+            return Outcome(
+                forwarding.End.ERROR_STATUS, server_health.Outcome.SERVER_ERROR, kept=kept
+            )
+        if self._reply.is_started:
+            return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+        await self._reply.answer(answer.status, answer.headers, body)
+        return Outcome(
+            forwarding.End.DELIVERED,
+            server_health.Outcome.ANSWERED,
+            first_event_seconds=seconds,
+        )
+
+    async def _read_body(self) -> result.Result[bytes, object]:
+        body = bytearray()
+        while (piece := await self._connection.read_body()) is not None:
+            if isinstance(piece, result.Err):
+                return piece
+            body += piece.ok_value
+            if len(body) > ANSWER_BYTES:
+                return result.Err("answer_too_long")
+        return result.Ok(bytes(body))
+
+    async def _drain(self, answer: forwarding.AnswerHead) -> None:
+        if isinstance(await self._within(DRAIN_SECONDS, self._read_body()), result.Ok):
+            self._keep(answer)
+
+    def _keep(self, answer: forwarding.AnswerHead) -> None:
+        self._pool.put(self._plan.grant.lead.address, self._connection, answer)
+        self.is_kept = True
+
+    async def _pass_stream(self, answer: forwarding.AnswerHead) -> Outcome:
+        """Pass a stream on, event by event, until it ends or breaks."""
+        splitter = event_stream.EventSplitter()
+        loop = asyncio.get_running_loop()
+        limit = self._first_limit()
+        while True:
+            piece = await self._within(limit, self._read_piece())
+            if isinstance(piece, result.Err):
+                return self._lost(piece.err_value, began=True)
+            if piece.ok_value is None:
+                break
+            events = splitter.feed(piece.ok_value)
+            if not events:
+                continue
+            if not self._first_seconds:
+                self._first_seconds = loop.time() - self._started_at
+                self._plan.on_first_event()
+            if not await self._pass_events(answer, events):
+                return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+            if self._life.route.is_resumable:
+                limit = forwarding.silence_between_events(self._life.route)
+        if splitter.has_part:
+            return self._lost(forwarding.End.BROKEN, began=True)
+        self._keep(answer)
+        if not self._reply.is_started:
+            await self._reply.start(answer.status, answer.headers, b"")
+        await self._reply.end()
+        return Outcome(
+            forwarding.End.DELIVERED,
+            server_health.Outcome.ANSWERED,
+            first_event_seconds=self._first_seconds,
+        )
+
+    async def _read_piece(self) -> result.Result[bytes | None, object]:
+        piece = await self._connection.read_body()
+        return result.Ok(None) if piece is None else piece
+
+    async def _pass_events(
+        self, answer: forwarding.AnswerHead, events: list[event_stream.Event]
+    ) -> bool:
+        """Write events that the caller lacks; returns whether none is missing."""
+        wanted = []
+        whole = True
+        for event in events:
+            step = self._stream.position.advance(event)
+            if step is event_stream.Step.GAP:
+                whole = False
+                break
+            if step is event_stream.Step.NEXT:
+                wanted.append(event.raw)
+        if wanted:
+            self._stream.delivered += len(wanted)
+            data = b"".join(wanted)
+            if self._reply.is_started:
+                await self._reply.send(data)
+            else:
+                await self._reply.start(answer.status, answer.headers, data)
+        return whole
--- /dev/null
+++ b/src/dragonflycove/gateway/server_pool.py
@@ -0,0 +1,108 @@
+"""Open connections to backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import result
+
+from dragonflycove.transport import http1
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog, forwarding
+
+CONNECT_SECONDS = 0.4
+"""Time to open a connection; it takes a few milliseconds to a server that runs."""
+
+IDLE_SECONDS = 4.0
+"""Idle time after which a connection is not used again; servers close theirs after a time-out."""
+
+IDLE_MARGIN_SECONDS = 0.5
+"""Time before a server's stated time-out at which its connection is no longer used."""
+
+MOST_IDLE = 4
+"""Idle connections kept to one server; servers accept a few hundred from all nodes."""
+
+
+class ServerPool:
+    """Idle connections by address."""
+
+    def __init__(self) -> None:
+        """Create an empty pool."""
+        self._idle_by_address: dict[catalog.Address, list[http1.Connection]] = {}
+        self.opened = 0
+        """Connections opened."""
+
+    async def take(
+        self, address: catalog.Address, *, fresh: bool, timeout: float
+    ) -> result.Result[http1.Connection, str]:
+        """Return a connection that carries nothing.
+
+        Args:
+            address: The server.
+            fresh: Whether it must be new, so that it can't have gone stale.
+            timeout: Longest time to open one, seconds.
+
+        Returns:
+            The connection, or why there is none.
+        """
+        now = asyncio.get_running_loop().time()
+        idle = self._idle_by_address.get(address, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.is_quiet() and now - connection.idle_since < _idle_limit(connection):
+                return result.Ok(connection)
+            connection.close()
+        self.opened += 1
+        return await http1.Connection.open(address, min(CONNECT_SECONDS, timeout))
+
+    def put(
+        self,
+        address: catalog.Address,
+        connection: http1.Connection,
+        answer: forwarding.AnswerHead,
+    ) -> None:
+        """Keep a connection after a complete answer, if it can carry another request.
+
+        Args:
+            address: The server.
+            connection: The connection.
+            answer: Head of the answer.
+        """
+        connection.idle_limit = answer.idle_seconds
+        idle = self._idle_by_address.setdefault(address, [])
+        if answer.closes or len(idle) >= MOST_IDLE or not connection.finish():
+            connection.close()
+            return
+        idle.append(connection)
+
+    def sweep(self) -> None:
+        """Close the connections that will not be used again."""
+        now = asyncio.get_running_loop().time()
+        for address, idle in list(self._idle_by_address.items()):
+            kept = []
+            for connection in idle:
+                if connection.is_quiet() and now - connection.idle_since < _idle_limit(connection):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle_by_address[address] = kept
+            else:
+                del self._idle_by_address[address]
+
+    def drop(self, address: catalog.Address) -> None:
+        """Close the idle connections to an address.
+
+        Args:
+            address: The address.
+        """
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
+
+def _idle_limit(connection: http1.Connection) -> float:
+    if connection.idle_limit is None:
+        return IDLE_SECONDS
+    return min(IDLE_SECONDS, connection.idle_limit - IDLE_MARGIN_SECONDS)
--- a/src/dragonflycove/node/claim_task.py
+++ b/src/dragonflycove/node/claim_task.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable, Coroutine, Sequence
 
     from dragonflycove.configuration import schema
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
     from dragonflycove.values import identifiers, requests
 
 PAGE_RECORDS = 500
--- a/src/dragonflycove/node/configuration_task.py
+++ b/src/dragonflycove/node/configuration_task.py
@@ -24,7 +24,7 @@
     from collections.abc import Callable
 
     from dragonflycove.configuration import schema
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
 
 POLL_SECONDS = 2.0
 """How long the log may hold a reading that finds nothing new, seconds."""
--- a/src/dragonflycove/node/control_tasks.py
+++ b/src/dragonflycove/node/control_tasks.py
@@ -14,7 +14,7 @@
 
     from dragonflycove.membership import digests
     from dragonflycove.node import configuration_task
-    from dragonflycove.platform import host_list_client
+    from dragonflycove.infrastructure import host_list_client
     from dragonflycove.telemetry import metrics as node_metrics
     from dragonflycove.values import identifiers
 
--- a/src/dragonflycove/node/host_list_task.py
+++ b/src/dragonflycove/node/host_list_task.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from dragonflycove.node import services
-    from dragonflycove.platform import host_list_client
+    from dragonflycove.infrastructure import host_list_client
 
 READ_SECONDS = 0.5
 """Time between two readings, seconds."""
--- a/src/dragonflycove/node/lease_task.py
+++ b/src/dragonflycove/node/lease_task.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable, Mapping
 
     from dragonflycove.backends import engine_client
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
     from dragonflycove.values import identifiers
 
 PAGE_RECORDS = 500
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -39,7 +39,7 @@
     tasks,
 )
 from dragonflycove.operators import app as operator_app
-from dragonflycove.platform import host_list_client, log_client
+from dragonflycove.infrastructure import host_list_client, log_client
 from dragonflycove.reclaim import reclaimer
 from dragonflycove.routing import policies
 from dragonflycove.telemetry import logs, metrics
--- a/src/dragonflycove/node/quarantine_log_task.py
+++ b/src/dragonflycove/node/quarantine_log_task.py
@@ -13,7 +13,7 @@
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
 
 PAGE_RECORDS = 500
 """Most records read at once."""
--- a/src/dragonflycove/node/services.py
+++ b/src/dragonflycove/node/services.py
@@ -26,7 +26,7 @@
 
     from dragonflycove.attempts import attempts as attempt_values
     from dragonflycove.backends import engine_client, plain_client
-    from dragonflycove.platform import host_list_client
+    from dragonflycove.infrastructure import host_list_client
     from dragonflycove.settings import node as node_settings
     from dragonflycove.telemetry import metrics as node_metrics
     from dragonflycove.values import outcomes, requests
--- a/src/dragonflycove/operators/log_reading.py
+++ b/src/dragonflycove/operators/log_reading.py
@@ -11,7 +11,7 @@
 from dragonflycove.transport import exchange
 
 if TYPE_CHECKING:
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
 
 CALL_SECONDS = 5.0
 """Bound on one call to the log, seconds."""
--- a/src/dragonflycove/operators/publishing.py
+++ b/src/dragonflycove/operators/publishing.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     import random
 
-    from dragonflycove.platform import log_client
+    from dragonflycove.infrastructure import log_client
 
 RETRY_SECONDS = 0.25
 """First pause before the log is tried again, seconds; it doubles."""
--- a/src/dragonflycove/platform/__init__.py
+++ b/src/dragonflycove/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: log service, host list, weight store."""
+"""Translation between the platform's wire formats and the project's types; decides nothing."""
--- /dev/null
+++ b/src/dragonflycove/platform/records.py
@@ -0,0 +1,173 @@
+"""Decodes the records of operators and backend servers in the platform's store."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import result
+
+from dragonflycove.fleet import catalog
+
+OPERATOR_TOPIC = "keyed.op"
+"""Topic of the operators' records."""
+
+SERVER_TOPIC = "keyed.servers"
+"""Topic of the backend servers' records."""
+
+CONFIGURATION_KEY = "config"
+"""Key of the newest configuration."""
+
+EVACUATION_PREFIX = "evacuate/"
+"""Prefix of the keys that take an availability zone out."""
+
+_MS = 0.001
+"""Seconds in a millisecond."""
+
+
+def evacuated_zone(key: str) -> str | None:
+    """Return the availability zone that an operator's record takes out.
+
+    Args:
+        key: Key of the record.
+
+    Returns:
+        The zone; None if the record is about something else.
+    """
+    return key.removeprefix(EVACUATION_PREFIX) if key.startswith(EVACUATION_PREFIX) else None
+
+
+def decode_configuration(value: bytes) -> result.Result[catalog.Configuration, str]:
+    """Decode a configuration.
+
+    Args:
+        value: Value of the record.
+
+    Returns:
+        The configuration, or what is wrong with it.
+    """
+    try:
+        return result.Ok(_configuration(json.loads(value)))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return result.Err(f"configuration cannot be read: {error!r}")
+
+
+def decode_server(server_id: str, value: bytes) -> result.Result[catalog.BackendServer, str]:
+    """Decode a backend server's record; records of other writers may hold anything.
+
+    Args:
+        server_id: Key of the record.
+        value: Value of the record.
+
+    Returns:
+        The server, or why the record names none.
+    """
+    try:
+        fields = json.loads(value)
+        return result.Ok(_server(server_id, fields))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return result.Err(f"record names no usable server: {error!r}")
+
+
+def _configuration(fields: dict[str, Any]) -> catalog.Configuration:
+    routes = [_route(entry) for entry in fields["routes"]]
+    organisation_by_key = {}
+    tenants = fields.get("tenants") or []
+    for tenant in tenants:
+        organisation = catalog.Organisation(tenant["name"], tenant.get("priority"))
+        for key in tenant.get("api_keys") or ():
+            organisation_by_key[key] = organisation
+    services = [_service(entry) for entry in fields["services"]]
+    return catalog.Configuration(
+        version=int(fields["version"]),
+        route_by_host_prefix={(route.host, route.path_prefix): route for route in routes},
+        service_by_name={service.name: service for service in services},
+        organisation_by_key=organisation_by_key,
+        needs_keys="tenants" in fields,
+        limits=_limits(fields.get("limits") or {}),
+    )
+
+
+def _route(fields: dict[str, Any]) -> catalog.Route:
+    split = fields.get("traffic_split")
+    weights = (
+        tuple((part["service"], int(part["weight"])) for part in split)
+        if split
+        else ((fields["service"], 1),)
+    )
+    return catalog.Route(
+        name=fields["name"],
+        host=fields["host"].lower(),
+        path_prefix=fields["path_prefix"],
+        kind=catalog.CallKind(fields["route_type"]),
+        timeout_seconds=float(fields["timeout_ms"]) * _MS,
+        goal_seconds=float(fields.get("latency_goal_ms", fields["timeout_ms"])) * _MS,
+        gap_goal_seconds=float(fields.get("gap_target_ms", 0)) * _MS,
+        priority=int(fields.get("priority", 5)),
+        weights_by_service=weights,
+        max_attempts=int(fields.get("max_attempts", 1)),
+        is_public=bool(fields.get("public", False)),
+        is_resumable=bool(fields.get("resumable", False)),
+    )
+
+
+def _service(fields: dict[str, Any]) -> catalog.Service:
+    engine = fields.get("engine")
+    return catalog.Service(
+        name=fields["name"],
+        health_path=fields.get("health_path", "/healthz"),
+        max_connections=int(fields.get("max_connections", 100)),
+        cold_start_seconds=float(fields.get("cold_start_s", 0)),
+        cold_requests_per_second=float(fields.get("cold_per_s", 0)),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(fields: dict[str, Any]) -> catalog.EngineSpec:
+    return catalog.EngineSpec(
+        slots=int(fields["slots"]),
+        memory_tokens=int(fields["kv_capacity"]),
+        step_seconds=float(fields["step_ms"]) * _MS,
+        step_seconds_per_writer=float(fields.get("per_seq_ms", 0)) * _MS,
+        # The wire gives milliseconds per thousand tokens.
+        step_seconds_per_context_token=float(fields.get("context_per_k", 0)) * _MS / 1000,
+        read_tokens_per_second=float(fields["read_per_s"]),
+        # The wire gives milliseconds per million pairs.
+        seconds_per_pair=float(fields.get("pairs_per_m", 0)) * _MS / 1e6,
+        chunk_tokens=int(fields.get("chunk", 2048)),
+        steps_per_pass=int(fields.get("stride", 1)),
+        hop_seconds=float(fields.get("hop_ms", 0)) * _MS,
+    )
+
+
+def _limits(fields: dict[str, Any]) -> catalog.CallerLimits:
+    default = catalog.CallerLimits()
+    return catalog.CallerLimits(
+        header_bytes=int(fields.get("max_header_bytes", default.header_bytes)),
+        body_bytes=int(fields.get("max_body_bytes", default.body_bytes)),
+        header_seconds=float(fields.get("header_timeout_ms", default.header_seconds / _MS)) * _MS,
+        idle_seconds=float(fields.get("idle_timeout_ms", default.idle_seconds / _MS)) * _MS,
+    )
+
+
+def _server(server_id: str, fields: dict[str, Any]) -> catalog.BackendServer:
+    born = fields.get("born", 0)
+    cold_ms = fields.get("cold_remaining_ms", 0)
+    slots = fields.get("slots", 1)
+    if not isinstance(fields["service"], str) or not isinstance(fields["zone"], str):
+        raise TypeError("service or zone is no text")
+    if not all(_is_number(value) for value in (born, cold_ms, slots)):
+        raise TypeError("born, cold_remaining_ms or slots is no number")
+    return catalog.BackendServer(
+        instance=catalog.Instance(server_id, int(born)),
+        service=fields["service"],
+        address=catalog.parse_address(fields["address"]),
+        zone=fields["zone"],
+        slots=int(slots),
+        state=catalog.ServerState(fields["state"]),
+        cold_seconds=float(cold_ms) * _MS,
+    )
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool)
--- /dev/null
+++ b/src/dragonflycove/platform/settings.py
@@ -0,0 +1,108 @@
+"""Decodes the settings file that the platform places on each machine."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import result
+import yaml
+
+from dragonflycove.fleet import catalog, host_settings
+
+PATH_VARIABLE = "DRAGONFLYCOVE_CONFIG"
+"""Environment variable that holds the path of the file."""
+
+DEFAULT_PATH = "/etc/dragonflycove/boot.yaml"
+"""Path where the variable is not set."""
+
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+"""The C parser reads the file in a tenth of the time."""
+
+
+def read_file(path: str) -> result.Result[host_settings.HostSettings, str]:
+    """Read and decode a settings file.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        The settings, or what is wrong with the file.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            return decode(file.read())
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(f"{path}: {error}")
+
+
+def decode(text: str) -> result.Result[host_settings.HostSettings, str]:
+    """Decode the text of a settings file; unknown fields are ignored.
+
+    Args:
+        text: The YAML text.
+
+    Returns:
+        The settings, or what is wrong with them.
+    """
+    try:
+        fields = yaml.load(text, Loader=_LOADER)
+        return result.Ok(_settings(fields))
+    except yaml.YAMLError as error:
+        return result.Err(f"not YAML: {error}")
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        return result.Err(f"missing or faulty field: {error!r}")
+
+
+def _settings(fields: dict[str, Any]) -> host_settings.HostSettings:
+    listen = fields.get("listen_addresses") or {}
+    limits = fields.get("limits") or {}
+    ports = fields["internal_port_range"]
+    return host_settings.HostSettings(
+        host=str(fields["node_name"]),
+        ip=str(fields["ip"]),
+        zone=str(fields["zone"]),
+        region=str(fields["region"]),
+        region_by_zone=dict(fields.get("zones") or {}),
+        caller_address=_optional_address(listen.get("frontend")),
+        readiness_address=_optional_address(listen.get("ready")),
+        directory_address=_optional_address(listen.get("directory_service")),
+        peer_address=catalog.Address(str(fields["ip"]), int(ports[0])),
+        # The peers' port is the same on every machine; only the seeds' IP addresses are used.
+        seed_ips=tuple(str(seed).rpartition(":")[0] for seed in fields.get("seed_nodes") or ()),
+        cores=float(limits.get("cpu_share", 0.5)) * float(limits.get("cpu_cores", 1)),
+        memory_bytes=int(float(limits.get("memory_mb", 256)) * 1_000_000),
+        heartbeat_seconds=float(fields.get("heartbeat_ms", 1000)) / 1000,
+        store=_store(fields["platform"]),
+        bounds=_bounds(fields.get("bounds") or {}),
+    )
+
+
+def _optional_address(text: str | None) -> catalog.Address | None:
+    return catalog.parse_address(text) if text else None
+
+
+def _store(fields: dict[str, Any]) -> host_settings.StoreLimits:
+    return host_settings.StoreLimits(
+        address=catalog.parse_address(fields["address"]),
+        writes_per_second=float(fields.get("writes_per_s", 100)),
+        reads_per_second=float(fields.get("reads_per_s", 500)),
+    )
+
+
+def _bounds(fields: dict[str, Any]) -> host_settings.Bounds:
+    def seconds(name: str, default_ms: float) -> float:
+        return float(fields.get(name, default_ms)) / 1000
+
+    return host_settings.Bounds(
+        drain_seconds=seconds("drain_ms", 2000),
+        grace_seconds=float(fields.get("grace_s", 8)),
+        contact_seconds=seconds("contact_ms", 3000),
+        retry_ratio=float(fields.get("retry_budget_ratio", 0.1)),
+        retry_window_seconds=float(fields.get("retry_window_s", 10)),
+        retry_allowance=float(fields.get("retry_allowance", 10)),
+        cold_overage=float(fields.get("cold_overage", 1.0)),
+        cold_tolerance=float(fields.get("cold_tolerance", 0)),
+        answer_ttl_seconds=float(fields.get("ttl_max_s", 2)),
+        hold_seconds=seconds("hold_max_ms", 10000),
+        stall_seconds=seconds("stall_ms", 1500),
+    )
--- a/src/dragonflycove/standins/engine_app.py
+++ b/src/dragonflycove/standins/engine_app.py
@@ -10,7 +10,7 @@
 import result
 from starlette import responses, routing
 
-from dragonflycove.platform import weight_store_client
+from dragonflycove.infrastructure import weight_store_client
 from dragonflycove.standins import (
     engine_control,
     engine_frames,
--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -10,7 +10,7 @@
 import result
 
 from dragonflycove.configuration import records
-from dragonflycove.platform import log_client
+from dragonflycove.infrastructure import log_client
 from dragonflycove.transport import exchange
 
 if TYPE_CHECKING:
--- a/tests/node/test_claim_task.py
+++ b/tests/node/test_claim_task.py
@@ -11,7 +11,7 @@
 from dragonflycove.backends import plain_client
 from dragonflycove.configuration import schema
 from dragonflycove.node import claim_task
-from dragonflycove.platform import log_client
+from dragonflycove.infrastructure import log_client
 from dragonflycove.transport import exchange
 from dragonflycove.values import identifiers, outcomes, requests
 
--- a/tests/platform/test_log_client.py
+++ b/tests/platform/test_log_client.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from dragonflycove.platform import host_list_client, log_client, weight_store_client
+from dragonflycove.infrastructure import host_list_client, log_client, weight_store_client
 from dragonflycove.transport import exchange, sessions
 
 if TYPE_CHECKING:
--- a/tests/standins/test_platform_contract.py
+++ b/tests/standins/test_platform_contract.py
@@ -11,7 +11,7 @@
 import result
 
 from dragonflycove.backends import plain_client
-from dragonflycove.platform import host_list_client, log_client, weight_store_client
+from dragonflycove.infrastructure import host_list_client, log_client, weight_store_client
 from dragonflycove.standins import clock, kinds, serving
 from dragonflycove.transport import exchange, sessions
 
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -15,7 +15,7 @@
 import pytest
 
 from dragonflycove.backends import engine_client, engine_stream, plain_client
-from dragonflycove.platform import log_client
+from dragonflycove.infrastructure import log_client
 from dragonflycove.transport import exchange, sessions
 
 if TYPE_CHECKING:
