--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -67,6 +67,10 @@
 """Time until the next slot falls free on a full engine, before any is measured."""
 
 
+UNUSED_SECONDS = 0.8
+"""Time after which a placement that its node does not report is dropped; answers can be lost."""
+
+
 class _Candidate(NamedTuple):
     """One engine for one number of parts."""
 
@@ -75,6 +79,28 @@
     first_event_seconds: float
 
 
+class Placement(NamedTuple):
+    """A request that is counted on servers."""
+
+    job: work.Job
+    """The request."""
+
+    grant: work.Grant
+    """Where it was placed."""
+
+    placed_at: float
+    """Loop time at which that was."""
+
+    is_prompt: bool
+    """Whether its servers are engines."""
+
+    @property
+    def instances(self) -> tuple[catalog.Instance, ...]:
+        """All servers that take part, the first one first."""
+        helpers = (part.server.instance for part in self.grant.helpers)
+        return (self.grant.lead.instance, *helpers)
+
+
 class Placer:
     """Places requests on the servers that a belief names."""
 
@@ -91,9 +117,7 @@
         self._forecast_by_instance: dict[catalog.Instance, engine_forecast.EngineForecast] = {}
         self._plain_by_instance: collections.Counter[catalog.Instance] = collections.Counter()
         self._plain_seconds_by_service: dict[str, float] = {}
-        self._servers_by_job: dict[work.JobKey, tuple[catalog.Instance, ...]] = {}
-        self._is_engine_job: dict[work.JobKey, bool] = {}
-        self._placed_at_by_job: dict[work.JobKey, float] = {}
+        self._placement_by_job: dict[work.JobKey, Placement] = {}
         self._sends_by_cold: dict[catalog.Instance, collections.deque[float]] = {}
 
     def place(self, job: work.Job, now: float) -> work.Grant | work.Wait | work.Refusal:
@@ -181,9 +205,10 @@
         # A call that would queue at every server waits here, where it can still be moved.
         if queued > 0:
             return work.Wait(wait)
-        self._count(job, (best,), now, is_engine=False)
+        grant = work.Grant(best, (), 0, wait + seconds)
         self._plain_by_instance[best.instance] += 1
-        return work.Grant(best, (), 0, wait + seconds)
+        self._count(Placement(job, grant, now, is_prompt=False), now)
+        return grant
 
     # Prompts
 
@@ -409,8 +434,7 @@
                     job, now, seconds, is_lead=False, memory_tokens=part.reserved_tokens
                 )
             )
-        servers = (grant.lead, *(part.server for part in grant.helpers))
-        self._count(job, servers, now, is_engine=True)
+        self._count(Placement(job, grant, now, is_prompt=True), now)
 
     def _forecast(
         self, server: catalog.BackendServer, spec: catalog.EngineSpec
@@ -423,19 +447,9 @@
 
     # Reports on placed requests
 
-    def _count(
-        self,
-        job: work.Job,
-        servers: Iterable[catalog.BackendServer],
-        now: float,
-        *,
-        is_engine: bool,
-    ) -> None:
-        instances = tuple(server.instance for server in servers)
-        self._servers_by_job[job.key] = instances
-        self._is_engine_job[job.key] = is_engine
-        self._placed_at_by_job[job.key] = now
-        for instance in instances:
+    def _count(self, placement: Placement, now: float) -> None:
+        self._placement_by_job[placement.job.key] = placement
+        for instance in placement.instances:
             if self.is_cold(instance, now):
                 self._sends_by_cold.setdefault(instance, collections.deque()).append(now)
 
@@ -448,7 +462,7 @@
             placed_at: Loop time at which that was.
             writes: Whether its first event has come.
         """
-        if job.key in self._servers_by_job:
+        if job.key in self._placement_by_job:
             if writes:
                 self.on_first_event(job.key, placed_at)
             return
@@ -458,7 +472,7 @@
             return
         if service.engine is None:
             self._plain_by_instance[grant.lead.instance] += 1
-            self._count(job, (grant.lead,), placed_at, is_engine=False)
+            self._count(Placement(job, grant, placed_at, is_prompt=False), placed_at)
             return
         servers = (grant.lead, *(part.server for part in grant.helpers))
         forecasts = {
@@ -475,7 +489,10 @@
             key: The request.
             now: Loop time.
         """
-        for instance in self._servers_by_job.get(key, ()):
+        placement = self._placement_by_job.get(key)
+        if placement is None:
+            return
+        for instance in placement.instances:
             forecast = self._forecast_by_instance.get(instance)
             if forecast is not None:
                 forecast.on_first_event(key, now)
@@ -491,70 +508,80 @@
         Returns:
             Whether its server became a suspect by this.
         """
-        instances = self._servers_by_job.pop(key, ())
-        if not instances:
+        placement = self._placement_by_job.pop(key, None)
+        if placement is None:
             return False
-        placed_at = self._placed_at_by_job.pop(key)
-        if self._is_engine_job.pop(key):
-            for instance in instances:
+        lead = placement.grant.lead.instance
+        if placement.is_prompt:
+            for instance in placement.instances:
                 forecast = self._forecast_by_instance.get(instance)
                 if forecast is not None:
                     forecast.remove(key, now)
         else:
-            self._end_plain(instances[0], outcome, now - placed_at)
-        return self.health.on_outcome(instances[0], outcome, now)
+            self._end_plain(lead)
+        return self.health.on_outcome(lead, outcome, now)
 
-    def _end_plain(
-        self, instance: catalog.Instance, outcome: server_health.Outcome, seconds: float
-    ) -> None:
+    def _end_plain(self, instance: catalog.Instance) -> None:
         self._plain_by_instance[instance] -= 1
         if self._plain_by_instance[instance] <= 0:
             del self._plain_by_instance[instance]
 
-    def jobs_of(self, host: str, incarnation: int | None = None) -> list[work.JobKey]:
-        """Return the requests of one host that are counted.
+    def placement(self, key: work.JobKey) -> Placement | None:
+        """Return where a request was placed.
 
         Args:
-            host: The host.
-            incarnation: Start of its process; None for all starts.
+            key: The request.
+
+        Returns:
+            The placement; None if the request is not counted.
         """
-        return [
-            key
-            for key in self._servers_by_job
-            if key.host == host and incarnation in (None, key.incarnation)
-        ]
+        return self._placement_by_job.get(key)
 
-    def is_counted(self, key: work.JobKey) -> bool:
-        """Whether a request is counted on servers.
+    def jobs_of(self, host: str) -> list[work.JobKey]:
+        """Return the requests of one host that are counted.
 
         Args:
-            key: The request.
+            host: The host.
         """
-        return key in self._servers_by_job
+        return [key for key in self._placement_by_job if key.host == host]
 
-    def placed_at(self, key: work.JobKey) -> float | None:
-        """Return when a request was placed.
+    def reconcile(
+        self, host: str, incarnation: int, numbers: Iterable[int], now: float
+    ) -> tuple[int, ...]:
+        """Compare the counted requests of a host with those that it says it has placed.
 
         Args:
-            key: The request.
+            host: The host.
+            incarnation: Start of its process.
+            numbers: Numbers of its requests.
+            now: Loop time.
 
         Returns:
-            The loop time; None if it is not counted.
+            Numbers of the requests that are not counted here.
         """
-        return self._placed_at_by_job.get(key)
-
-    def forget_host(self, host: str, keep_incarnation: int, now: float) -> int:
-        """Take away the requests of a host's earlier processes.
+        told = set(numbers)
+        counted = set()
+        for key in self.jobs_of(host):
+            if key.incarnation == incarnation and key.number in told:
+                counted.add(key.number)
+            elif (
+                key.incarnation != incarnation
+                or now - self._placement_by_job[key].placed_at > UNUSED_SECONDS
+            ):
+                self.on_end(key, server_health.Outcome.ABANDONED, now)
+        return tuple(sorted(told - counted))
+
+    def forget_host(self, host: str, now: float) -> int:
+        """Take away the requests of a host that is gone.
 
         Args:
             host: The host.
-            keep_incarnation: Start of its process that still runs; -1 for none.
             now: Loop time.
 
         Returns:
             How many were taken away.
         """
-        stale = [key for key in self.jobs_of(host) if key.incarnation != keep_incarnation]
+        stale = self.jobs_of(host)
         for key in stale:
             self.on_end(key, server_health.Outcome.ABANDONED, now)
         return len(stale)
--- /dev/null
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -0,0 +1,154 @@
+"""Lets a node fetch records that another one has, where the store does not answer."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
+
+import cbor2
+import msgspec
+import result
+
+from dragonflycove.platform import store
+from dragonflycove.telemetry import logs
+from dragonflycove.transport import http1
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog
+    from dragonflycove.gateway import knowledge_task
+
+TRANSFER_SECONDS = 1.0
+"""Time for a whole transfer; a configuration of some hundred routes takes milliseconds."""
+
+LONGEST_BYTES = 33_554_432
+"""Longest message that is read; a configuration has at most a few megabytes."""
+
+_LENGTH = struct.Struct(">I")
+
+_T = TypeVar("_T")
+
+
+class TopicRequest(NamedTuple):
+    """What is wanted of a topic."""
+
+    after: int
+    """Offset of the newest record that the asking node knows; -1 for none."""
+
+
+class TopicAnswer(NamedTuple):
+    """What a node has of a topic."""
+
+    records: tuple[store.Record, ...]
+    """Newest records of each key after the offset asked for."""
+
+    next_offset: int | None
+    """Offset from which it reads next; None if it has no complete belief."""
+
+    age_seconds: float
+    """Age of its belief."""
+
+
+class Request(NamedTuple):
+    """Asks for what is new."""
+
+    operators: TopicRequest
+    """Of the operators' topic."""
+
+    servers: TopicRequest
+    """Of the servers' topic."""
+
+
+class Answer(NamedTuple):
+    """Tells what is new."""
+
+    operators: TopicAnswer
+    """Of the operators' topic."""
+
+    servers: TopicAnswer
+    """Of the servers' topic."""
+
+
+class TransferServer:
+    """Answers other nodes from this node's records."""
+
+    def __init__(self, known: knowledge_task.KnowledgeTask) -> None:
+        """Create a server that does not listen yet.
+
+        Args:
+            known: Records of this node.
+        """
+        self._known = known
+
+    async def listen(self, address: catalog.Address) -> None:
+        """Begin to answer.
+
+        Args:
+            address: Where to listen.
+        """
+        await asyncio.start_server(self._on_connection, address.ip, address.port, backlog=256)
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(TRANSFER_SECONDS):
+                request = await _read(reader, Request)
+                writer.write(_frame(self._answer(request)))
+                await writer.drain()
+        except (OSError, TimeoutError, EOFError, ValueError) as error:
+            logs.warning("transfer_failed", side="server", why=repr(error))
+        finally:
+            writer.close()
+
+    def _answer(self, request: Request) -> Answer:
+        return Answer(
+            _topic_answer(self._known.operators, request.operators),
+            _topic_answer(self._known.servers, request.servers),
+        )
+
+
+def _topic_answer(
+    position: knowledge_task.TopicPosition, request: TopicRequest
+) -> TopicAnswer:
+    wanted = [
+        record for record in position.record_by_key.values() if record.offset > request.after
+    ]
+    age = asyncio.get_running_loop().time() - position.read_at
+    return TopicAnswer(tuple(wanted), position.next_offset, age)
+
+
+async def fetch(address: catalog.Address, request: Request) -> result.Result[Answer, str]:
+    """Fetch what another node has.
+
+    Args:
+        address: The node.
+        request: What is wanted.
+
+    Returns:
+        What it has, or why nothing came.
+    """
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with asyncio.timeout(TRANSFER_SECONDS):
+            reader, writer = await asyncio.open_connection(address.ip, address.port)
+            http1.set_socket_options(writer)
+            writer.write(_frame(request))
+            return result.Ok(await _read(reader, Answer))
+    except (OSError, TimeoutError, EOFError, ValueError) as error:
+        return result.Err(repr(error))
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+def _frame(message: Request | Answer) -> bytes:
+    content = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    return _LENGTH.pack(len(content)) + content
+
+
+async def _read(reader: asyncio.StreamReader, kind: type[_T]) -> _T:
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > LONGEST_BYTES:
+        raise ValueError(f"message of {length} bytes")
+    return msgspec.convert(cbor2.loads(await reader.readexactly(length)), type=kind)
