Let one hub place the requests of all nodes

Now nodes report to the three longest-running ones and ask the first for placements over datagrams; without an answer within 150 ms they ask the next or decide alone. The first hub also reads the store for all.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -537,6 +537,19 @@
         """
         return self._placement_by_job.get(key)
 
+    def writes(self, key: work.JobKey) -> bool:
+        """Whether a request's first event has come.
+
+        Args:
+            key: The request.
+        """
+        placement = self._placement_by_job.get(key)
+        if placement is None or not placement.is_prompt:
+            return False
+        forecast = self._forecast_by_instance.get(placement.grant.lead.instance)
+        read = forecast.reads_by_job.get(key) if forecast else None
+        return read is not None and read.writes
+
     def jobs_of(self, host: str) -> list[work.JobKey]:
         """Return the requests of one host that are counted.
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -19,16 +19,20 @@
     knowledge,
     placer,
     retry_share,
+    roster,
 )
 from dragonflycove.gateway import (
     callers,
     directory,
     forwarder,
     knowledge_task,
+    peer_transfer,
+    peers,
     placing,
     reservations,
     server_pool,
 )
+from dragonflycove.platform import members
 from dragonflycove.platform import settings as platform_settings
 from dragonflycove.telemetry import logs
 
@@ -55,6 +59,28 @@
 SETTINGS_SECONDS = 1.0
 """Time between two looks at the settings file, which may change without a signal."""
 
+READ_AGES = (0.4, 0.9, 1.1)
+"""Ages of the belief, seconds, at which the hubs read the store, the first hub first.
+
+The first reads for all; the others step in when what it tells grows old. Twice the largest is still
+under the two seconds within which a leaving server must get nothing more.
+"""
+
+OTHERS_READ_AGE = 1.3
+"""Age of the belief, seconds, at which any other node reads the store itself."""
+
+OTHERS_READ_SPREAD = 0.2
+"""Seconds over which the other nodes spread, so that they don't all read at once."""
+
+MEMBERS_SECONDS = (0.3, 0.7, 1.5, 3.0)
+"""Pauses between the first readings of the list of nodes; all nodes start within a moment."""
+
+MEMBERS_LATER_SECONDS = 15.0
+"""Pause between later readings; nodes tell each other of newcomers before that."""
+
+ANNOUNCE_AGAIN_SECONDS = 1.0
+"""Pause before this node's record is written again after a failure."""
+
 SWEEP_SECONDS = 1.0
 """Time between two sweeps of idle connections and old memory."""
 
@@ -74,24 +100,42 @@
         self._stopping = asyncio.Event()
         self._reload = asyncio.Event()
         rng = random.Random()
+        # Wall-clock milliseconds tell starts of the same host apart.
+        incarnation = int(time.time() * 1000)
+        self._own = _own_member(settings, incarnation)
+        self._nodes = roster.Roster(self._own)
+        self._members = members.MemberList(settings.store.address)
         self._belief = knowledge.Knowledge()
         self._placer = placer.Placer(self._belief, settings.zone)
         self._placing = placing.LocalPlacing(self._placer)
+        self._knowledge = knowledge_task.KnowledgeTask(
+            settings.store.address, self._belief, self._schedule, lambda: None
+        )
+        suspects = crash_suspects.CrashSuspects()
+        self._peers = peers.PeerTask(
+            self._own,
+            self._nodes,
+            self._placer,
+            self._placing,
+            self._knowledge,
+            suspects,
+            self._is_ready,
+        )
+        self._transfers = peer_transfer.TransferServer(self._knowledge)
         self._pool = server_pool.ServerPool()
         self._reserving = reservations.Reservations(self._pool)
         bounds = settings.bounds
         retries = retry_share.RetryShare(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_seconds
         )
-        # Wall-clock milliseconds tell starts of the same host apart.
-        identity = forwarder.NodeIdentity(settings.host, int(time.time() * 1000), settings.zone)
+        identity = forwarder.NodeIdentity(settings.host, incarnation, settings.zone)
         self._forwarder = forwarder.Forwarder(
             identity,
             self._belief,
-            self._placing,
+            self._peers,
             self._pool,
             retries,
-            crash_suspects.CrashSuspects(),
+            suspects,
             self._reserving,
             rng,
         )
@@ -99,12 +143,7 @@
         self._directory = directory.Directory(
             self._points, self._is_ready, lambda: (b"", "text/plain"), bounds.answer_ttl_seconds
         )
-        self._knowledge = knowledge_task.KnowledgeTask(
-            settings.store.address,
-            self._belief,
-            lambda: knowledge_task.Schedule(0.5),
-            lambda: None,
-        )
+        self._other_read_age = OTHERS_READ_AGE + OTHERS_READ_SPREAD * rng.random()
         self._control: list[callers.CallerListener] = []
 
     def _limits(self) -> catalog.CallerLimits:
@@ -120,13 +159,21 @@
 
     def _points(self) -> list[entry_points.EntryPoint]:
         settings = self._settings
+        others = self._nodes.entry_points(asyncio.get_running_loop().time())
         if settings.caller_address is None or not self._is_ready():
-            return []
-        return [
-            entry_points.EntryPoint(
-                settings.caller_address, settings.zone, settings.region, settings.cores
-            )
-        ]
+            return others
+        own = entry_points.EntryPoint(
+            settings.caller_address, settings.zone, settings.region, settings.cores
+        )
+        return [own, *others]
+
+    def _schedule(self) -> knowledge_task.Schedule:
+        """Read the store sooner the nearer this node is to being the first hub."""
+        hubs = [hub.host for hub in self._nodes.hubs(asyncio.get_running_loop().time())]
+        rank = hubs.index(self._own.host) if self._own.host in hubs else len(READ_AGES)
+        return knowledge_task.Schedule(
+            READ_AGES[rank] if rank < len(READ_AGES) else self._other_read_age
+        )
 
     async def run(self) -> int:
         """Serve until SIGTERM and the end of all requests.
@@ -143,6 +190,9 @@
                 self._knowledge.run(),
                 self._placing.run(),
                 self._sweep(),
+                self._peers.run(),
+                self._announce(),
+                self._find_nodes(),
                 self._follow_settings(),
             )
         ]
@@ -161,6 +211,8 @@
 
     async def _listen(self) -> None:
         settings = self._settings
+        await self._peers.listen()
+        await self._transfers.listen(self._own.peer_address)
         for address in {settings.readiness_address, settings.directory_address} - {None}:
             listener = callers.CallerListener(self._directory, self._limits)
             await listener.listen(address)
@@ -175,6 +227,9 @@
         grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         logs.event("stopping", active=self._callers.active, grace=grace)
         self._callers.is_stopping = True
+        self._nodes.is_leaving = True
+        self._peers.is_leaving = True
+        self._peers.report(with_jobs=True)
         while loop.time() < began + grace:
             left = loop.time() >= began + min(LEAVE_SECONDS, grace)
             if left and not self._callers.active:
@@ -184,11 +239,30 @@
         self._callers.close_idle()
         await self._reserving.finish()
 
+    async def _announce(self) -> None:
+        """Write this node into the list of nodes, until the store has taken it."""
+        while isinstance(await self._members.announce(self._own), result.Err):
+            await asyncio.sleep(ANNOUNCE_AGAIN_SECONDS)
+
+    async def _find_nodes(self) -> None:
+        """Learn of other nodes from the list and from the seeds."""
+        pauses = list(MEMBERS_SECONDS)
+        while True:
+            read = await self._members.read()
+            now = asyncio.get_running_loop().time()
+            if isinstance(read, result.Ok):
+                for member in read.ok_value:
+                    self._nodes.on_listed(member, now)
+            await asyncio.sleep(pauses.pop(0) if pauses else MEMBERS_LATER_SECONDS)
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_SECONDS)
+            now = asyncio.get_running_loop().time()
             self._pool.sweep()
-            self._belief.forget_old(asyncio.get_running_loop().time())
+            self._belief.forget_old(now)
+            self._nodes.forget_old(now)
+            self._forwarder.node_count = self._nodes.node_count(now)
 
     async def _follow_settings(self) -> None:
         """Read the settings file again after SIGHUP, and when it has changed without one."""
@@ -210,6 +284,18 @@
             logs.event("settings_reloaded", seeds=len(read.ok_value.seed_ips))
 
 
+def _own_member(settings: host_settings.HostSettings, incarnation: int) -> roster.Member:
+    return roster.Member(
+        host=settings.host,
+        incarnation=incarnation,
+        zone=settings.zone,
+        region=settings.region,
+        peer_address=settings.peer_address,
+        caller_address=settings.caller_address or settings.peer_address,
+        cores=settings.cores,
+    )
+
+
 def _modified_at(path: str) -> float:
     try:
         return os.stat(path).st_mtime
--- a/src/dragonflycove/gateway/knowledge_task.py
+++ b/src/dragonflycove/gateway/knowledge_task.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable, Iterable
 
     from dragonflycove.fleet import catalog, knowledge
+    from dragonflycove.gateway import peer_transfer
 
 TICK_SECONDS = 0.05
 """Time between two looks at whether a read is due."""
@@ -22,6 +23,10 @@
 """Reads that fail in a row before the store counts as lost; one may be a broken connection."""
 
 
+TRANSFER_AGE_SECONDS = 0.1
+"""Age added to a belief that came from another node, for the way."""
+
+
 class TopicPosition:
     """How far one topic has been read."""
 
@@ -85,7 +90,8 @@
             topic: store.StoreClient(address)
             for topic in (records.OPERATOR_TOPIC, records.SERVER_TOPIC)
         }
-        self._belief = belief
+        self.belief = belief
+        """What is filled."""
         self._schedule = schedule
         self._on_change = on_change
         self._failures = 0
@@ -154,7 +160,7 @@
             topic=position.topic,
             keys=len(listing.records),
             end=listing.end,
-            servers=self._belief.server_count,
+            servers=self.belief.server_count,
         )
         return True
 
@@ -162,19 +168,19 @@
         present = [record.key for record in listing.records if record.value is not None]
         now = asyncio.get_running_loop().time()
         if position is self.servers:
-            for server_id in self._belief.drop_missing_servers(present, listing.end, now):
+            for server_id in self.belief.drop_missing_servers(present, listing.end, now):
                 position.note(store.Record(server_id, None, listing.end - 1))
                 logs.event("server_gone", server=server_id, cause="not_listed")
         else:
             zones = [zone for key in present if (zone := records.evacuated_zone(key))]
-            for zone in self._belief.drop_missing_zones(zones, listing.end):
+            for zone in self.belief.drop_missing_zones(zones, listing.end):
                 logs.event("zone_back", zone=zone, cause="not_listed")
 
     def _on_failure(self, position: TopicPosition, failure: store.Failure) -> None:
         self._failures += 1
         now = asyncio.get_running_loop().time()
         if self._failures == OUTAGE_FAILURES:
-            self._belief.on_store_lost(now)
+            self.belief.on_store_lost(now)
             logs.event(
                 "store_lost",
                 topic=position.topic,
@@ -185,11 +191,40 @@
     def _on_success(self) -> None:
         if self._failures >= OUTAGE_FAILURES:
             now = asyncio.get_running_loop().time()
-            lost_at = self._belief.store_lost_at
-            self._belief.on_store_regained(now)
+            lost_at = self.belief.store_lost_at
+            self.belief.on_store_regained(now)
             logs.event("store_regained", seconds=now - lost_at if lost_at else 0.0)
         self._failures = 0
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether a topic has never been read whole."""
+        return self.operators.next_offset is None or self.servers.next_offset is None
+
+    def confirm(self, operators_at: float, servers_at: float) -> None:
+        """Note that the belief held at a time, as another node says.
+
+        Args:
+            operators_at: Loop time for the operators' topic.
+            servers_at: Loop time for the servers' topic.
+        """
+        self.operators.read_at = max(self.operators.read_at, operators_at)
+        self.servers.read_at = max(self.servers.read_at, servers_at)
+
+    def merge(self, position: TopicPosition, answer: peer_transfer.TopicAnswer) -> None:
+        """Take in what another node has of a topic.
+
+        Args:
+            position: The topic.
+            answer: What it has.
+        """
+        self.apply(position, sorted(answer.records, key=lambda record: record.offset))
+        if answer.next_offset is None:
+            return
+        position.next_offset = max(position.next_offset or 0, answer.next_offset)
+        now = asyncio.get_running_loop().time()
+        position.read_at = max(position.read_at, now - answer.age_seconds - TRANSFER_AGE_SECONDS)
+
     def apply(self, position: TopicPosition, read: Iterable[store.Record]) -> None:
         """Take records into the belief.
 
@@ -212,7 +247,7 @@
         zone = records.evacuated_zone(record.key)
         if zone is not None:
             is_out = record.value is not None
-            if self._belief.apply_evacuation(zone, is_out, record.offset):
+            if self.belief.apply_evacuation(zone, is_out, record.offset):
                 logs.event("zone_out" if is_out else "zone_back", zone=zone, offset=record.offset)
                 return True
             return False
@@ -222,7 +257,7 @@
         if isinstance(decoded, result.Err):
             logs.warning("configuration_unreadable", offset=record.offset, why=decoded.err_value)
             return False
-        if self._belief.apply_configuration(decoded.ok_value, record.offset):
+        if self.belief.apply_configuration(decoded.ok_value, record.offset):
             logs.event(
                 "configuration_in_force",
                 version=decoded.ok_value.version,
@@ -241,7 +276,7 @@
                 logs.warning("server_unreadable", server=record.key, why=decoded.err_value)
             else:
                 server = decoded.ok_value
-        if not self._belief.apply_server(record.key, server, record.offset, now):
+        if not self.belief.apply_server(record.key, server, record.offset, now):
             return False
         logs.event(
             "server_changed" if server else "server_gone",
