--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -39,11 +39,14 @@
     """Whether its first event has come."""
 
 
-class Report(NamedTuple):
-    """A node reports to a hub."""
+class Condition(NamedTuple):
+    """A start of a node, and whether it takes callers."""
 
-    member: roster.Member
-    """The node."""
+    host: str
+    """Host name."""
+
+    incarnation: int
+    """Start of its process."""
 
     is_ready: bool
     """Whether it takes callers."""
@@ -51,12 +54,25 @@
     is_leaving: bool
     """Whether it is stopping."""
 
+
+class Report(NamedTuple):
+    """A node reports to a hub."""
+
+    condition: Condition
+    """The node."""
+
+    member: roster.Member | None
+    """Its addresses; None once the hub knows them."""
+
     freshness: Freshness
     """How new its belief is."""
 
     jobs: tuple[int, ...] | None
     """Numbers of all requests that it has placed; None if this report leaves them out."""
 
+    wants_list: bool
+    """Whether the hub should list all nodes."""
+
 
 class Seen(NamedTuple):
     """A node as a hub last heard of it."""
@@ -64,37 +80,53 @@
     member: roster.Member
     """The node."""
 
-    age_seconds: float
-    """Time since its report."""
-
     is_ready: bool
     """Whether it takes callers."""
 
     is_leaving: bool
     """Whether it is stopping."""
 
+    is_gone: bool
+    """Whether it has fallen silent."""
 
-class Pulse(NamedTuple):
-    """A hub tells what it knows of the nodes."""
 
-    member: roster.Member
-    """The hub."""
+class ListPart(NamedTuple):
+    """Which part of a list of all nodes a message holds."""
 
-    is_ready: bool
-    """Whether it takes callers."""
+    number: int
+    """Number of the list; grows."""
 
-    is_leaving: bool
-    """Whether it is stopping."""
+    index: int
+    """Index of the part."""
+
+    total: int
+    """Parts of the list."""
+
+
+class Pulse(NamedTuple):
+    """A hub answers a report, or tells of a change."""
+
+    condition: Condition
+    """The hub."""
 
     freshness: Freshness
     """How new its belief is."""
 
-    seen: tuple[Seen, ...]
-    """Nodes that it knows; some of them, where there are many."""
+    view: int
+    """Hash of all nodes that run, as the hub knows them."""
+
+    knows_you: bool
+    """Whether the hub knows the receiver's addresses."""
 
     unknown_jobs: tuple[int, ...]
     """Numbers of the receiver's requests that the hub does not count yet."""
 
+    seen: tuple[Seen, ...]
+    """Nodes that changed, or a part of the list of all."""
+
+    part: ListPart | None
+    """Which part of the list; None if it tells of changes."""
+
 
 class PlaceRequest(NamedTuple):
     """A node asks a hub where a request goes."""
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -1,21 +1,37 @@
 """Which nodes run, and which of them place requests for all.
 
 The longest-running nodes of the largest hosts are the hubs: every node reports to the first few of
-them, and asks the first for placements. Nothing that must hold depends on two nodes agreeing about
-it; where they differ, two hubs place with partial knowledge of each other.
+them, and asks the first for placements. The first hub tells all others of changes, and sends the
+hash of its view with every answer, so that the list of all nodes is only sent where views differ.
+Nothing that must hold depends on two nodes agreeing; where they differ, two hubs place with partial
+knowledge of each other.
 """
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+import xxhash
 
 from dragonflycove.fleet import catalog, entry_points
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 HUBS = 3
 """Nodes that all others report to; two may be lost at once without a gap."""
 
-ALIVE_SECONDS = 1.2
-"""Silence after which a node counts as gone; it reports four times a second."""
+REPORT_SECONDS = 0.25
+"""Time between two reports of a node in a small fleet."""
+
+REPORT_SECONDS_PER_NODE = 0.0035
+"""Time between two reports, per node of a large fleet; bounds what reaches a hub to 300 a second."""
+
+LONGEST_REPORT_SECONDS = 0.9
+"""Longest time between two reports; silence must show within the users' bound for killed nodes."""
+
+SILENT_REPORTS = 4.8
+"""Missing reports after which a node counts as gone; single datagrams are lost."""
 
 ISOLATED_SECONDS = 4.0
 """Silence that is borne from others while no hub is heard; under the users' bound for killed nodes."""
@@ -67,7 +83,7 @@
     """The node."""
 
     heard_at: float
-    """Loop time of its last report, at this node or at a hub."""
+    """Loop time at which it was last known to run."""
 
     is_ready: bool
     """Whether it takes callers."""
@@ -76,6 +92,20 @@
     """Whether it is stopping."""
 
 
+def view_of(sightings: Iterable[Sighting]) -> int:
+    """Return a hash of a set of nodes that does not depend on their order.
+
+    Args:
+        sightings: The nodes.
+    """
+    view = 0
+    for sighting in sightings:
+        member = sighting.member
+        text = f"{member.host} {member.incarnation} {sighting.is_ready} {sighting.is_leaving}"
+        view ^= xxhash.xxh3_64_intdigest(text.encode())
+    return view
+
+
 class Roster:
     """The nodes that this node knows of."""
 
@@ -86,6 +116,8 @@
             own: This node.
         """
         self._own = own
+        self.is_ready = False
+        """Whether this node takes callers."""
         self.is_leaving = False
         """Whether this node is stopping, and so no hub."""
         self._sighting_by_host: dict[str, Sighting] = {}
@@ -93,14 +125,37 @@
         self._hub_heard_at = float("-inf")
         self._suspected_until_by_host: dict[str, float] = {}
 
+    @property
+    def report_seconds(self) -> float:
+        """Time between two reports in a fleet of this size."""
+        wanted = REPORT_SECONDS_PER_NODE * (1 + len(self._sighting_by_host))
+        return min(LONGEST_REPORT_SECONDS, max(REPORT_SECONDS, wanted))
+
+    @property
+    def alive_seconds(self) -> float:
+        """Silence after which a node counts as gone."""
+        return SILENT_REPORTS * self.report_seconds
+
+    def member(self, host: str, incarnation: int) -> Member | None:
+        """Return a node whose addresses are known.
+
+        Args:
+            host: Its host.
+            incarnation: Start of its process.
+        """
+        sighting = self._sighting_by_host.get(host)
+        if sighting is not None and sighting.member.incarnation == incarnation:
+            return sighting.member
+        return None
+
     def on_heard(
         self, member: Member, now: float, *, is_ready: bool, is_leaving: bool
     ) -> bool:
-        """Note a node's own report.
+        """Note that a node runs.
 
         Args:
             member: The node.
-            now: Loop time at which it was current.
+            now: Loop time at which it ran.
             is_ready: Whether it takes callers.
             is_leaving: Whether it is stopping.
 
@@ -110,11 +165,8 @@
         if member.host == self._own.host:
             return False
         known = self._sighting_by_host.get(member.host)
-        if known is not None:
-            if member.incarnation < known.member.incarnation:
-                return False
-            if member == known.member and now <= known.heard_at:
-                return False
+        if known is not None and member.incarnation < known.member.incarnation:
+            return False
         self._sighting_by_host[member.host] = Sighting(member, now, is_ready, is_leaving)
         self._listed_at_by_host.pop(member.host, None)
         return (
@@ -122,11 +174,47 @@
             or known.member != member
             or known.is_ready != is_ready
             or known.is_leaving != is_leaving
-            or now - known.heard_at > ALIVE_SECONDS
+            or now - known.heard_at > self.alive_seconds
         )
 
+    def on_gone(self, member: Member, now: float) -> None:
+        """Note that a hub no longer hears a node.
+
+        Args:
+            member: The node.
+            now: Loop time.
+        """
+        known = self._sighting_by_host.get(member.host)
+        if known is not None and known.member.incarnation <= member.incarnation:
+            silent_since = now - self.alive_seconds - ISOLATED_SECONDS
+            self._sighting_by_host[member.host] = known._replace(
+                heard_at=min(known.heard_at, silent_since)
+            )
+
+    def on_list(self, members: Iterable[Member], asked_at: float, now: float) -> None:
+        """Note that a hub has listed all nodes.
+
+        Args:
+            members: The nodes of the list.
+            asked_at: Loop time after which a node heard directly stays, listed or not.
+            now: Loop time.
+        """
+        hosts = {member.host for member in members}
+        for host, sighting in list(self._sighting_by_host.items()):
+            if host not in hosts and sighting.heard_at < asked_at:
+                self.on_gone(sighting.member, now)
+
+    def on_confirmed(self, now: float) -> None:
+        """Note that the first hub's view is the same as this node's.
+
+        Args:
+            now: Loop time.
+        """
+        for sighting in self.alive(now):
+            self._sighting_by_host[sighting.member.host] = sighting._replace(heard_at=now)
+
     def on_listed(self, member: Member, now: float) -> None:
-        """Note a node that is known by its record in the store, or as a seed.
+        """Note a node that is known by its record in the store.
 
         Args:
             member: The node.
@@ -166,7 +254,7 @@
         return self._suspected_until_by_host.get(host, 0.0) > now
 
     def alive(self, now: float) -> list[Sighting]:
-        """Return the nodes that reported lately, this one left out.
+        """Return the nodes that run as far as is known, this one left out.
 
         Args:
             now: Loop time.
@@ -179,8 +267,17 @@
         ]
 
     def _silence_limit(self, now: float) -> float:
-        is_connected = now - self._hub_heard_at <= ALIVE_SECONDS
-        return ALIVE_SECONDS if is_connected else ISOLATED_SECONDS
+        is_connected = now - self._hub_heard_at <= self.alive_seconds
+        return self.alive_seconds if is_connected else max(self.alive_seconds, ISOLATED_SECONDS)
+
+    def view(self, now: float) -> int:
+        """Return a hash of all nodes that run, this one included.
+
+        Args:
+            now: Loop time.
+        """
+        own = Sighting(self._own, now, self.is_ready, self.is_leaving)
+        return view_of([own, *self.alive(now)])
 
     def hubs(self, now: float) -> list[Member]:
         """Return the hubs, the first one first; this node may be among them.
@@ -191,12 +288,21 @@
         members = [
             sighting.member
             for sighting in self._sighting_by_host.values()
-            if now - sighting.heard_at <= ALIVE_SECONDS and not sighting.is_leaving
+            if now - sighting.heard_at <= self.alive_seconds and not sighting.is_leaving
         ]
         if not self.is_leaving:
             members.append(self._own)
         return sorted(members, key=lambda member: member.rank)[:HUBS]
 
+    def is_first_hub(self, now: float) -> bool:
+        """Whether this node places for all.
+
+        Args:
+            now: Loop time.
+        """
+        hubs = self.hubs(now)
+        return bool(hubs) and hubs[0].host == self._own.host
+
     def candidates(self, now: float) -> list[Member]:
         """Return the nodes known only by record that have not had their time to answer.
 
@@ -218,7 +324,7 @@
         return [
             sighting.member
             for sighting in self._sighting_by_host.values()
-            if ALIVE_SECONDS < now - sighting.heard_at <= FORGET_SECONDS
+            if self.alive_seconds < now - sighting.heard_at <= FORGET_SECONDS
         ]
 
     def node_count(self, now: float) -> int:
@@ -251,10 +357,6 @@
             if sighting.is_ready and not sighting.is_leaving
         ]
 
-    def sightings(self) -> list[Sighting]:
-        """Return all that is known of other nodes' reports."""
-        return list(self._sighting_by_host.values())
-
     def forget_old(self, now: float) -> None:
         """Drop nodes that have been silent for long.
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -227,9 +227,7 @@
         grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         logs.event("stopping", active=self._callers.active, grace=grace)
         self._callers.is_stopping = True
-        self._nodes.is_leaving = True
-        self._peers.is_leaving = True
-        self._peers.report(with_jobs=True)
+        self._peers.leave()
         while loop.time() < began + grace:
             left = loop.time() >= began + min(LEAVE_SECONDS, grace)
             if left and not self._callers.active:
--- a/src/dragonflycove/gateway/knowledge_task.py
+++ b/src/dragonflycove/gateway/knowledge_task.py
@@ -16,8 +16,8 @@
     from dragonflycove.fleet import catalog, knowledge
     from dragonflycove.gateway import peer_transfer
 
-TICK_SECONDS = 0.05
-"""Time between two looks at whether a read is due."""
+LEAST_PAUSE_SECONDS = 0.05
+"""Shortest pause between two looks at whether a read is due."""
 
 OUTAGE_FAILURES = 2
 """Reads that fail in a row before the store counts as lost; one may be a broken connection."""
@@ -115,13 +115,13 @@
             age = loop.time() - position.read_at
             due = self._schedule().age_seconds
             if age < due:
-                await asyncio.sleep(min(TICK_SECONDS, due - age))
+                await asyncio.sleep(max(LEAST_PAUSE_SECONDS, due - age))
                 continue
             started_at = loop.time()
             if await self._read_once(position, started_at):
                 continue
             # A store that is away is asked at the same pace, which bounds the calls.
-            await asyncio.sleep(max(TICK_SECONDS, due - (loop.time() - started_at)))
+            await asyncio.sleep(max(LEAST_PAUSE_SECONDS, due - (loop.time() - started_at)))
 
     async def _read_once(self, position: TopicPosition, started_at: float) -> bool:
         """Read what is new in a topic; returns whether the store answered."""
--- a/src/dragonflycove/gateway/placing.py
+++ b/src/dragonflycove/gateway/placing.py
@@ -25,6 +25,7 @@
         """
         self._placer = deciding
         self._line = waiting_line.WaitingLine(deciding)
+        self._has_waiting = asyncio.Event()
         self._future_by_key: dict[work.JobKey, asyncio.Future[work.Grant | work.Refusal]] = {}
 
     async def place(self, job: work.Job) -> work.Grant | work.Refusal:
@@ -40,6 +41,7 @@
         decision = self._line.offer(job, loop.time())
         if not isinstance(decision, work.Wait):
             return decision
+        self._has_waiting.set()
         future: asyncio.Future[work.Grant | work.Refusal] = loop.create_future()
         self._future_by_key[job.key] = future
         try:
@@ -75,9 +77,11 @@
     async def run(self) -> None:
         """Look at the line at intervals; runs until cancelled."""
         while True:
+            await self._has_waiting.wait()
             await asyncio.sleep(ADVANCE_SECONDS)
-            if len(self._line):
-                self.advance()
+            self.advance()
+            if not len(self._line):
+                self._has_waiting.clear()
 
     def _advance_soon(self) -> None:
         if len(self._line):
