--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -10,10 +10,8 @@
 import math
 from typing import TYPE_CHECKING
 
-from dragonflycove.fleet import work
-
 if TYPE_CHECKING:
-    from dragonflycove.fleet import catalog
+    from dragonflycove.fleet import catalog, work
 
 LATE_SHARE = 0.75
 """Share of a request's worth that is lost when it is late; the users pay a quarter for late ones."""
--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import catalog, roster, server_health, work
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog, roster, server_health, work
 
 
 class Freshness(NamedTuple):
@@ -96,8 +97,8 @@
     number: int
     """Number of the list; grows."""
 
-    index: int
-    """Index of the part."""
+    position: int
+    """Position of the part in the list."""
 
     total: int
     """Parts of the list."""
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -150,14 +150,10 @@
             for server in self._belief.usable_servers(job.service, now)
             if server.instance.server_id not in job.excluded and self._bears(server, service, now)
         ]
-        sound = [
-            server for server in usable if not self.health.is_suspect(server.instance, now)
-        ]
+        sound = [server for server in usable if not self.health.is_suspect(server.instance, now)]
         return sound or usable
 
-    def _bears(
-        self, server: catalog.BackendServer, service: catalog.Service, now: float
-    ) -> bool:
+    def _bears(self, server: catalog.BackendServer, service: catalog.Service, now: float) -> bool:
         """Whether a server that may be cold bears another request."""
         if service.cold_requests_per_second <= 0 or not self.is_cold(server.instance, now):
             return True
@@ -260,7 +256,9 @@
         lead = self._best_lead(job, leads, forecasts, spec, seconds, now)
         if lead is None:
             return None
-        helpers = self._best_helpers(job, servers, lead.server, forecasts, spec, seconds, count, now)
+        helpers = self._best_helpers(
+            job, servers, lead.server, forecasts, spec, seconds, count, now
+        )
         if len(helpers) < count - 1:
             return None
         reserved = self._reserve(job, lead.server, helpers, forecasts, spec)
@@ -475,9 +473,7 @@
             self._count(Placement(job, grant, placed_at, is_prompt=False), placed_at)
             return
         servers = (grant.lead, *(part.server for part in grant.helpers))
-        forecasts = {
-            server.instance: self._forecast(server, service.engine) for server in servers
-        }
+        forecasts = {server.instance: self._forecast(server, service.engine) for server in servers}
         self._commit(job, grant, forecasts, placed_at)
         if writes:
             self.on_first_event(job.key, placed_at)
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -148,9 +148,7 @@
             return sighting.member
         return None
 
-    def on_heard(
-        self, member: Member, now: float, *, is_ready: bool, is_leaving: bool
-    ) -> bool:
+    def on_heard(self, member: Member, now: float, *, is_ready: bool, is_leaving: bool) -> bool:
         """Note that a node runs.
 
         Args:
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import catalog
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog
 
 VALUE_BASE = 0.75
 """Worth of a prompt without its length, in the users' units of credit.
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -91,9 +91,7 @@
         body = json.dumps({"reason": final.reason}).encode()
         await self.answer(final.status, headers, body)
 
-    async def start(
-        self, status: int, headers: Sequence[tuple[bytes, bytes]], data: bytes
-    ) -> None:
+    async def start(self, status: int, headers: Sequence[tuple[bytes, bytes]], data: bytes) -> None:
         """Write the head of a stream and its first bytes.
 
         Args:
@@ -264,19 +262,19 @@
                 event = self._parser.next_event()
                 if isinstance(event, h11.Request):
                     head = event
-                    if self._parser.they_are_waiting_for_100_continue:
-                        await self._send_continue()
+                    self._allow_body()
                 elif isinstance(event, h11.Data):
                     body += event.data
                     if len(body) > self._limits().body_bytes:
                         raise h11.RemoteProtocolError("body too large", 413)
                 elif isinstance(event, h11.EndOfMessage) and head is not None:
-                    return requests.decode_request(head.method, head.target, head.headers, bytes(body))
+                    return requests.decode_request(
+                        head.method, head.target, head.headers, bytes(body)
+                    )
                 elif isinstance(event, h11.ConnectionClosed):
                     return None
                 else:
-                    if self._is_idle and self._parser.trailing_data[0]:
-                        self._is_idle = False
+                    self._is_idle = self._is_idle and not self._parser.trailing_data[0]
                     if not self._is_idle and not counted:
                         counted = True
                         self._listener.active += 1
@@ -285,8 +283,7 @@
                     if data is None:
                         return None
                     self._parser.receive_data(data)
-                    if data:
-                        self._is_idle = False
+                    self._is_idle = self._is_idle and not data
         finally:
             if counted:
                 self._listener.active -= 1
@@ -300,7 +297,10 @@
         except (TimeoutError, OSError):
             return None
 
-    async def _send_continue(self) -> None:
+    def _allow_body(self) -> None:
+        """Tell a caller that waits for it that it may send the body."""
+        if not self._parser.they_are_waiting_for_100_continue:
+            return
         response = h11.InformationalResponse(status_code=100, headers=[])
         self._writer.write(self._parser.send(response) or b"")
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import random
 import signal
@@ -26,8 +27,11 @@
     directory,
     forwarder,
     knowledge_task,
+    peer_link,
+    peer_placing,
+    peer_records,
+    peer_reports,
     peer_transfer,
-    peers,
     placing,
     reservations,
     server_pool,
@@ -112,15 +116,18 @@
             settings.store.address, self._belief, self._schedule, lambda: None
         )
         suspects = crash_suspects.CrashSuspects()
-        self._peers = peers.PeerTask(
+        self._link = peer_link.PeerLink()
+        self._reports = peer_reports.PeerReports(
             self._own,
             self._nodes,
             self._placer,
-            self._placing,
-            self._knowledge,
-            suspects,
+            peer_records.PeerRecords(self._knowledge),
+            self._link,
             self._is_ready,
         )
+        hub_placing = peer_placing.PeerPlacing(
+            self._own, self._nodes, self._placer, self._placing, suspects, self._link
+        )
         self._transfers = peer_transfer.TransferServer(self._knowledge)
         self._pool = server_pool.ServerPool()
         self._reserving = reservations.Reservations(self._pool)
@@ -132,7 +139,7 @@
         self._forwarder = forwarder.Forwarder(
             identity,
             self._belief,
-            self._peers,
+            hub_placing,
             self._pool,
             retries,
             suspects,
@@ -190,7 +197,7 @@
                 self._knowledge.run(),
                 self._placing.run(),
                 self._sweep(),
-                self._peers.run(),
+                self._reports.run(),
                 self._announce(),
                 self._find_nodes(),
                 self._follow_settings(),
@@ -211,9 +218,11 @@
 
     async def _listen(self) -> None:
         settings = self._settings
-        await self._peers.listen()
+        await self._link.listen(self._own.peer_address)
         await self._transfers.listen(self._own.peer_address)
-        for address in {settings.readiness_address, settings.directory_address} - {None}:
+        for address in {settings.readiness_address, settings.directory_address}:
+            if address is None:
+                continue
             listener = callers.CallerListener(self._directory, self._limits)
             await listener.listen(address)
             self._control.append(listener)
@@ -227,7 +236,7 @@
         grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         logs.event("stopping", active=self._callers.active, grace=grace)
         self._callers.is_stopping = True
-        self._peers.leave()
+        self._reports.leave()
         while loop.time() < began + grace:
             left = loop.time() >= began + min(LEAVE_SECONDS, grace)
             if left and not self._callers.active:
@@ -239,8 +248,10 @@
 
     async def _announce(self) -> None:
         """Write this node into the list of nodes, until the store has taken it."""
-        while isinstance(await self._members.announce(self._own), result.Err):
-            await asyncio.sleep(ANNOUNCE_AGAIN_SECONDS)
+        for pause in itertools.repeat(ANNOUNCE_AGAIN_SECONDS):
+            if isinstance(await self._members.announce(self._own), result.Ok):
+                return
+            await asyncio.sleep(pause)
 
     async def _find_nodes(self) -> None:
         """Learn of other nodes from the list and from the seeds."""
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import random
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import result
@@ -15,6 +14,8 @@
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
+    import random
+
     from dragonflycove.fleet import crash_suspects, knowledge, retry_share
     from dragonflycove.gateway import callers, reservations, server_pool
 
@@ -158,9 +159,7 @@
             logs.event("caller_gone", request=request.attempt_id)
             raise
 
-    def _admit(
-        self, request: forwarding.CallerRequest
-    ) -> result.Result[Life, forwarding.Final]:
+    def _admit(self, request: forwarding.CallerRequest) -> result.Result[Life, forwarding.Final]:
         """Find the route and the organisation of a request."""
         configuration = self._belief.configuration
         if configuration is None:
@@ -235,8 +234,7 @@
             self._retries.on_request(life.service, now)
             return None
         ran = sum(
-            end not in forwarding.PROVEN_NOT_RUN and end is not forwarding.End.STALE
-            for end in ends
+            end not in forwarding.PROVEN_NOT_RUN and end is not forwarding.End.STALE for end in ends
         )
         if ran >= life.route.max_attempts or len(ends) >= MOST_SENDS:
             return forwarding.final_after(ends, out_of_time=False)
@@ -266,9 +264,7 @@
         request = life.request
         elapsed = now - life.received_at
         return work.Job(
-            key=work.JobKey(
-                self._identity.host, self._identity.incarnation, next(self._numbers)
-            ),
+            key=work.JobKey(self._identity.host, self._identity.incarnation, next(self._numbers)),
             service=life.service,
             organisation=life.organisation_name,
             priority=life.priority,
--- /dev/null
+++ b/src/dragonflycove/gateway/peer_placing.py
@@ -0,0 +1,244 @@
+"""Gets placements from a hub, and places for other nodes where this node is one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dragonflycove.fleet import peer_messages, server_health, work
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog, crash_suspects, placer, roster
+    from dragonflycove.gateway import peer_link, placing
+
+ASK_AGAIN_SECONDS = 0.05
+"""Time after which a request for a placement is sent again; answers take a few milliseconds."""
+
+ASK_TIMES = 3
+"""Requests without an answer after which the hub is passed over."""
+
+WAITING_ASK_SECONDS = 0.25
+"""Time between two questions about a request that waits at a hub."""
+
+PASS_OVER_SECONDS = 1.0
+"""Time for which a hub that did not answer is passed over."""
+
+AT_ONCE_SECONDS = 0.002
+"""Time within which a placement without a wait is decided; one turn of the loop suffices."""
+
+_Answer = peer_messages.PlaceGranted | peer_messages.PlaceRefused | peer_messages.PlaceWaits
+
+
+class PeerPlacing:
+    """Places this node's requests through the hubs, and others' as a hub."""
+
+    def __init__(
+        self,
+        own: roster.Member,
+        nodes: roster.Roster,
+        deciding: placer.Placer,
+        local: placing.LocalPlacing,
+        suspects: crash_suspects.CrashSuspects,
+        link: peer_link.PeerLink,
+    ) -> None:
+        """Create without requests.
+
+        Args:
+            own: This node.
+            nodes: The other nodes.
+            deciding: Places requests where this node is a hub.
+            local: Its line.
+            suspects: Requests that crash servers.
+            link: The socket.
+        """
+        self._own = own
+        self._nodes = nodes
+        self._placer = deciding
+        self._local = local
+        self._suspects = suspects
+        self._link = link
+        self._answer_by_key: dict[work.JobKey, asyncio.Future[_Answer]] = {}
+        self._placing_by_key: dict[work.JobKey, asyncio.Task[None]] = {}
+        link.register(peer_messages.PlaceRequest, self._on_place_request)
+        link.register(peer_messages.PlaceGranted, self._on_answer)
+        link.register(peer_messages.PlaceRefused, self._on_answer)
+        link.register(peer_messages.PlaceWaits, self._on_answer)
+        link.register(peer_messages.Withdrawn, self._on_withdrawn)
+        link.register(peer_messages.FirstEvent, self._on_first_event_told)
+        link.register(peer_messages.Ended, self._on_ended)
+
+    async def place(self, job: work.Job) -> work.Grant | work.Refusal:
+        """Wait until a request is placed or refused.
+
+        Args:
+            job: The request.
+
+        Returns:
+            Where it goes, or why it goes nowhere.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + job.deadline_seconds
+        for hub in self._nodes.hubs(loop.time()):
+            if hub.host == self._own.host:
+                break
+            if self._nodes.is_suspected(hub.host, loop.time()):
+                continue
+            left = job._replace(deadline_seconds=until - loop.time())
+            decision = await self._ask(hub, left)
+            if decision is not None:
+                return decision
+            self._nodes.suspect(hub.host, loop.time() + PASS_OVER_SECONDS)
+            logs.event("hub_passed_over", hub=hub.host, job=job.key.number)
+        return await self._local.place(job._replace(deadline_seconds=until - loop.time()))
+
+    async def _ask(self, hub: roster.Member, job: work.Job) -> work.Grant | work.Refusal | None:
+        """Ask a hub for a placement; None if it does not answer."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + job.deadline_seconds
+        unanswered = 0
+        pause = ASK_AGAIN_SECONDS
+        settled = False
+        try:
+            while unanswered < ASK_TIMES and loop.time() < until:
+                future: asyncio.Future[_Answer] = loop.create_future()
+                self._answer_by_key[job.key] = future
+                left = job._replace(deadline_seconds=until - loop.time())
+                self._link.send(hub.peer_address, peer_messages.PlaceRequest(left))
+                try:
+                    async with asyncio.timeout(pause):
+                        answer = await future
+                except TimeoutError:
+                    unanswered += 1
+                    continue
+                if isinstance(answer, peer_messages.PlaceWaits):
+                    unanswered = 0
+                    pause = WAITING_ASK_SECONDS
+                    placed = await self._until_placed(job.key, pause)
+                    if placed is None:
+                        continue
+                    answer = placed
+                settled = True
+                if isinstance(answer, peer_messages.PlaceRefused):
+                    return answer.refusal
+                if isinstance(answer, peer_messages.PlaceGranted):
+                    self._placer.adopt(job, answer.grant, loop.time(), writes=False)
+                    return answer.grant
+            if loop.time() >= until:
+                settled = True
+                return work.Refusal("no_room_in_time", 0.5)
+            return None
+        finally:
+            self._answer_by_key.pop(job.key, None)
+            if not settled:
+                self._link.send(hub.peer_address, peer_messages.Withdrawn(job.key))
+
+    async def _until_placed(
+        self, key: work.JobKey, seconds: float
+    ) -> peer_messages.PlaceGranted | peer_messages.PlaceRefused | None:
+        """Wait for the answer that follows one that says that a request waits."""
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[_Answer] = loop.create_future()
+        self._answer_by_key[key] = future
+        try:
+            async with asyncio.timeout(seconds):
+                answer = await future
+        except TimeoutError:
+            return None
+        return None if isinstance(answer, peer_messages.PlaceWaits) else answer
+
+    def _on_answer(self, answer: _Answer, sender: catalog.Address) -> None:
+        future = self._answer_by_key.get(answer.key)
+        if future is not None and not future.done():
+            future.set_result(answer)
+        elif (
+            isinstance(answer, peer_messages.PlaceGranted)
+            and self._placer.placement(answer.key) is None
+        ):
+            self._link.send(sender, peer_messages.Withdrawn(answer.key))
+
+    def _on_place_request(
+        self, request: peer_messages.PlaceRequest, sender: catalog.Address
+    ) -> None:
+        key = request.job.key
+        placement = self._placer.placement(key)
+        if placement is not None:
+            self._link.send(sender, peer_messages.PlaceGranted(key, placement.grant))
+            return
+        if key in self._placing_by_key:
+            self._link.send(sender, peer_messages.PlaceWaits(key, 0.0))
+            return
+        task = asyncio.ensure_future(self._place_for(request.job, sender))
+        self._placing_by_key[key] = task
+        task.add_done_callback(lambda _: self._placing_by_key.pop(key, None))
+
+    async def _place_for(self, job: work.Job, sender: catalog.Address) -> None:
+        deciding = asyncio.ensure_future(self._local.place(job))
+        try:
+            done, _ = await asyncio.wait({deciding}, timeout=AT_ONCE_SECONDS)
+            if not done:
+                self._link.send(sender, peer_messages.PlaceWaits(job.key, 0.0))
+            decision = await deciding
+        except asyncio.CancelledError:
+            deciding.cancel()
+            raise
+        if isinstance(decision, work.Grant):
+            self._link.send(sender, peer_messages.PlaceGranted(job.key, decision))
+        else:
+            self._link.send(sender, peer_messages.PlaceRefused(job.key, decision))
+
+    def _on_withdrawn(self, message: peer_messages.Withdrawn, sender: catalog.Address) -> None:
+        task = self._placing_by_key.get(message.key)
+        if task is not None:
+            task.cancel()
+        self._local.on_end(message.key, server_health.Outcome.ABANDONED)
+
+    def _hub_addresses(self) -> list[catalog.Address]:
+        hubs = self._nodes.hubs(asyncio.get_running_loop().time())
+        return [hub.peer_address for hub in hubs if hub.host != self._own.host]
+
+    def on_first_event(self, key: work.JobKey) -> None:
+        """Note that a prompt has been read.
+
+        Args:
+            key: The request.
+        """
+        self._local.on_first_event(key)
+        for address in self._hub_addresses():
+            self._link.send(address, peer_messages.FirstEvent(key))
+
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
+        """Note that a send ended.
+
+        Args:
+            key: The request.
+            outcome: How it ended.
+
+        Returns:
+            Whether its server became a suspect by this.
+        """
+        now = asyncio.get_running_loop().time()
+        placement = self._placer.placement(key)
+        is_suspect = self._local.on_end(key, outcome)
+        if placement is not None:
+            fingerprint = placement.job.fingerprint
+            lost = self._suspects.losses(fingerprint, now)
+            instance = placement.grant.lead.instance
+            message = peer_messages.Ended(key, outcome, instance, fingerprint, lost)
+            for address in self._hub_addresses():
+                self._link.send(address, message)
+        return is_suspect
+
+    def _on_first_event_told(
+        self, message: peer_messages.FirstEvent, sender: catalog.Address
+    ) -> None:
+        self._local.on_first_event(message.key)
+
+    def _on_ended(self, message: peer_messages.Ended, sender: catalog.Address) -> None:
+        now = asyncio.get_running_loop().time()
+        if message.lost_servers:
+            self._suspects.merge(message.fingerprint, message.lost_servers, now)
+        if self._placer.placement(message.key) is not None:
+            self._local.on_end(message.key, message.outcome)
+        else:
+            self._placer.health.on_outcome(message.instance, message.outcome, now)
--- /dev/null
+++ b/src/dragonflycove/gateway/peer_reports.py
@@ -0,0 +1,306 @@
+"""Tells the hubs of this node, and as a hub tells the other nodes what it knows."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dragonflycove.fleet import peer_messages, work
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.fleet import catalog, placer, roster
+    from dragonflycove.gateway import peer_link, peer_records
+
+JOBS_EVERY = 2
+"""Reports of which one lists the node's requests; half a second is well under a request's life."""
+
+SILENT_EVERY = 4
+"""Reports of which one also goes to the nodes that fell silent; they may only be cut off."""
+
+DIFFERS_SECONDS = 0.6
+"""Time for which views may differ before the list of all nodes is asked for."""
+
+LIST_SECONDS = 1.0
+"""Time before a list in which a node that was heard of stays, listed or not."""
+
+SEEN_PER_MESSAGE = 9
+"""Nodes in one datagram, which stays under a usual path's 1,400 bytes."""
+
+
+class PeerReports:
+    """Reports of this node, and pulses to those that report to it."""
+
+    def __init__(
+        self,
+        own: roster.Member,
+        nodes: roster.Roster,
+        deciding: placer.Placer,
+        records: peer_records.PeerRecords,
+        link: peer_link.PeerLink,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """Create a task that has told nothing.
+
+        Args:
+            own: This node.
+            nodes: The other nodes.
+            deciding: Counts requests on servers.
+            records: Keeps the node's records new.
+            link: The socket.
+            is_ready: Tells whether this node takes callers.
+        """
+        self._own = own
+        self._nodes = nodes
+        self._placer = deciding
+        self._records = records
+        self._link = link
+        self._is_ready = is_ready
+        self._reporters: dict[str, _Reporter] = {}
+        self._ticks = 0
+        self._hub = ""
+        self._known_at: set[roster.Member] = set()
+        self._wants_list = True
+        self._differs_since = float("inf")
+        self._list_number = 0
+        self._list_parts: tuple[int, dict[int, tuple[roster.Member, ...]], float] = (-1, {}, 0.0)
+        link.register(peer_messages.Report, self._on_report)
+        link.register(peer_messages.Pulse, self._on_pulse)
+        link.register(peer_messages.RunningJob, self._on_running_job)
+
+    def leave(self) -> None:
+        """Tell the other nodes that this one is stopping."""
+        now = asyncio.get_running_loop().time()
+        was_first = self._nodes.is_first_hub(now)
+        self._nodes.is_leaving = True
+        self.report(with_jobs=True)
+        if was_first:
+            for reporter in self._reporters.values():
+                self._pulse(reporter.member.peer_address, now)
+
+    async def run(self) -> None:
+        """Report to the hubs for ever."""
+        while True:
+            self.report(with_jobs=self._ticks % JOBS_EVERY == 0)
+            self._ticks += 1
+            self._forget_gone()
+            await asyncio.sleep(self._nodes.report_seconds)
+
+    def report(self, *, with_jobs: bool) -> None:
+        """Report to the hubs and to nodes that may be running.
+
+        Args:
+            with_jobs: Whether the report lists this node's requests.
+        """
+        now = asyncio.get_running_loop().time()
+        self._nodes.is_ready = self._is_ready()
+        hubs = self._nodes.hubs(now)
+        self._note_hub(hubs)
+        numbers = None
+        if with_jobs:
+            numbers = tuple(
+                key.number
+                for key in self._placer.jobs_of(self._own.host)
+                if key.incarnation == self._own.incarnation
+            )
+        report = peer_messages.Report(
+            self._condition(), None, self._records.freshness(now), numbers, wants_list=False
+        )
+        introduction = report._replace(member=self._own)
+        others = {member.host: member for member in self._nodes.candidates(now)}
+        if self._ticks % SILENT_EVERY == 0:
+            others.update({member.host: member for member in self._nodes.silent(now)})
+        for hub in hubs:
+            others.pop(hub.host, None)
+            if hub.host == self._own.host:
+                continue
+            is_known = hub in self._known_at
+            wants_list = hub is hubs[0] and self._wants_list
+            told = report if is_known else introduction
+            self._link.send(hub.peer_address, told._replace(wants_list=wants_list))
+        for member in others.values():
+            self._link.send(member.peer_address, introduction)
+        self._known_at.intersection_update(hubs)
+
+    def _condition(self) -> peer_messages.Condition:
+        return peer_messages.Condition(
+            self._own.host, self._own.incarnation, self._is_ready(), self._nodes.is_leaving
+        )
+
+    def _note_hub(self, hubs: list[roster.Member]) -> None:
+        first = hubs[0].host if hubs else ""
+        if first != self._hub:
+            logs.event("hub_changed", hub=first, before=self._hub)
+            self._hub = first
+            self._wants_list = True
+
+    def _on_report(self, report: peer_messages.Report, sender: catalog.Address) -> None:
+        now = asyncio.get_running_loop().time()
+        condition = report.condition
+        member = report.member or self._nodes.member(condition.host, condition.incarnation)
+        if member is None:
+            self._pulse(sender, now, knows_you=False)
+            return
+        is_news = self._nodes.on_heard(
+            member, now, is_ready=condition.is_ready, is_leaving=condition.is_leaving
+        )
+        reporter = self._reporters.get(member.host)
+        if reporter is None or reporter.member != member:
+            reporter = self._reporters[member.host] = _Reporter(member)
+        reporter.heard_at = now
+        self._records.compare(member, report.freshness, now)
+        unknown: tuple[int, ...] = ()
+        if report.jobs is not None:
+            unknown = self._placer.reconcile(member.host, member.incarnation, report.jobs, now)
+        self._pulse(sender, now, unknown=unknown)
+        if report.wants_list:
+            self._send_list(sender, now)
+        if is_news:
+            logs.event(
+                "node_changed",
+                node=member.host,
+                incarnation=member.incarnation,
+                ready=condition.is_ready,
+                leaving=condition.is_leaving,
+            )
+            self._tell(
+                peer_messages.Seen(member, condition.is_ready, condition.is_leaving, is_gone=False),
+                now,
+            )
+
+    def _tell(self, change: peer_messages.Seen, now: float) -> None:
+        """Tell all reporters of a change at once, if this node is the first hub."""
+        if not self._nodes.is_first_hub(now):
+            return
+        for reporter in self._reporters.values():
+            if reporter.member.host != change.member.host:
+                self._pulse(reporter.member.peer_address, now, seen=(change,))
+
+    def _send_list(self, address: catalog.Address, now: float) -> None:
+        seen = [
+            peer_messages.Seen(
+                sighting.member, sighting.is_ready, sighting.is_leaving, is_gone=False
+            )
+            for sighting in self._nodes.alive(now)
+        ]
+        self._list_number += 1
+        total = max(1, -(-len(seen) // SEEN_PER_MESSAGE))
+        for index in range(total):
+            start = index * SEEN_PER_MESSAGE
+            part = peer_messages.ListPart(self._list_number, index, total)
+            chosen = tuple(seen[start : start + SEEN_PER_MESSAGE])
+            self._pulse(address, now, seen=chosen, part=part)
+
+    def _pulse(
+        self,
+        address: catalog.Address,
+        now: float,
+        *,
+        knows_you: bool = True,
+        unknown: tuple[int, ...] = (),
+        seen: tuple[peer_messages.Seen, ...] = (),
+        part: peer_messages.ListPart | None = None,
+    ) -> None:
+        pulse = peer_messages.Pulse(
+            self._condition(),
+            self._records.freshness(now),
+            self._nodes.view(now),
+            knows_you,
+            unknown,
+            seen,
+            part,
+        )
+        self._link.send(address, pulse)
+
+    def _on_pulse(self, pulse: peer_messages.Pulse, sender: catalog.Address) -> None:
+        now = asyncio.get_running_loop().time()
+        condition = pulse.condition
+        hub = self._nodes.member(condition.host, condition.incarnation)
+        if hub is None:
+            hub = self._candidate(condition, now)
+            if hub is None:
+                return
+        self._nodes.on_heard(hub, now, is_ready=condition.is_ready, is_leaving=condition.is_leaving)
+        self._nodes.on_hub_heard(hub.host, now)
+        if pulse.knows_you:
+            self._known_at.add(hub)
+        else:
+            self._known_at.discard(hub)
+        hubs = self._nodes.hubs(now)
+        if hubs and hubs[0].host == hub.host:
+            self._follow_view(pulse, now)
+        self._records.compare(hub, pulse.freshness, now)
+        for number in pulse.unknown_jobs:
+            self._tell_job(sender, number, now)
+
+    def _candidate(self, condition: peer_messages.Condition, now: float) -> roster.Member | None:
+        for member in self._nodes.candidates(now):
+            if (member.host, member.incarnation) == (condition.host, condition.incarnation):
+                return member
+        return None
+
+    def _follow_view(self, pulse: peer_messages.Pulse, now: float) -> None:
+        """Take in what the first hub says of the other nodes."""
+        for seen in pulse.seen:
+            if seen.is_gone:
+                self._nodes.on_gone(seen.member, now)
+            else:
+                self._nodes.on_heard(
+                    seen.member, now, is_ready=seen.is_ready, is_leaving=seen.is_leaving
+                )
+        if pulse.part is not None:
+            if pulse.part.number != self._list_parts[0]:
+                self._list_parts = (pulse.part.number, {}, now)
+            self._list_parts[1][pulse.part.position] = tuple(seen.member for seen in pulse.seen)
+            if len(self._list_parts[1]) == pulse.part.total:
+                members = [one for part in self._list_parts[1].values() for one in part]
+                self._nodes.on_list(members, self._list_parts[2] - LIST_SECONDS, now)
+        if pulse.view == self._nodes.view(now):
+            self._wants_list = False
+            self._nodes.on_confirmed(now)
+            self._differs_since = float("inf")
+        else:
+            # A difference that lasts was no message on its way.
+            self._differs_since = min(self._differs_since, now)
+            self._wants_list = self._wants_list or now - self._differs_since > DIFFERS_SECONDS
+
+    def _tell_job(self, address: catalog.Address, number: int, now: float) -> None:
+        key = work.JobKey(self._own.host, self._own.incarnation, number)
+        placement = self._placer.placement(key)
+        if placement is not None:
+            age = now - placement.placed_at
+            writes = self._placer.writes(key)
+            self._link.send(
+                address, peer_messages.RunningJob(placement.job, placement.grant, age, writes)
+            )
+
+    def _on_running_job(self, running: peer_messages.RunningJob, sender: catalog.Address) -> None:
+        now = asyncio.get_running_loop().time()
+        self._placer.adopt(
+            running.job, running.grant, now - running.age_seconds, writes=running.writes
+        )
+
+    def _forget_gone(self) -> None:
+        """Drop the requests of nodes that no longer report."""
+        now = asyncio.get_running_loop().time()
+        for host, reporter in list(self._reporters.items()):
+            if now - reporter.heard_at > self._nodes.alive_seconds:
+                del self._reporters[host]
+                dropped = self._placer.forget_host(host, now)
+                logs.event("node_lost", node=host, requests=dropped)
+                gone = peer_messages.Seen(
+                    reporter.member, is_ready=False, is_leaving=False, is_gone=True
+                )
+                self._tell(gone, now)
+
+
+class _Reporter:
+    """A node that reports to this one."""
+
+    __slots__ = ("heard_at", "member")
+
+    def __init__(self, member: roster.Member) -> None:
+        self.member = member
+        self.heard_at = 0.0
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -10,13 +10,13 @@
 import msgspec
 import result
 
-from dragonflycove.platform import store
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog
     from dragonflycove.gateway import knowledge_task
+    from dragonflycove.platform import store
 
 TRANSFER_SECONDS = 1.0
 """Time for a whole transfer; a configuration of some hundred routes takes milliseconds."""
@@ -108,12 +108,8 @@
         )
 
 
-def _topic_answer(
-    position: knowledge_task.TopicPosition, request: TopicRequest
-) -> TopicAnswer:
-    wanted = [
-        record for record in position.record_by_key.values() if record.offset > request.after
-    ]
+def _topic_answer(position: knowledge_task.TopicPosition, request: TopicRequest) -> TopicAnswer:
+    wanted = [record for record in position.record_by_key.values() if record.offset > request.after]
     age = asyncio.get_running_loop().time() - position.read_at
     return TopicAnswer(tuple(wanted), position.next_offset, age)
 
--- a/src/dragonflycove/gateway/placing.py
+++ b/src/dragonflycove/gateway/placing.py
@@ -96,4 +96,3 @@
                 future.set_result(placed.decision)
             elif isinstance(placed.decision, work.Grant):
                 self._placer.on_end(placed.key, server_health.Outcome.ABANDONED, now)
-
--- a/src/dragonflycove/gateway/reservations.py
+++ b/src/dragonflycove/gateway/reservations.py
@@ -70,9 +70,7 @@
         self._pool = pool
         self._releasing: set[asyncio.Task[None]] = set()
 
-    async def reserve(
-        self, grant: work.Grant, job: work.Job
-    ) -> result.Result[Held, str]:
+    async def reserve(self, grant: work.Grant, job: work.Job) -> result.Result[Held, str]:
         """Set aside the memory that a placement wants.
 
         Args:
@@ -146,7 +144,7 @@
         connection: http1.Connection | None = None
         try:
             async with asyncio.timeout(ORDER_SECONDS):
-                taken = await self._pool.take(address, fresh=False, timeout=ORDER_SECONDS)
+                taken = await self._pool.take(address, fresh=False, connect_seconds=ORDER_SECONDS)
                 if isinstance(taken, result.Err):
                     return 0
                 connection = taken.ok_value
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -123,7 +123,7 @@
         taken = await self._pool.take(
             server.address,
             fresh=not life.route.is_repeatable,
-            timeout=max(0.01, life.deadline_at - loop.time()),
+            connect_seconds=max(0.01, life.deadline_at - loop.time()),
         )
         if isinstance(taken, result.Err):
             return Outcome(forwarding.End.NOT_SENT, server_health.Outcome.UNREACHABLE)
--- a/src/dragonflycove/gateway/server_pool.py
+++ b/src/dragonflycove/gateway/server_pool.py
@@ -35,14 +35,14 @@
         """Connections opened."""
 
     async def take(
-        self, address: catalog.Address, *, fresh: bool, timeout: float
+        self, address: catalog.Address, *, fresh: bool, connect_seconds: float
     ) -> result.Result[http1.Connection, str]:
         """Return a connection that carries nothing.
 
         Args:
             address: The server.
             fresh: Whether it must be new, so that it can't have gone stale.
-            timeout: Longest time to open one, seconds.
+            connect_seconds: Longest time to open one, seconds.
 
         Returns:
             The connection, or why there is none.
@@ -55,7 +55,7 @@
                 return result.Ok(connection)
             connection.close()
         self.opened += 1
-        return await http1.Connection.open(address, min(CONNECT_SECONDS, timeout))
+        return await http1.Connection.open(address, min(CONNECT_SECONDS, connect_seconds))
 
     def put(
         self,
--- a/src/dragonflycove/node/control_tasks.py
+++ b/src/dragonflycove/node/control_tasks.py
@@ -12,9 +12,9 @@
     import random
     from collections.abc import Callable
 
+    from dragonflycove.infrastructure import host_list_client
     from dragonflycove.membership import digests
     from dragonflycove.node import configuration_task
-    from dragonflycove.infrastructure import host_list_client
     from dragonflycove.telemetry import metrics as node_metrics
     from dragonflycove.values import identifiers
 
--- a/src/dragonflycove/node/host_list_task.py
+++ b/src/dragonflycove/node/host_list_task.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dragonflycove.node import services
     from dragonflycove.infrastructure import host_list_client
+    from dragonflycove.node import services
 
 READ_SECONDS = 0.5
 """Time between two readings, seconds."""
--- a/src/dragonflycove/node/node.py
+++ b/src/dragonflycove/node/node.py
@@ -13,6 +13,7 @@
 from dragonflycove.callers import app as caller_app
 from dragonflycove.callers import gateway
 from dragonflycove.configuration import freshness, schema
+from dragonflycove.infrastructure import host_list_client, log_client
 from dragonflycove.membership import digests
 from dragonflycove.node import (
     claim_task,
@@ -39,7 +40,6 @@
     tasks,
 )
 from dragonflycove.operators import app as operator_app
-from dragonflycove.infrastructure import host_list_client, log_client
 from dragonflycove.reclaim import reclaimer
 from dragonflycove.routing import policies
 from dragonflycove.telemetry import logs, metrics
--- a/src/dragonflycove/platform/members.py
+++ b/src/dragonflycove/platform/members.py
@@ -6,12 +6,13 @@
 
 import cbor2
 import msgspec
-import result
 
 from dragonflycove.fleet import roster
 from dragonflycove.platform import store
 
 if TYPE_CHECKING:
+    import result
+
     from dragonflycove.fleet import catalog
 
 TOPIC = "keyed.members"
--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -126,19 +126,19 @@
 
     @classmethod
     async def open(
-        cls, address: catalog.Address, timeout: float
+        cls, address: catalog.Address, connect_seconds: float
     ) -> result.Result[Connection, str]:
         """Open a connection.
 
         Args:
             address: Where the server listens.
-            timeout: Longest wait, seconds.
+            connect_seconds: Longest wait, seconds.
 
         Returns:
             The connection, or why there is none.
         """
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(connect_seconds):
                 reader, writer = await asyncio.open_connection(address.ip, address.port)
         except TimeoutError:
             return result.Err("connect_timeout")
--- a/tests/node/test_claim_task.py
+++ b/tests/node/test_claim_task.py
@@ -10,8 +10,8 @@
 
 from dragonflycove.backends import plain_client
 from dragonflycove.configuration import schema
-from dragonflycove.node import claim_task
 from dragonflycove.infrastructure import log_client
+from dragonflycove.node import claim_task
 from dragonflycove.transport import exchange
 from dragonflycove.values import identifiers, outcomes, requests
 
--- a/tests/node/test_control_tasks.py
+++ b/tests/node/test_control_tasks.py
@@ -15,10 +15,10 @@
 from websockets.asyncio import client
 
 from dragonflycove.configuration import freshness, records
+from dragonflycove.infrastructure import host_list_client
 from dragonflycove.membership import digests
 from dragonflycove.node import configuration_task, control_tasks, peer_task
 from dragonflycove.peering import messages
-from dragonflycove.infrastructure import host_list_client
 from dragonflycove.telemetry import metrics
 from dragonflycove.values import identifiers
 
