--- a/src/dragonflycove/cli/main.py
+++ b/src/dragonflycove/cli/main.py
@@ -10,6 +10,7 @@
     ask_command,
     config_commands,
     exit_codes,
+    explain_command,
     inspect_commands,
     lookup_command,
     status_command,
@@ -30,11 +31,13 @@
     ("status",): status_command.run,
     ("lookup",): lookup_command.run,
     ("ask",): ask_command.run,
+    ("explain",): explain_command.run,
 }
 """Commands that run in this process, by the words that name them."""
 
 _MODULES_BY_WORD = {
     "node": "dragonflycove.node.daemon",
+    "platform-node": "dragonflycove.gateway.daemon",
     "standin": "dragonflycove.standins.main",
     "load": "dragonflycove.measure.main",
     "measure": "dragonflycove.measure.main",
--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from dragonflycove.fleet import catalog, roster, server_health, work
+# Messages are decoded by these types at run time.
+from dragonflycove.fleet import catalog, roster, server_health, work  # noqa: TC001
 
 
 class Freshness(NamedTuple):
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -292,14 +292,22 @@
             members.append(self._own)
         return sorted(members, key=lambda member: member.rank)[:HUBS]
 
+    def hub_rank(self, now: float) -> int:
+        """Return this node's place among the hubs; -1 if it is none.
+
+        Args:
+            now: Loop time.
+        """
+        hosts = [hub.host for hub in self.hubs(now)]
+        return hosts.index(self._own.host) if self._own.host in hosts else -1
+
     def is_first_hub(self, now: float) -> bool:
         """Whether this node places for all.
 
         Args:
             now: Loop time.
         """
-        hubs = self.hubs(now)
-        return bool(hubs) and hubs[0].host == self._own.host
+        return self.hub_rank(now) == 0
 
     def candidates(self, now: float) -> list[Member]:
         """Return the nodes known only by record that have not had their time to answer.
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from dragonflycove.fleet import catalog
+# Messages between nodes are decoded by these types at run time.
+from dragonflycove.fleet import catalog  # noqa: TC001
 
 VALUE_BASE = 0.75
 """Worth of a prompt without its length, in the users' units of credit.
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -38,7 +38,7 @@
 )
 from dragonflycove.platform import members
 from dragonflycove.platform import settings as platform_settings
-from dragonflycove.telemetry import logs
+from dragonflycove.telemetry import fleet_metrics, logs
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -85,6 +85,9 @@
 ANNOUNCE_AGAIN_SECONDS = 1.0
 """Pause before this node's record is written again after a failure."""
 
+METRICS_PORT = 9464
+"""Port of the metrics; deploy/system.toml names the same."""
+
 SWEEP_SECONDS = 1.0
 """Time between two sweeps of idle connections and old memory."""
 
@@ -136,6 +139,7 @@
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_seconds
         )
         identity = forwarder.NodeIdentity(settings.host, incarnation, settings.zone)
+        self._metrics = fleet_metrics.FleetMetrics(self._gauges)
         self._forwarder = forwarder.Forwarder(
             identity,
             self._belief,
@@ -144,11 +148,13 @@
             retries,
             suspects,
             self._reserving,
+            self._metrics,
+            self._servers_age,
             rng,
         )
         self._callers = callers.CallerListener(self._forwarder, self._limits)
         self._directory = directory.Directory(
-            self._points, self._is_ready, lambda: (b"", "text/plain"), bounds.answer_ttl_seconds
+            self._points, self._is_ready, self._metrics.render, bounds.answer_ttl_seconds
         )
         self._other_read_age = OTHERS_READ_AGE + OTHERS_READ_SPREAD * rng.random()
         self._control: list[callers.CallerListener] = []
@@ -176,11 +182,29 @@
 
     def _schedule(self) -> knowledge_task.Schedule:
         """Read the store sooner the nearer this node is to being the first hub."""
-        hubs = [hub.host for hub in self._nodes.hubs(asyncio.get_running_loop().time())]
-        rank = hubs.index(self._own.host) if self._own.host in hubs else len(READ_AGES)
-        return knowledge_task.Schedule(
-            READ_AGES[rank] if rank < len(READ_AGES) else self._other_read_age
-        )
+        rank = self._nodes.hub_rank(asyncio.get_running_loop().time())
+        return knowledge_task.Schedule(self._other_read_age if rank < 0 else READ_AGES[rank])
+
+    def _servers_age(self) -> float:
+        return asyncio.get_running_loop().time() - self._knowledge.servers.read_at
+
+    def _gauges(self) -> dict[str, float]:
+        """Return the values of the gauges."""
+        now = asyncio.get_running_loop().time()
+        configuration = self._belief.configuration
+        return {
+            "dragonflycove_operators_age_seconds": now - self._knowledge.operators.read_at,
+            "dragonflycove_servers_age_seconds": now - self._knowledge.servers.read_at,
+            "dragonflycove_configuration_version": configuration.version if configuration else 0,
+            "dragonflycove_servers": self._belief.server_count,
+            "dragonflycove_nodes": 1 + len(self._nodes.alive(now)),
+            "dragonflycove_hub_rank": self._nodes.hub_rank(now),
+            "dragonflycove_active_requests": self._callers.active,
+            "dragonflycove_waiting_requests": self._placing.waiting,
+            "dragonflycove_store_calls": self._knowledge.calls + self._members.calls,
+            "dragonflycove_peer_bytes": self._link.bytes_sent,
+            "dragonflycove_server_connections": self._pool.opened,
+        }
 
     async def run(self) -> int:
         """Serve until SIGTERM and the end of all requests.
@@ -220,7 +244,12 @@
         settings = self._settings
         await self._link.listen(self._own.peer_address)
         await self._transfers.listen(self._own.peer_address)
-        for address in {settings.readiness_address, settings.directory_address}:
+        metrics_address = catalog.Address(settings.ip, METRICS_PORT)
+        for address in {
+            settings.readiness_address,
+            settings.directory_address,
+            metrics_address,
+        }:
             if address is None:
                 continue
             listener = callers.CallerListener(self._directory, self._limits)
@@ -272,6 +301,7 @@
             self._belief.forget_old(now)
             self._nodes.forget_old(now)
             self._forwarder.node_count = self._nodes.node_count(now)
+            logs.tell_dropped()
 
     async def _follow_settings(self) -> None:
         """Read the settings file again after SIGHUP, and when it has changed without one."""
@@ -329,7 +359,7 @@
     if isinstance(read, result.Err):
         print(f"dragonflycove: {read.err_value}", file=sys.stderr)
         return EXIT_USAGE
-    logs.configure()
+    logs.configure_bounded()
     return asyncio.run(_serve(read.ok_value, path))
 
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -15,9 +15,11 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from dragonflycove.fleet import crash_suspects, knowledge, retry_share
     from dragonflycove.gateway import callers, reservations, server_pool
+    from dragonflycove.telemetry import fleet_metrics
 
 LEAST_SEND_SECONDS = 0.03
 """Time left below which nothing is sent; no server answers faster."""
@@ -116,6 +118,8 @@
         retries: retry_share.RetryShare,
         suspects: crash_suspects.CrashSuspects,
         reserving: reservations.Reservations,
+        metrics: fleet_metrics.FleetMetrics,
+        servers_age: Callable[[], float],
         rng: random.Random,
     ) -> None:
         """Create a forwarder.
@@ -128,6 +132,8 @@
             retries: This node's share of repeated sends.
             suspects: Requests that crash servers.
             reserving: Memory set aside at engines.
+            metrics: Where times are recorded.
+            servers_age: Returns the age of the belief of the servers.
             rng: Chooses among weighted services and spreads returns.
         """
         self._identity = identity
@@ -137,7 +143,9 @@
         self._suspects = suspects
         self._reserving = reserving
         self._rng = rng
-        self._sender = sends.Sender(pool, belief)
+        self._metrics = metrics
+        self._servers_age = servers_age
+        self._sender = sends.Sender(pool, belief, metrics)
         self._numbers = itertools.count(1)
         self.node_count = 1
         """Nodes that may be sending, this one included."""
@@ -153,11 +161,14 @@
         if isinstance(life, result.Err):
             await self._refuse(request, reply, life.err_value)
             return
+        started_at = life.ok_value.received_at
+        loop = asyncio.get_running_loop()
         try:
             await self._run(life.ok_value, reply)
         except asyncio.CancelledError:
-            logs.event("caller_gone", request=request.attempt_id)
+            logs.event("caller_gone", request=request.attempt_id, seconds=loop.time() - started_at)
             raise
+        self._metrics.whole(life.ok_value.route.kind, loop.time() - started_at)
 
     def _admit(self, request: forwarding.CallerRequest) -> result.Result[Life, forwarding.Final]:
         """Find the route and the organisation of a request."""
@@ -187,6 +198,18 @@
             deadline_at=now + seconds,
             fingerprint=request.content_hash ^ hash_text(name),
         )
+        logs.event(
+            "received",
+            request=request.attempt_id,
+            route=route.name,
+            kind=route.kind.value,
+            service=service,
+            organisation=name,
+            tokens=request.prompt_tokens,
+            resumes_after=request.last_event_number,
+            deadline=seconds,
+            version=configuration.version,
+        )
         return result.Ok(life)
 
     async def _run(self, life: Life, reply: callers.Reply) -> None:
@@ -296,7 +319,8 @@
             tokens=job.prompt_tokens,
             predicted=grant.first_event_seconds,
             waited=asyncio.get_running_loop().time() - life.received_at,
-            version=self._belief.configuration.version if self._belief.configuration else 0,
+            servers_age=self._servers_age(),
+            resumes=stream.delivered,
         )
         judged = server_health.Outcome.ABANDONED
         held: reservations.Held | None = None
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -10,13 +10,14 @@
 import msgspec
 import result
 
+# Messages between nodes are decoded by this type at run time.
+from dragonflycove.platform import store  # noqa: TC001
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog
     from dragonflycove.gateway import knowledge_task
-    from dragonflycove.platform import store
 
 TRANSFER_SECONDS = 1.0
 """Time for a whole transfer; a configuration of some hundred routes takes milliseconds."""
--- a/src/dragonflycove/gateway/placing.py
+++ b/src/dragonflycove/gateway/placing.py
@@ -28,6 +28,11 @@
         self._has_waiting = asyncio.Event()
         self._future_by_key: dict[work.JobKey, asyncio.Future[work.Grant | work.Refusal]] = {}
 
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for room."""
+        return len(self._line)
+
     async def place(self, job: work.Job) -> work.Grant | work.Refusal:
         """Wait until a request is placed or refused.
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -16,6 +16,7 @@
 
     from dragonflycove.fleet import knowledge, work
     from dragonflycove.gateway import callers, forwarder, server_pool
+    from dragonflycove.telemetry import fleet_metrics
     from dragonflycove.transport import http1
 
 ANSWER_BYTES = 16_777_216
@@ -94,15 +95,22 @@
 class Sender:
     """Sends requests to servers and passes answers on."""
 
-    def __init__(self, pool: server_pool.ServerPool, belief: knowledge.Knowledge) -> None:
+    def __init__(
+        self,
+        pool: server_pool.ServerPool,
+        belief: knowledge.Knowledge,
+        metrics: fleet_metrics.FleetMetrics,
+    ) -> None:
         """Create a sender.
 
         Args:
             pool: Connections to servers.
             belief: What is known of the servers.
+            metrics: Where times are recorded.
         """
         self._pool = pool
         self._belief = belief
+        self._metrics = metrics
 
     async def send(
         self, life: forwarder.Life, plan: Plan, reply: callers.Reply, stream: StreamState
@@ -132,7 +140,7 @@
         if left <= 0 or not self._belief.is_usable(server.instance, loop.time()):
             connection.close()
             return Outcome(forwarding.End.NOT_SENT, server_health.Outcome.ABANDONED)
-        exchange = _Exchange(life, plan, reply, stream, connection, self._pool)
+        exchange = _Exchange(life, plan, reply, stream, connection, self._pool, self._metrics)
         try:
             return await exchange.run(left)
         finally:
@@ -151,7 +159,10 @@
         stream: StreamState,
         connection: http1.Connection,
         pool: server_pool.ServerPool,
+        metrics: fleet_metrics.FleetMetrics,
     ) -> None:
+        self._metrics = metrics
+        self._last_event_at = 0.0
         self._life = life
         self._plan = plan
         self._reply = reply
@@ -271,6 +282,7 @@
         if self._reply.is_started:
             return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
         await self._reply.answer(answer.status, answer.headers, body)
+        self._metrics.first(self._life.route.kind, seconds)
         return Outcome(
             forwarding.End.DELIVERED,
             server_health.Outcome.ANSWERED,
@@ -309,9 +321,14 @@
             events = splitter.feed(piece.ok_value)
             if not events:
                 continue
-            if not self._first_seconds:
-                self._first_seconds = loop.time() - self._started_at
+            now = loop.time()
+            if self._first_seconds:
+                self._metrics.gap(now - self._last_event_at)
+            else:
+                self._first_seconds = now - self._started_at
+                self._metrics.first(self._life.route.kind, self._first_seconds)
                 self._plan.on_first_event()
+            self._last_event_at = now
             if not await self._pass_events(answer, events):
                 return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
             if self._life.route.is_resumable:
