Leave a silent server only where the request can go to another one

A silent answer is now waited for until the deadline unless it can be moved. Servers that no longer accept connections don't count as attempts.

--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -136,6 +136,9 @@
     BROKEN = "broken"
     """The connection broke, or the answer was damaged; the request may have run."""
 
+    SERVER_GONE = "server_gone"
+    """The connection broke and the server is gone; the request may have run."""
+
     SILENT = "silent"
     """Nothing came in time; the request may have run."""
 
@@ -144,6 +147,10 @@
 """Ends after which the request has not run and never will."""
 
 
+_UNCOUNTED = PROVEN_NOT_RUN | {End.STALE, End.SERVER_GONE}
+"""Ends that the route's limit of servers does not count."""
+
+
 class Final(NamedTuple):
     """An answer of this system itself."""
 
@@ -217,6 +224,18 @@
     return end is not End.DELIVERED and route.is_repeatable
 
 
+def has_attempt_left(ends: list[End], route: catalog.Route) -> bool:
+    """Whether the route allows another server to run a request.
+
+    Servers that are gone, and sends that reached none, don't count.
+
+    Args:
+        ends: How the request's sends ended.
+        route: Its route.
+    """
+    return sum(end not in _UNCOUNTED for end in ends) < route.max_attempts
+
+
 def final_after(ends: list[End], *, out_of_time: bool) -> Final:
     """Choose the answer to a request that was sent but not served.
 
--- a/src/dragonflycove/fleet/retry_share.py
+++ b/src/dragonflycove/fleet/retry_share.py
@@ -53,12 +53,21 @@
         Returns:
             Whether the request may be sent again.
         """
-        repeats = self._window(self._repeats_by_service, service, now)
-        if len(repeats) + 1 > self.limit(service, nodes, now):
+        if not self.can_spend(service, nodes, now):
             return False
-        repeats.append(now)
+        self._window(self._repeats_by_service, service, now).append(now)
         return True
 
+    def can_spend(self, service: str, nodes: int, now: float) -> bool:
+        """Whether the share allows another repeat.
+
+        Args:
+            service: The service.
+            nodes: Nodes that may be sending, this one included.
+            now: Loop time.
+        """
+        return self.spent(service, now) + 1 <= self.limit(service, nodes, now)
+
     def limit(self, service: str, nodes: int, now: float) -> float:
         """Return the repeats that this node may have in the window.
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -139,6 +139,7 @@
         self._identity = identity
         self._belief = belief
         self._placing = placing
+        self._pool = pool
         self._retries = retries
         self._suspects = suspects
         self._reserving = reserving
@@ -229,8 +230,8 @@
             if isinstance(decision, work.Refusal):
                 final = self._refused(life, ends, decision)
                 break
-            outcome = await self._send(life, job, decision, reply, stream)
-            ends.append(outcome.end)
+            outcome = await self._send(life, job, decision, reply, stream, ends)
+            ends.append(await self._end_of(outcome, decision))
             excluded.append(decision.lead.instance.server_id)
             if outcome.faulty_server:
                 excluded.append(outcome.faulty_server)
@@ -256,10 +257,7 @@
         if not ends:
             self._retries.on_request(life.service, now)
             return None
-        ran = sum(
-            end not in forwarding.PROVEN_NOT_RUN and end is not forwarding.End.STALE for end in ends
-        )
-        if ran >= life.route.max_attempts or len(ends) >= MOST_SENDS:
+        if not forwarding.has_attempt_left(ends, life.route) or len(ends) >= MOST_SENDS:
             return forwarding.final_after(ends, out_of_time=False)
         if ends[-1] is forwarding.End.NOT_SENT:
             return None
@@ -281,6 +279,27 @@
         )
         return None
 
+    async def _end_of(self, outcome: sends.Outcome, grant: work.Grant) -> forwarding.End:
+        """Tell a server that broke off from one that is gone."""
+        if outcome.end is not forwarding.End.BROKEN:
+            return outcome.end
+        if outcome.judged is not server_health.Outcome.BROKEN:
+            return outcome.end
+        if await self._pool.is_reachable(grant.lead.address):
+            return outcome.end
+        return forwarding.End.SERVER_GONE
+
+    def _may_move(self, life: Life, ends: list[forwarding.End]) -> bool:
+        """Whether a request whose server is silent could go to another one."""
+        after = [*ends, forwarding.End.SILENT]
+        now = asyncio.get_running_loop().time()
+        return (
+            life.route.is_repeatable
+            and forwarding.has_attempt_left(after, life.route)
+            and len(after) < MOST_SENDS
+            and self._retries.can_spend(life.service, self.node_count, now)
+        )
+
     def _job(
         self, life: Life, excluded: list[str], stream: sends.StreamState, now: float
     ) -> work.Job:
@@ -309,6 +328,7 @@
         grant: work.Grant,
         reply: callers.Reply,
         stream: sends.StreamState,
+        ends: list[forwarding.End],
     ) -> sends.Outcome:
         """Send a request to the servers that it was placed on."""
         logs.event(
@@ -335,6 +355,7 @@
                 helpers=held.helpers,
                 predicted_seconds=grant.first_event_seconds,
                 on_first_event=lambda: self._placing.on_first_event(job.key),
+                may_move=lambda: self._may_move(life, ends),
             )
             outcome = await self._sender.send(life, plan, reply, stream)
             judged = outcome.judged
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -25,6 +25,9 @@
 DRAIN_SECONDS = 0.5
 """Time to read the rest of an answer that is of no use, so that its connection stays usable."""
 
+ASK_MOVE_SECONDS = 0.1
+"""Time between two looks at whether a silent request can be moved."""
+
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that nothing ran."""
 
@@ -76,6 +79,9 @@
     on_first_event: Callable[[], None]
     """Called when the first event comes."""
 
+    may_move: Callable[[], bool]
+    """Tells whether the request could go to another server now."""
+
 
 class StreamState:
     """How far a caller's stream has come, over all sends."""
@@ -201,14 +207,26 @@
     async def _within(
         self, seconds: float, reading: Awaitable[result.Result[_T, object]]
     ) -> result.Result[_T, forwarding.End]:
-        """Wait for a part of the answer; an error names how the send ended."""
+        """Wait for a part of the answer; an error names how the send ended.
+
+        A silent server is left only for another one. Where the request can't be moved, its answer
+        is waited for until the deadline.
+        """
         loop = asyncio.get_running_loop()
+        task = asyncio.ensure_future(reading)
         until = min(self._life.deadline_at, loop.time() + seconds)
         try:
-            async with asyncio.timeout_at(until):
-                got = await reading
-        except TimeoutError:
-            return result.Err(forwarding.End.SILENT)
+            while not task.done():
+                await asyncio.wait({task}, timeout=max(0.0, until - loop.time()))
+                now = loop.time()
+                if task.done():
+                    break
+                if now >= self._life.deadline_at or self._plan.may_move():
+                    return result.Err(forwarding.End.SILENT)
+                until = min(self._life.deadline_at, now + ASK_MOVE_SECONDS)
+            got = task.result()
+        finally:
+            task.cancel()
         if isinstance(got, result.Err):
             return result.Err(forwarding.End.BROKEN)
         return got
@@ -300,7 +318,13 @@
         return result.Ok(bytes(body))
 
     async def _drain(self, answer: forwarding.AnswerHead) -> None:
-        if isinstance(await self._within(DRAIN_SECONDS, self._read_body()), result.Ok):
+        """Read the rest of an answer that is of no use."""
+        try:
+            async with asyncio.timeout(DRAIN_SECONDS):
+                body = await self._read_body()
+        except TimeoutError:
+            return
+        if isinstance(body, result.Ok):
             self._keep(answer)
 
     def _keep(self, answer: forwarding.AnswerHead) -> None:
--- a/src/dragonflycove/gateway/server_pool.py
+++ b/src/dragonflycove/gateway/server_pool.py
@@ -15,6 +15,9 @@
 CONNECT_SECONDS = 0.4
 """Time to open a connection; it takes a few milliseconds to a server that runs."""
 
+REACH_SECONDS = 0.1
+"""Time for a server that runs to accept a connection, across availability zones too."""
+
 IDLE_SECONDS = 4.0
 """Idle time after which a connection is not used again; servers close theirs after a time-out."""
 
@@ -57,6 +60,18 @@
         self.opened += 1
         return await http1.Connection.open(address, min(CONNECT_SECONDS, connect_seconds))
 
+    async def is_reachable(self, address: catalog.Address) -> bool:
+        """Whether a server accepts a connection.
+
+        Args:
+            address: The server.
+        """
+        opened = await http1.Connection.open(address, REACH_SECONDS)
+        if isinstance(opened, result.Err):
+            return False
+        opened.ok_value.close()
+        return True
+
     def put(
         self,
         address: catalog.Address,
