Hold lapsed servers only after a gap in the knowledge of the whole fleet

The grace now follows a gap of 2.4 s in the records' freshness, from any source. The test fails on the old code. A listing can't drop a record that is the topic's newest.

--- a/src/dragonflycove/fleet/knowledge.py
+++ b/src/dragonflycove/fleet/knowledge.py
@@ -19,6 +19,12 @@
 The platform states about two seconds; the rest covers the interval of reading.
 """
 
+OUTAGE_SECONDS = 2.4
+"""Gap in the knowledge of the store after which servers may have lapsed that still run.
+
+A server lapses after three heartbeats, some 3.6 s; nodes read the store every 1.5 s at least.
+"""
+
 TOMBSTONE_SECONDS = 120.0
 """Time for which a dropped key is remembered for peers that still hold it.
 
@@ -57,8 +63,8 @@
         """Highest offset of a server record that changed a belief."""
         self.operator_revision = -1
         """Highest offset of an operator's record that changed a belief."""
-        self.store_lost_at: float | None = None
-        """Loop time since which reads of the store have failed."""
+        self.fresh_at = float("-inf")
+        """Loop time up to which the servers' records are known."""
         self._regained_at = float("-inf")
 
     def apply_configuration(self, configuration: catalog.Configuration, offset: int) -> bool:
@@ -144,9 +150,7 @@
 
     def _lapse_time(self, now: float) -> float:
         """Return when a server whose key is dropped now counts as gone."""
-        if self.store_lost_at is not None or now < self._regained_at + LAPSE_GRACE_SECONDS:
-            return max(now, self._regained_at) + LAPSE_GRACE_SECONDS
-        return now
+        return max(now, self._regained_at + LAPSE_GRACE_SECONDS)
 
     def drop_missing_servers(self, present: Iterable[str], end: int, now: float) -> list[str]:
         """Drop the servers that a listing of all keys does not hold.
@@ -163,7 +167,7 @@
         missing = [
             server_id
             for server_id, belief in self._belief_by_id.items()
-            if server_id not in keys and belief.offset < end and belief.lapses_at is None
+            if server_id not in keys and belief.offset < end - 1 and belief.lapses_at is None
         ]
         for server_id in missing:
             self.apply_server(server_id, None, end - 1, now)
@@ -185,28 +189,23 @@
             for zone, (offset, is_out) in list(self._evacuation_by_zone.items())
             if is_out
             and zone not in zones
-            and offset < end
+            and offset < end - 1
             and self.apply_evacuation(zone, False, end - 1)
         ]
 
-    def on_store_lost(self, now: float) -> None:
-        """Note that the store stopped answering.
-
-        Args:
-            now: Loop time.
-        """
-        if self.store_lost_at is None:
-            self.store_lost_at = now
+    def on_fresh(self, as_of: float, now: float) -> None:
+        """Note that the servers' records are known as they were at a time.
 
-    def on_store_regained(self, now: float) -> None:
-        """Note that the store answers again.
+        A gap in that knowledge, by the store and by all peers, means that the store was away or
+        that this process stood still. Servers may have lapsed meanwhile that still run.
 
         Args:
+            as_of: Loop time up to which they are known.
             now: Loop time.
         """
-        if self.store_lost_at is not None:
-            self.store_lost_at = None
+        if as_of - self.fresh_at > OUTAGE_SECONDS and self.fresh_at > float("-inf"):
             self._regained_at = now
+        self.fresh_at = max(self.fresh_at, as_of)
 
     def is_evacuated(self, zone: str) -> bool:
         """Whether the servers of a zone get nothing.
--- a/src/dragonflycove/gateway/knowledge_task.py
+++ b/src/dragonflycove/gateway/knowledge_task.py
@@ -95,6 +95,7 @@
         self._schedule = schedule
         self._on_change = on_change
         self._failures = 0
+        self._lost_at = 0.0
         self.operators = TopicPosition(records.OPERATOR_TOPIC)
         """Position in the operators' topic."""
         self.servers = TopicPosition(records.SERVER_TOPIC)
@@ -139,9 +140,9 @@
         self._on_success()
         batch = read.ok_value
         if batch.end >= position.next_offset:
+            self._refresh(position, started_at)
             self.apply(position, batch.records)
             position.next_offset = max(position.next_offset, batch.next_offset)
-            position.read_at = started_at
         return True
 
     async def _list(self, position: TopicPosition, started_at: float) -> bool:
@@ -151,10 +152,10 @@
             return False
         self._on_success()
         listing = listed.ok_value
+        self._refresh(position, started_at)
         self.apply(position, listing.records)
         self._drop_missing(position, listing)
         position.next_offset = listing.end
-        position.read_at = started_at
         logs.event(
             "listed",
             topic=position.topic,
@@ -180,7 +181,7 @@
         self._failures += 1
         now = asyncio.get_running_loop().time()
         if self._failures == OUTAGE_FAILURES:
-            self.belief.on_store_lost(now)
+            self._lost_at = now
             logs.event(
                 "store_lost",
                 topic=position.topic,
@@ -191,9 +192,7 @@
     def _on_success(self) -> None:
         if self._failures >= OUTAGE_FAILURES:
             now = asyncio.get_running_loop().time()
-            lost_at = self.belief.store_lost_at
-            self.belief.on_store_regained(now)
-            logs.event("store_regained", seconds=now - lost_at if lost_at else 0.0)
+            logs.event("store_regained", seconds=now - self._lost_at)
         self._failures = 0
 
     @property
@@ -208,8 +207,14 @@
             operators_at: Loop time for the operators' topic.
             servers_at: Loop time for the servers' topic.
         """
-        self.operators.read_at = max(self.operators.read_at, operators_at)
-        self.servers.read_at = max(self.servers.read_at, servers_at)
+        self._refresh(self.operators, operators_at)
+        self._refresh(self.servers, servers_at)
+
+    def _refresh(self, position: TopicPosition, as_of: float) -> None:
+        """Note up to when a topic is known; comes before what was read is applied."""
+        position.read_at = max(position.read_at, as_of)
+        if position is self.servers:
+            self.belief.on_fresh(as_of, asyncio.get_running_loop().time())
 
     def merge(self, position: TopicPosition, answer: peer_transfer.TopicAnswer) -> None:
         """Take in what another node has of a topic.
@@ -218,12 +223,12 @@
             position: The topic.
             answer: What it has.
         """
-        self.apply(position, sorted(answer.records, key=lambda record: record.offset))
-        if answer.next_offset is None:
-            return
-        position.next_offset = max(position.next_offset or 0, answer.next_offset)
         now = asyncio.get_running_loop().time()
-        position.read_at = max(position.read_at, now - answer.age_seconds - TRANSFER_AGE_SECONDS)
+        if answer.next_offset is not None:
+            self._refresh(position, now - answer.age_seconds - TRANSFER_AGE_SECONDS)
+        self.apply(position, sorted(answer.records, key=lambda record: record.offset))
+        if answer.next_offset is not None:
+            position.next_offset = max(position.next_offset or 0, answer.next_offset)
 
     def apply(self, position: TopicPosition, read: Iterable[store.Record]) -> None:
         """Take records into the belief.
