--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -95,13 +95,20 @@
 class Daemon:
     """All tasks of one node."""
 
-    def __init__(self, settings: host_settings.HostSettings, path: str) -> None:
+    def __init__(
+        self,
+        settings: host_settings.HostSettings,
+        path: str,
+        metrics_port: int = METRICS_PORT,
+    ) -> None:
         """Create the node's parts.
 
         Args:
             settings: Settings of the process.
             path: Path of the settings file.
+            metrics_port: Port of the metrics.
         """
+        self._metrics_port = metrics_port
         self._settings = settings
         self._path = path
         self._stopping = asyncio.Event()
@@ -157,6 +164,7 @@
             self._points, self._is_ready, self._metrics.render, bounds.answer_ttl_seconds
         )
         self._other_read_age = OTHERS_READ_AGE + OTHERS_READ_SPREAD * rng.random()
+        self._tasks: list[asyncio.Task[None]] = []
         self._control: list[callers.CallerListener] = []
 
     def _limits(self) -> catalog.CallerLimits:
@@ -215,36 +223,39 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
-        tasks = [
-            asyncio.ensure_future(work)
-            for work in (
-                self._knowledge.run(),
-                self._placing.run(),
-                self._sweep(),
-                self._reports.run(),
-                self._announce(),
-                self._find_nodes(),
-                self._follow_settings(),
-            )
-        ]
         try:
-            await self._listen()
+            await self.start()
         except OSError as error:
             logs.warning("bind_failed", error=str(error))
             return EXIT_FAILED
-        logs.event("started", host=self._settings.host, zone=self._settings.zone)
         await self._stopping.wait()
-        await self._stop()
-        for task in tasks:
-            task.cancel()
-        logs.event("stopped", host=self._settings.host)
+        await self.stop()
         return EXIT_OK
 
+    async def start(self) -> None:
+        """Open all sockets and begin all tasks.
+
+        Raises:
+            OSError: An address can't be bound.
+        """
+        await self._listen()
+        running = (
+            self._knowledge.run(),
+            self._placing.run(),
+            self._sweep(),
+            self._reports.run(),
+            self._announce(),
+            self._find_nodes(),
+            self._follow_settings(),
+        )
+        self._tasks = [asyncio.ensure_future(one) for one in running]
+        logs.event("started", host=self._settings.host, zone=self._settings.zone)
+
     async def _listen(self) -> None:
         settings = self._settings
         await self._link.listen(self._own.peer_address)
         await self._transfers.listen(self._own.peer_address)
-        metrics_address = catalog.Address(settings.ip, METRICS_PORT)
+        metrics_address = catalog.Address(settings.ip, self._metrics_port)
         for address in {
             settings.readiness_address,
             settings.directory_address,
@@ -258,8 +269,9 @@
         if settings.caller_address is not None:
             await self._callers.listen(settings.caller_address)
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Finish what callers have sent, while they learn to connect elsewhere."""
+        self._stopping.set()
         loop = asyncio.get_running_loop()
         began = loop.time()
         grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
@@ -274,6 +286,19 @@
         self._callers.stop_accepting()
         self._callers.close_idle()
         await self._reserving.finish()
+        self.close()
+        logs.event("stopped", host=self._settings.host)
+
+    def close(self) -> None:
+        """End all tasks and close all sockets at once."""
+        for task in self._tasks:
+            task.cancel()
+        self._callers.stop_accepting()
+        for listener in self._control:
+            listener.stop_accepting()
+        self._transfers.close()
+        self._link.close()
+        self._pool.close()
 
     async def _announce(self) -> None:
         """Write this node into the list of nodes, until the store has taken it."""
--- a/src/dragonflycove/gateway/peer_link.py
+++ b/src/dragonflycove/gateway/peer_link.py
@@ -52,6 +52,11 @@
         """
         self._handler_by_type[kind] = handler
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over the socket."""
         self._transport = transport  # type: ignore[assignment]
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -25,6 +25,9 @@
 LONGEST_BYTES = 33_554_432
 """Longest message that is read; a configuration has at most a few megabytes."""
 
+BACKLOG = 256
+"""Connections that wait to be accepted; all nodes may come at once after a change."""
+
 _LENGTH = struct.Struct(">I")
 
 _T = TypeVar("_T")
@@ -80,6 +83,12 @@
             known: Records of this node.
         """
         self._known = known
+        self._server: asyncio.Server | None = None
+
+    def close(self) -> None:
+        """Stop to answer."""
+        if self._server is not None:
+            self._server.close()
 
     async def listen(self, address: catalog.Address) -> None:
         """Begin to answer.
@@ -87,7 +96,9 @@
         Args:
             address: Where to listen.
         """
-        await asyncio.start_server(self._on_connection, address.ip, address.port, backlog=256)
+        self._server = await asyncio.start_server(
+            self._on_connection, address.ip, address.port, backlog=BACKLOG
+        )
 
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/dragonflycove/gateway/server_pool.py
+++ b/src/dragonflycove/gateway/server_pool.py
@@ -107,14 +107,12 @@
             else:
                 del self._idle_by_address[address]
 
-    def drop(self, address: catalog.Address) -> None:
-        """Close the idle connections to an address.
-
-        Args:
-            address: The address.
-        """
-        for connection in self._idle_by_address.pop(address, []):
-            connection.close()
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.close()
+        self._idle_by_address.clear()
 
 
 def _idle_limit(connection: http1.Connection) -> float:
--- /dev/null
+++ b/tests/gateway/deployment.py
@@ -0,0 +1,327 @@
+"""A small deployment in one process: stand-ins of store and servers, and nodes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import socket
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+
+from dragonflycove.fleet import catalog, host_settings
+from dragonflycove.gateway import daemon
+from dragonflycove.standins import platform_server, platform_store
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+READY_SECONDS = 5.0
+"""Longest wait for a node to become ready."""
+
+
+class Answer(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    """Status code; 0 if the connection ended without an answer."""
+
+    headers: dict[str, str]
+    """Headers by lower-case name."""
+
+    body: bytes
+    """Body as far as it came."""
+
+    is_whole: bool
+    """Whether the answer was complete."""
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def loopback() -> catalog.Address:
+    """Return an address that nothing listens on."""
+    return catalog.Address("127.0.0.1", free_port())
+
+
+def settings(name: str, store: catalog.Address, zone: str = "z1") -> host_settings.HostSettings:
+    """Return the settings of a node."""
+    return host_settings.HostSettings(
+        host=name,
+        ip="127.0.0.1",
+        zone=zone,
+        region="r1",
+        region_by_zone={"z1": "r1", "z2": "r1"},
+        caller_address=loopback(),
+        readiness_address=loopback(),
+        directory_address=loopback(),
+        peer_address=loopback(),
+        seed_ips=(),
+        cores=1.0,
+        memory_bytes=300_000_000,
+        heartbeat_seconds=1.2,
+        store=host_settings.StoreLimits(store, 400.0, 2000.0),
+        bounds=host_settings.Bounds(
+            drain_seconds=2.0,
+            grace_seconds=8.0,
+            contact_seconds=3.0,
+            retry_ratio=0.2,
+            retry_window_seconds=10.0,
+            retry_allowance=100.0,
+            cold_overage=1.5,
+            cold_tolerance=5.0,
+            answer_ttl_seconds=5.0,
+            hold_seconds=20.0,
+            stall_seconds=1.5,
+        ),
+    )
+
+
+def configuration(version: int = 1, **changes: object) -> dict[str, object]:
+    """Return an operator's configuration as it stands in the store."""
+    routes = [
+        _route("/ask/", "streaming", "svc"),
+        _route("/post/", "non_idempotent", "plain", max_attempts=1),
+        _route("/look/", "idempotent", "plain"),
+        _route("/open/", "idempotent", "plain", public=True),
+    ]
+    engine = {
+        "slots": 8,
+        "kv_capacity": 232_000,
+        "stride": 43,
+        "step_ms": 1.02,
+        "per_seq_ms": 0.00452,
+        "context_per_k": 0.00431,
+        "read_per_s": 206_000.0,
+        "pairs_per_m": 0.138,
+        "chunk": 2_048,
+        "hop_ms": 0.075,
+    }
+    value: dict[str, object] = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "svc", "cold_start_s": 3.0, "cold_per_s": 28.0, "engine": engine},
+            {"name": "plain"},
+        ],
+        "limits": {"idle_timeout_ms": 15_000, "max_body_bytes": 100_000},
+        "tenants": [{"name": "org", "api_keys": ["k1"]}, {"name": "other", "api_keys": ["k2"]}],
+    }
+    value.update(changes)
+    return value
+
+
+def _route(prefix: str, kind: str, service: str, **changes: object) -> dict[str, object]:
+    route: dict[str, object] = {
+        "name": prefix.strip("/"),
+        "host": "h.example",
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 4_000,
+        "latency_goal_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "resumable": kind == "streaming",
+        "gap_target_ms": 250,
+    }
+    route.update(changes)
+    return route
+
+
+class Deployment:
+    """Store, servers and nodes."""
+
+    def __init__(self) -> None:
+        """Create an empty deployment."""
+        self.store = platform_store.PlatformStore()
+        """The store."""
+        self.server_by_id: dict[str, platform_server.PlatformServer] = {}
+        """Backend servers."""
+        self.address_by_id: dict[str, catalog.Address] = {}
+        """Where they listen."""
+        self.nodes: list[daemon.Daemon] = []
+        """Nodes."""
+        self.settings: list[host_settings.HostSettings] = []
+        """Settings of the nodes."""
+        self.faults: list[platform_store.StoreFaults] = []
+        """Faults of the store as each node meets it."""
+
+    async def add_server(
+        self, server_id: str, service: str = "svc", **options: float
+    ) -> platform_server.PlatformServer:
+        """Start and register a server."""
+        server = platform_server.PlatformServer(server_id, **options)  # type: ignore[arg-type]
+        address = loopback()
+        await server.listen(address)
+        self.server_by_id[server_id] = server
+        self.address_by_id[server_id] = address
+        self.register(server_id, service)
+        return server
+
+    def register(self, server_id: str, service: str = "svc", **changes: object) -> None:
+        """Write a server's record."""
+        record: dict[str, object] = {
+            "service": service,
+            "address": str(self.address_by_id[server_id]),
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "born": 1,
+        }
+        record.update(changes)
+        self.store.put("keyed.servers", server_id, record)
+
+    async def add_node(self, zone: str = "z1") -> daemon.Daemon:
+        """Start a node and wait until it is ready."""
+        door = loopback()
+        self.faults.append(await self.store.open_door(door))
+        own = settings(f"n{len(self.nodes)}", door, zone)
+        node = daemon.Daemon(own, "/nonexistent", metrics_port=free_port())
+        self.settings.append(own)
+        self.nodes.append(node)
+        await node.start()
+        async with asyncio.timeout(READY_SECONDS):
+            for pause in itertools.repeat(0.02):
+                if await self.readiness(len(self.nodes) - 1) == 200:
+                    break
+                await asyncio.sleep(pause)
+        return node
+
+    async def readiness(self, node: int = 0) -> int:
+        """Ask a node whether it is ready."""
+        address = self.settings[node].readiness_address
+        assert address is not None
+        return (await exchange(address, b"GET", "/readyz", {})).status
+
+    async def call(
+        self,
+        path: str,
+        *,
+        node: int = 0,
+        attempt: str = "a1",
+        key: str | None = "k1",
+        body: bytes = b"",
+        method: bytes = b"POST",
+        headers: dict[str, str] | None = None,
+        deadline_ms: int = 3_000,
+    ) -> Answer:
+        """Send a caller's request over a connection of its own."""
+        listed = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": str(deadline_ms)}
+        if key is not None:
+            listed["X-Api-Key"] = key
+        if path.startswith("/ask/"):
+            listed |= {"X-Model": "m", "X-Token-Counts": "1000,100", "X-Prompt-Prefix": "ab:1000"}
+        listed |= headers or {}
+        address = self.settings[node].caller_address
+        assert address is not None
+        return await exchange(address, method, path, listed, body)
+
+    def runs(self, attempt: str = "a1") -> list[platform_server.Run]:
+        """Return the runs of a request at all servers."""
+        return [
+            run
+            for server in self.server_by_id.values()
+            for run in server.runs
+            if run.attempt_id == attempt
+        ]
+
+    def fail_first(self, fault: platform_server.Fault) -> None:
+        """Let the first server that gets a request fail it, whichever that is."""
+        shared = collections.deque([fault])
+        for server in self.server_by_id.values():
+            server.faults = shared
+
+    async def until_run(self, attempt: str = "a1") -> None:
+        """Wait until a request runs at a server."""
+        for _ in range(1_000):
+            if self.runs(attempt):
+                return
+            await asyncio.sleep(0.005)
+        raise TimeoutError(f"{attempt} did not run")
+
+    def close(self) -> None:
+        """End everything at once."""
+        for node in self.nodes:
+            node.close()
+        for server in self.server_by_id.values():
+            server.close()
+        self.store.close()
+
+
+@contextlib.asynccontextmanager
+async def deployed(nodes: int = 1) -> AsyncIterator[Deployment]:
+    """Run two engines, two plain servers and some nodes."""
+    deployment = Deployment()
+    deployment.store.put("keyed.op", "config", configuration())
+    try:
+        for name in ("e1", "e2"):
+            await deployment.add_server(name)
+        for name in ("p1", "p2"):
+            await deployment.add_server(name, "plain")
+        for _ in range(nodes):
+            await deployment.add_node()
+        yield deployment
+    finally:
+        deployment.close()
+
+
+async def exchange(
+    address: catalog.Address,
+    method: bytes,
+    target: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+) -> Answer:
+    """Send one request and read its answer."""
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    try:
+        return await exchange_on(reader, writer, method, target, headers, body)
+    finally:
+        writer.close()
+
+
+async def exchange_on(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    method: bytes,
+    target: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+) -> Answer:
+    """Send one request over an open connection and read its answer."""
+    parser = h11.Connection(h11.CLIENT)
+    listed = [*headers.items(), ("Content-Length", str(len(body)))]
+    if "Host" not in headers:
+        listed.append(("Host", "x"))
+    writer.write(parser.send(h11.Request(method=method, target=target, headers=listed)) or b"")
+    if body:
+        writer.write(parser.send(h11.Data(data=body)) or b"")
+    parser.send(h11.EndOfMessage())
+    status, answered, content, whole = 0, {}, b"", False
+    try:
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await reader.read(65_536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                answered = {name.decode(): value.decode() for name, value in event.headers}
+            elif isinstance(event, h11.Data):
+                content += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                whole = True
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                break
+    except (OSError, h11.RemoteProtocolError):
+        pass
+    return Answer(status, answered, content, whole)
