--- a/src/dragonflycove/fleet/server_health.py
+++ b/src/dragonflycove/fleet/server_health.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog
 
-FAILURE_WEIGHT = 0.25
-"""Weight of the newest request in the failure ratio; four requests make most of it."""
+FAILURE_WEIGHT = 0.35
+"""Weight of the newest request in the failure ratio; three requests make most of it."""
 
 FIRST_SUSPICION_SECONDS = 0.8
 """Time without new requests after a first lost connection or silence."""
@@ -17,8 +17,11 @@
 LONGEST_SUSPICION_SECONDS = 4.0
 """Longest time without new requests; a restarted server registers within about this time."""
 
-RATIO_HALF_LIFE_SECONDS = 4.0
-"""Time in which the failure ratio of a server that gets no requests falls by half."""
+RATIO_HALF_LIFE_SECONDS = 8.0
+"""Time in which the failure ratio of a server that gets no requests falls by half.
+
+Failing servers fail for some seconds; a shorter time sends requests back before they are sound.
+"""
 
 FULL_BACKOFF_SECONDS = 0.1
 """Time without new requests after a server said that it is full."""
--- /dev/null
+++ b/tests/fleet/test_limits.py
@@ -0,0 +1,181 @@
+"""Retry shares, crashing requests, server health, streams, and what may be sent again."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dragonflycove.fleet import (
+    catalog,
+    crash_suspects,
+    event_stream,
+    forwarding,
+    retry_share,
+    server_health,
+)
+from tests.fleet import builders
+
+RATIO, ALLOWANCE, WINDOW = 0.2, 100.0, 10.0
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 4), st.booleans(), st.floats(0.0, 0.2)), max_size=600),
+)
+def test_the_repeats_of_all_nodes_stay_within_the_budget(
+    steps: list[tuple[int, bool, float]],
+) -> None:
+    nodes = [retry_share.RetryShare(RATIO, ALLOWANCE, WINDOW) for _ in range(5)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    now = 0.0
+    for node, is_request, pause in steps:
+        now += pause
+        if is_request:
+            nodes[node].on_request("svc", now)
+            requests.append(now)
+        elif nodes[node].spend("svc", 5, now):
+            repeats.append(now)
+        in_window = [at for at in requests if at > now - WINDOW]
+        spent = [at for at in repeats if at > now - WINDOW]
+        assert len(spent) <= RATIO * len(in_window) + ALLOWANCE
+
+
+def test_a_share_of_the_allowance_needs_no_requests() -> None:
+    share = retry_share.RetryShare(RATIO, ALLOWANCE, WINDOW)
+    spent = sum(share.spend("svc", 7, 0.0) for _ in range(100))
+    assert spent == int(ALLOWANCE * retry_share.ALLOWANCE_SHARE / 7)
+    assert share.spend("svc", 7, WINDOW + 0.1)
+
+
+def test_a_request_is_refused_after_it_lost_three_servers() -> None:
+    suspects = crash_suspects.CrashSuspects()
+    for count in range(1, 4):
+        assert not suspects.is_refused(7, 1.0)
+        assert suspects.on_lost_server(7, 1.0) == count
+    assert suspects.is_refused(7, 1.0)
+    assert not suspects.is_refused(8, 1.0)
+    assert not suspects.is_refused(7, 1.0 + crash_suspects.MEMORY_SECONDS)
+
+
+def test_losses_told_by_other_nodes_count_and_an_answer_clears_them() -> None:
+    suspects = crash_suspects.CrashSuspects()
+    suspects.merge(7, 3, 1.0)
+    assert suspects.is_refused(7, 1.0)
+    suspects.on_answer(7)
+    assert not suspects.is_refused(7, 1.0)
+
+
+def test_the_memory_of_crashes_is_bounded() -> None:
+    suspects = crash_suspects.CrashSuspects()
+    for fingerprint in range(crash_suspects.MOST_REMEMBERED + 50):
+        suspects.on_lost_server(fingerprint, 1.0)
+    assert suspects.losses(0, 1.0) == 0
+    assert suspects.losses(crash_suspects.MOST_REMEMBERED, 1.0) == 1
+
+
+def test_suspicion_grows_with_losses_and_ends_with_an_answer() -> None:
+    health = server_health.ServerHealth()
+    server = catalog.Instance("a", 1)
+    assert health.on_outcome(server, server_health.Outcome.SILENT, 0.0)
+    assert health.is_suspect(server, 0.5)
+    assert not health.is_suspect(server, 0.9)
+    assert health.on_outcome(server, server_health.Outcome.BROKEN, 1.0)
+    assert health.is_suspect(server, 2.5)
+    health.on_outcome(server, server_health.Outcome.ANSWERED, 2.6)
+    assert not health.is_suspect(server, 2.6)
+
+
+def test_a_refusal_for_want_of_room_is_no_failure() -> None:
+    health = server_health.ServerHealth()
+    server = catalog.Instance("a", 1)
+    health.on_outcome(server, server_health.Outcome.FULL, 0.0)
+    assert health.failure_ratio(server, 0.0) == 0.0
+    assert health.is_suspect(server, 0.05)
+    assert not health.is_suspect(server, 0.2)
+
+
+@given(st.lists(st.integers(1, 40), min_size=1, max_size=30))
+def test_events_come_out_whole_however_the_bytes_are_cut(cuts: list[int]) -> None:
+    whole = b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(1, 12))
+    splitter = event_stream.EventSplitter()
+    events = []
+    position = 0
+    for cut in [*cuts, len(whole)]:
+        events += splitter.feed(whole[position : position + cut])
+        position = min(len(whole), position + cut)
+    assert b"".join(event.raw for event in events) == whole
+    assert [event.number for event in events] == list(range(1, 12))
+    assert not splitter.has_part
+
+
+def test_a_part_of_an_event_is_kept_back() -> None:
+    splitter = event_stream.EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: x") == []
+    assert splitter.has_part
+
+
+def test_positions_skip_repeats_and_see_gaps() -> None:
+    position = event_stream.StreamPosition(3)
+
+    def step(number: int) -> event_stream.Step:
+        return position.advance(event_stream.Event(number, b""))
+
+    assert [step(n) for n in (2, 3, 4, 4, 6, 5)] == [
+        event_stream.Step.REPEATED,
+        event_stream.Step.REPEATED,
+        event_stream.Step.NEXT,
+        event_stream.Step.REPEATED,
+        event_stream.Step.GAP,
+        event_stream.Step.NEXT,
+    ]
+
+
+@pytest.mark.parametrize("end", list(forwarding.End))
+@pytest.mark.parametrize("kind", list(catalog.CallKind))
+def test_only_what_did_not_run_or_may_repeat_is_sent_again(
+    end: forwarding.End, kind: catalog.CallKind
+) -> None:
+    may = forwarding.may_send_again(end, builders.route(kind))
+    if end in (forwarding.End.NOT_RUN, forwarding.End.NOT_SENT):
+        assert may
+    elif end is forwarding.End.DELIVERED or kind is catalog.CallKind.NON_IDEMPOTENT:
+        assert not may
+    else:
+        assert may
+
+
+@given(st.lists(st.sampled_from(list(forwarding.End)), max_size=5), st.booleans())
+def test_a_promise_is_given_only_where_nothing_can_have_run(
+    ends: list[forwarding.End], out_of_time: bool
+) -> None:
+    final = forwarding.final_after(ends, out_of_time=out_of_time)
+    may_have_run = any(end not in (forwarding.End.NOT_RUN, forwarding.End.NOT_SENT) for end in ends)
+    assert (final.status in (408, 421, 429, 503)) == (not may_have_run)
+
+
+def test_servers_that_are_gone_and_refusals_are_no_attempts() -> None:
+    route = builders.route(attempts=2)
+    uncounted = [forwarding.End.NOT_RUN, forwarding.End.SERVER_GONE, forwarding.End.STALE]
+    assert forwarding.has_attempt_left([*uncounted, forwarding.End.BROKEN], route)
+    assert not forwarding.has_attempt_left([forwarding.End.SILENT] * 2, route)
+
+
+def test_silence_is_judged_before_callers_give_up() -> None:
+    for goal, gap in ((0.3, 0.25), (1.5, 0.6), (3.0, 1.0)):
+        route = builders.route(goal=goal, gap=gap)
+        patience = forwarding.caller_patience(route)
+        assert forwarding.silence_before_first_event(route, 50.0) < patience
+        assert gap < forwarding.silence_between_events(route) < patience
+
+
+def test_the_longest_prefix_decides() -> None:
+    routes = [builders.route(prefix=prefix) for prefix in ("/a/", "/a/b/", "/c/")]
+    configuration = builders.configuration(*routes)
+    found = [
+        configuration.find_route("h.example", path)
+        for path in ("/a/x", "/a/b/x", "/a/b", "/a/b/", "/c", "/d/x", "/")
+    ]
+    names = [route.path_prefix if route else None for route in found]
+    assert names == ["/a/", "/a/b/", "/a/", "/a/b/", None, None, None]
+    assert configuration.find_route("other", "/a/x") is None
