--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,76 @@
+"""`dragonflycove explain` finds causes in lines of several hosts."""
+
+from __future__ import annotations
+
+import io
+
+import pytest
+
+from dragonflycove.cli import explain_command, main
+
+
+def lines(*events: str) -> list[str]:
+    """Return log lines of one request, a second apart, last first as from another host."""
+    stamped = [f"time=2026-12-04T00:00:0{n} level=INFO {event}" for n, event in enumerate(events)]
+    return [*reversed(stamped), "time=2026-12-04T00:00:01 level=INFO event=sent request=zz"]
+
+
+RECEIVED = "event=received request=r1 route=ask kind=streaming"
+SENT = "event=sent request=r1 server=s1"
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        (
+            ["event=refused request=r1 status=503 reason=no_room_in_time retry_after=0.5"],
+            "refused with 503: the engines had no room within the request's deadline",
+        ),
+        (
+            [
+                SENT,
+                "event=send_ended request=r1 server=s1 end=broken events=3",
+                "event=stream_cut request=r1 reason=broken",
+            ],
+            "send 1 went to s1 and ended after 3 events: the server's connection broke",
+        ),
+        (
+            [
+                SENT,
+                "event=send_ended request=r1 server=s1 end=broken events=0",
+                "event=failed request=r1 status=502 reason=broken",
+            ],
+            "failed with 502: the server's connection broke",
+        ),
+        (["event=caller_gone request=r1 seconds=0.7"], "the caller left after 0.7 s"),
+        (
+            [SENT, "event=send_ended request=r1 server=s1 end=delivered seconds=1.5"],
+            "the whole answer was delivered after 1.5 s",
+        ),
+        ([SENT], "no line tells its end (missing lines: send_ended)"),
+        (
+            ["event=retry_refused request=r1 service=svc"],
+            "the node's share of the retry budget was spent",
+        ),
+    ],
+)
+def test_the_cause_is_named(events: list[str], expected: str) -> None:
+    found = explain_command.collect(lines(RECEIVED, *events), "r1")
+    assert [line.fields["event"] for line in found][0] == "received"
+    assert expected in explain_command.cause(found)
+
+
+def test_missing_lines_are_said() -> None:
+    found = explain_command.collect(lines(SENT), "r1")
+    assert "missing lines: received, send_ended" in explain_command.cause(found)
+    assert "no line names this request" in explain_command.cause([])
+
+
+def test_the_command_reads_standard_input(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = "\n".join(lines(RECEIVED, "event=caller_gone request=r1 seconds=0.7"))
+    monkeypatch.setattr("sys.stdin", io.StringIO(text))
+    assert main.dispatch(["explain", "r1"]) == 0
+    assert "cause: the caller left" in capsys.readouterr().out
+    assert main.dispatch(["explain"]) == 2
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,242 @@
+"""What the platform's messages decode to, faulty ones included."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+import result
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dragonflycove.fleet import catalog
+from dragonflycove.platform import engine_orders, records, requests, settings
+from dragonflycove.transport import http1
+from tests.fleet import builders
+from tests.gateway import deployment
+
+SETTINGS = """
+node_name: "edge-z1-1"
+some_new_field: {a: 1}
+ip: "10.1.0.40"
+zone: "z1"
+region: "r1"
+zones: {z1: "r1", z2: "r1"}
+listen_addresses: {frontend: "10.1.0.40:8227", ready: "10.1.0.40:8220"}
+internal_port_range: [7340, 7355]
+seed_nodes: ["10.1.0.40:8229"]
+limits: {cpu_share: 0.537, cpu_cores: 2, memory_mb: 300}
+heartbeat_ms: 1200
+bounds: {drain_ms: 2000, grace_s: 8, retry_allowance: 102}
+platform: {address: "10.200.1.7:8223", writes_per_s: 400, reads_per_s: 2000}
+"""
+
+
+def test_settings_are_decoded_and_unknown_fields_ignored() -> None:
+    decoded = settings.decode(SETTINGS).unwrap()
+    assert decoded.host == "edge-z1-1"
+    assert decoded.caller_address == catalog.Address("10.1.0.40", 8227)
+    assert decoded.peer_address == catalog.Address("10.1.0.40", 7340)
+    assert decoded.directory_address is None
+    assert decoded.cores == pytest.approx(1.074)
+    assert decoded.bounds.drain_seconds == 2.0
+    assert decoded.bounds.retry_allowance == 102
+    assert decoded.seed_ips == ("10.1.0.40",)
+
+
+@pytest.mark.parametrize("text", ["", "a: [", "node_name: x", SETTINGS.replace("7340", "x")])
+def test_faulty_settings_are_told(text: str) -> None:
+    assert isinstance(settings.decode(text), result.Err)
+
+
+def test_a_missing_file_is_told() -> None:
+    assert "No such file" in settings.read_file("/nonexistent/boot.yaml").unwrap_err()
+
+
+def test_a_configuration_is_decoded_with_units() -> None:
+    value = json.dumps(deployment.configuration(7)).encode()
+    decoded = records.decode_configuration(value).unwrap()
+    route = decoded.find_route("h.example", "/ask/x")
+    engine = decoded.service_by_name["svc"].engine
+    assert decoded.version == 7
+    assert route is not None
+    assert (route.timeout_seconds, route.goal_seconds, route.gap_goal_seconds) == (4.0, 0.3, 0.25)
+    assert engine is not None
+    assert engine.step_seconds == pytest.approx(0.00102)
+    assert engine.seconds_per_pair == pytest.approx(0.138e-9)
+    assert engine.step_seconds_per_context_token == pytest.approx(0.00431e-6)
+    assert decoded.organisation_by_key["k1"].name == "org"
+
+
+def test_a_split_route_has_weights() -> None:
+    value = deployment.configuration()
+    split = [{"service": "svc", "weight": 90}, {"service": "plain", "weight": 10}]
+    value["routes"][0]["traffic_split"] = split  # type: ignore[index]
+    decoded = records.decode_configuration(json.dumps(value).encode()).unwrap()
+    route = decoded.find_route("h.example", "/ask/x")
+    assert route is not None
+    assert route.weights_by_service == (("svc", 90), ("plain", 10))
+
+
+ENTRY = {
+    "service": "svc",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 4,
+    "born": 1700000000123,
+}
+
+
+def test_a_server_is_decoded() -> None:
+    server = records.decode_server("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert server.instance == catalog.Instance("i-1", 1700000000123)
+    assert server.address == catalog.Address("10.128.0.9", 8080)
+    assert server.cold_seconds == 1.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "dancing"},
+        {"state": 1},
+        {"service": None},
+        {"service": 5},
+        {"address": "nowhere"},
+        {"address": 9},
+        {"slots": "8"},
+        {"born": "x"},
+        {"cold_remaining_ms": None},
+        {"zone": ["z1"]},
+    ],
+)
+def test_another_writers_record_names_no_server(change: dict[str, object]) -> None:
+    value = json.dumps(ENTRY | change).encode()
+    assert isinstance(records.decode_server("i-1", value), result.Err)
+
+
+@given(
+    st.binary(max_size=60)
+    | st.from_regex(r'\{"[a-z]+": ?[0-9"\[{]', fullmatch=True).map(str.encode)
+)
+def test_no_bytes_break_the_decoders(value: bytes) -> None:
+    assert isinstance(records.decode_server("i", value), result.Err)
+    assert isinstance(records.decode_configuration(value), result.Err)
+    assert engine_orders.decode_report(value) is None
+
+
+def test_keys_of_evacuations() -> None:
+    assert records.evacuated_zone("evacuate/z1") == "z1"
+    assert records.evacuated_zone("config") is None
+
+
+def _request(**headers: str):  # type: ignore[no-untyped-def]
+    listed = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
+    return requests.decode_request(b"POST", b"/ask/x?y", listed, b"body")
+
+
+def test_a_callers_request_is_decoded() -> None:
+    request = _request(
+        host="H.example",
+        x_attempt_id="a1",
+        x_deadline_ms="1500",
+        x_token_counts="1460,80",
+        x_length_hint="50",
+        last_event_id="12",
+        x_api_key="k1",
+    )
+    assert request.host == "h.example"
+    assert request.path == "/ask/x"
+    assert request.deadline_seconds == 1.5
+    assert (request.prompt_tokens, request.output_tokens) == (1460, 50)
+    assert request.last_event_number == 12
+
+
+def test_damaged_headers_count_as_missing() -> None:
+    request = _request(x_deadline_ms="soon", x_token_counts="many", last_event_id="x")
+    assert request.deadline_seconds is None
+    assert request.prompt_tokens == 0
+    assert request.last_event_number is None
+
+
+def test_what_a_server_gets() -> None:
+    request = _request(
+        host="h.example",
+        x_api_key="k1",
+        x_tenant="forged",
+        x_attempt_id="a1",
+        connection="keep-alive",
+        transfer_encoding="chunked",
+        x_token_counts="100,10",
+        x_model="m",
+    )
+    send = requests.Send(builders.server("e1"), 0.5, "org", 3, ("1.2.3.4:5/t",), 7)
+    encoded = dict(requests.encode_for_server(request, send).headers)
+    assert encoded == {
+        b"host": b"h.example",
+        b"x-attempt-id": b"a1",
+        b"x-token-counts": b"100,10",
+        b"x-model": b"m",
+        b"x-deadline-ms": b"500",
+        b"x-expect-instance": b"e1",
+        b"x-tenant": b"org",
+        b"x-request-priority": b"3",
+        b"x-helpers": b"1.2.3.4:5/t",
+        b"last-event-id": b"7",
+        b"content-length": b"4",
+    }
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_not_run"),
+    [
+        (503, {b"x-not-executed": b"1"}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (429, {}, False),
+        (500, {}, False),
+    ],
+)
+def test_only_a_promise_says_that_nothing_ran(
+    status: int, headers: dict[bytes, bytes], is_not_run: bool
+) -> None:
+    answer = requests.decode_answer(http1.Head(status, tuple(headers.items())))
+    assert answer.is_not_run == is_not_run
+
+
+def test_an_answers_head_is_decoded() -> None:
+    head = http1.Head(
+        200,
+        (
+            (b"x-attempt-id", b"a1"),
+            (b"x-server-stamp", b"s"),
+            (b"connection", b"Close"),
+            (b"keep-alive", b"timeout=5, max=9"),
+            (b"x-own", b"v"),
+            (b"content-length", b"3"),
+        ),
+    )
+    answer = requests.decode_answer(head)
+    assert (answer.attempt_id, answer.is_signed, answer.closes) == ("a1", True, True)
+    assert answer.idle_seconds == 5.0
+    assert (b"x-own", b"v") in answer.headers
+    assert b"content-length" not in dict(answer.headers)
+
+
+def test_orders_and_reports() -> None:
+    order = engine_orders.reserve(catalog.Address("1.2.3.4", 5), "t1", 60_000, 3.0)
+    assert json.loads(order.body) == {
+        "operation": "reserve",
+        "id": "t1",
+        "token_count": 60_000,
+        "hold_ms": 3_000,
+        "wait": False,
+    }
+    report = engine_orders.decode_report(
+        b'{"waiting":1,"running":2,"kv_used":3,"tickets":[{"id":"t1"}]}'
+    )
+    assert report is not None
+    assert (report.pace, report.reservation_ids) == (1.0, ("t1",))
