--- a/src/dragonflycove/cli/main.py
+++ b/src/dragonflycove/cli/main.py
@@ -38,6 +38,7 @@
 _MODULES_BY_WORD = {
     "node": "dragonflycove.node.daemon",
     "platform-node": "dragonflycove.gateway.daemon",
+    "soak": "dragonflycove.cli.soak_command",
     "standin": "dragonflycove.standins.main",
     "load": "dragonflycove.measure.main",
     "measure": "dragonflycove.measure.main",
--- /dev/null
+++ b/src/dragonflycove/measure/soak/plan.py
@@ -0,0 +1,91 @@
+"""What goes wrong when in a soak, drawn from its seed."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    import random
+
+
+class Trouble(enum.Enum):
+    """A kind of disturbance."""
+
+    NODE_KILL = "node_kill"
+    NODE_STOP = "node_stop"
+    NODE_PAUSE = "node_pause"
+    NODE_HUP = "node_hup"
+    ALL_KILL = "all_kill"
+    STORE_DOWN = "store_down"
+    STORE_SILENT_TO_NODE = "store_silent_to_node"
+    STORE_REFUSES_NODE = "store_refuses_node"
+    STORE_SLOW = "store_slow"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_STALE = "store_stale"
+    HISTORY_GONE = "history_gone"
+    SERVER_CRASH = "server_crash"
+    SERVER_DRAIN = "server_drain"
+    SERVER_FAULTS = "server_faults"
+    LINK_DELAY = "link_delay"
+    LINK_RESET = "link_reset"
+    LINK_SILENT = "link_silent"
+    LINK_ONE_WAY = "link_one_way"
+    CALLERS_LEAVE = "callers_leave"
+    CONFIGURATION = "configuration"
+    ZONE_OUT = "zone_out"
+
+
+class Step(NamedTuple):
+    """One disturbance."""
+
+    at: float
+    """Seconds from the start of traffic."""
+
+    trouble: Trouble
+    """What happens."""
+
+    seconds: float
+    """How long."""
+
+    pick: float
+    """Number from 0 to 1 that picks what it happens to."""
+
+
+LEAST_PAUSE_SECONDS = 0.2
+"""Shortest time between two disturbances; some then overlap."""
+
+MEAN_PAUSE_SECONDS = 1.2
+"""Mean time between two disturbances."""
+
+SERIES_CHANCE = 0.2
+"""Chance that a disturbance comes again at once, elsewhere."""
+
+LONGEST_SECONDS = 5.0
+"""Longest disturbance; above the time after which silent nodes and servers count as gone."""
+
+
+def draw(rng: random.Random, seconds: float) -> list[Step]:
+    """Draw the disturbances of a soak.
+
+    Args:
+        rng: Generator, seeded.
+        seconds: Length of the soak.
+
+    Returns:
+        The disturbances by time.
+    """
+    steps = []
+    at = 1.0
+    kinds = list(Trouble)
+    while at < seconds:
+        trouble = rng.choice(kinds)
+        count = 1
+        while rng.random() < SERIES_CHANCE:
+            count += 1
+        for _ in range(count):
+            duration = rng.uniform(0.3, LONGEST_SECONDS)
+            steps.append(Step(at, trouble, duration, rng.random()))
+            at += rng.uniform(0.05, 0.4)
+        at += LEAST_PAUSE_SECONDS + rng.expovariate(1 / MEAN_PAUSE_SECONDS)
+    return steps
--- /dev/null
+++ b/src/dragonflycove/measure/soak/proxy.py
@@ -0,0 +1,102 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog
+
+READ_BYTES = 65_536
+"""Bytes passed on at once."""
+
+
+class Proxy:
+    """Passes connections on to one address."""
+
+    def __init__(self, target: catalog.Address) -> None:
+        """Create a proxy without faults.
+
+        Args:
+            target: Where connections go.
+        """
+        self._target = target
+        self.delay_seconds = 0.0
+        """Time by which bytes are held up."""
+        self.drops_requests = False
+        """Whether bytes towards the target are lost."""
+        self.drops_answers = False
+        """Whether bytes from the target are lost."""
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: catalog.Address) -> None:
+        """Begin to accept connections.
+
+        Args:
+            address: Where to listen.
+        """
+        self._server = await asyncio.start_server(self._on_connection, address.ip, address.port)
+
+    def calm(self) -> None:
+        """Take all faults away; bytes that were lost stay lost."""
+        self.delay_seconds = 0.0
+        self.drops_requests = self.drops_answers = False
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for writer in self._writers:
+            raw = writer.get_extra_info("socket")
+            if raw is not None:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    def close(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, far_writer}
+        self._writers |= both
+        try:
+            await asyncio.gather(
+                self._pass(reader, far_writer, towards=True),
+                self._pass(far_reader, writer, towards=False),
+            )
+        except asyncio.CancelledError:
+            # The soak is ending; an unhandled cancellation would be logged as an error.
+            pass
+        finally:
+            self._writers -= both
+            for one in both:
+                one.transport.abort()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, towards: bool
+    ) -> None:
+        with contextlib.suppress(OSError):  # Either end may reset; the other is closed then.
+            while data := await reader.read(READ_BYTES):
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
+                if self.drops_requests if towards else self.drops_answers:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if towards:
+                # The far end hears at once that its caller has left.
+                writer.transport.abort()
+                return
+            writer.close()
--- a/src/dragonflycove/standins/platform_store.py
+++ b/src/dragonflycove/standins/platform_store.py
@@ -38,6 +38,10 @@
 
     def __init__(self) -> None:
         """Create a calm door."""
+        self.calm()
+
+    def calm(self) -> None:
+        """Take all faults away."""
         self.is_silent = False
         """Whether no call is answered."""
         self.refusal_status = 0
