Send fewer bytes and calls between nodes

Transfers are compressed, lists at most each 3 s, a cold server that only counts down is no change, and only hubs read the list of nodes again.

--- a/src/dragonflycove/fleet/knowledge.py
+++ b/src/dragonflycove/fleet/knowledge.py
@@ -25,6 +25,9 @@
 A server lapses after three heartbeats, some 3.6 s; nodes read the store every 1.5 s at least.
 """
 
+COLD_SLACK_SECONDS = 0.5
+"""Time by which a cold start may seem to last longer in the next record; records come late."""
+
 TOMBSTONE_SECONDS = 120.0
 """Time for which a dropped key is remembered for peers that still hold it.
 
@@ -48,6 +51,17 @@
     """Loop time after which a dropped server is gone; None if the record is not dropped."""
 
 
+def _says_nothing_new(belief: ServerBelief, server: catalog.BackendServer, now: float) -> bool:
+    """Whether a record only repeats a belief; the time that is left of a cold start runs down."""
+    known = belief.server
+    if known is None or belief.lapses_at is not None:
+        return False
+    if known._replace(cold_seconds=0.0) != server._replace(cold_seconds=0.0):
+        return False
+    longer = now + server.cold_seconds - max(now, belief.known_at + known.cold_seconds)
+    return server.cold_seconds == known.cold_seconds == 0.0 or longer < COLD_SLACK_SECONDS
+
+
 class Knowledge:
     """The newest records that this node has learned."""
 
@@ -124,14 +138,12 @@
             return False
         if server is None:
             return self._drop_server(server_id, belief, offset, now)
-        known_at = now
-        changed = belief is None or belief.server != server or belief.lapses_at is not None
-        if not changed and belief is not None:
-            known_at = belief.known_at
-        self._belief_by_id[server_id] = ServerBelief(server, offset, known_at, None)
-        if changed:
-            self.server_revision = max(self.server_revision, offset)
-        return changed
+        if belief is not None and _says_nothing_new(belief, server, now):
+            self._belief_by_id[server_id] = belief._replace(offset=offset)
+            return False
+        self._belief_by_id[server_id] = ServerBelief(server, offset, now, None)
+        self.server_revision = max(self.server_revision, offset)
+        return True
 
     def _drop_server(
         self, server_id: str, belief: ServerBelief | None, offset: int, now: float
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -76,11 +76,11 @@
 OTHERS_READ_SPREAD = 0.2
 """Seconds over which the other nodes spread, so that they don't all read at once."""
 
-MEMBERS_SECONDS = (0.3, 0.7, 1.5, 3.0)
-"""Pauses between the first readings of the list of nodes; all nodes start within a moment."""
+MEMBERS_ALONE_SECONDS = 0.4
+"""Pause between two readings of the list of nodes while no other node is known."""
 
-MEMBERS_LATER_SECONDS = 15.0
-"""Pause between later readings; nodes tell each other of newcomers before that."""
+MEMBERS_SECONDS = 5.0
+"""Pause between two readings of the list by a hub, which joins groups that don't know each other."""
 
 ANNOUNCE_AGAIN_SECONDS = 1.0
 """Pause before this node's record is written again after a failure."""
@@ -309,14 +309,16 @@
 
     async def _find_nodes(self) -> None:
         """Learn of other nodes from the list and from the seeds."""
-        pauses = list(MEMBERS_SECONDS)
+        loop = asyncio.get_running_loop()
         while True:
-            read = await self._members.read()
-            now = asyncio.get_running_loop().time()
-            if isinstance(read, result.Ok):
-                for member in read.ok_value:
-                    self._nodes.on_listed(member, now)
-            await asyncio.sleep(pauses.pop(0) if pauses else MEMBERS_LATER_SECONDS)
+            # A hub hears of newcomers by their reports; only separate groups need the list.
+            if self._nodes.hub_rank(loop.time()) >= 0:
+                read = await self._members.read()
+                if isinstance(read, result.Ok):
+                    for member in read.ok_value:
+                        self._nodes.on_listed(member, loop.time())
+            is_alone = not self._nodes.alive(loop.time())
+            await asyncio.sleep(MEMBERS_ALONE_SECONDS if is_alone else MEMBERS_SECONDS)
 
     async def _sweep(self) -> None:
         while True:
--- a/src/dragonflycove/gateway/peer_reports.py
+++ b/src/dragonflycove/gateway/peer_reports.py
@@ -23,6 +23,9 @@
 DIFFERS_SECONDS = 0.6
 """Time for which views may differ before the list of all nodes is asked for."""
 
+LIST_PAUSE_SECONDS = 3.0
+"""Time between two lists to one node; while nodes restart, views differ all the time."""
+
 LIST_SECONDS = 1.0
 """Time before a list in which a node that was heard of stays, listed or not."""
 
@@ -63,6 +66,7 @@
         self._hub = ""
         self._known_at: set[roster.Member] = set()
         self._wants_list = True
+        self._next_list_at = 0.0
         self._differs_since = float("inf")
         self._list_number = 0
         self._list_parts: tuple[int, dict[int, tuple[roster.Member, ...]], float] = (-1, {}, 0.0)
@@ -117,7 +121,9 @@
             if hub.host == self._own.host:
                 continue
             is_known = hub in self._known_at
-            wants_list = hub is hubs[0] and self._wants_list
+            wants_list = hub is hubs[0] and self._wants_list and now >= self._next_list_at
+            if wants_list:
+                self._next_list_at = now + LIST_PAUSE_SECONDS
             told = report if is_known else introduction
             self._link.send(hub.peer_address, told._replace(wants_list=wants_list))
         for member in others.values():
@@ -135,6 +141,7 @@
             logs.event("hub_changed", hub=first, before=self._hub)
             self._hub = first
             self._wants_list = True
+            self._next_list_at = 0.0
 
     def _on_report(self, report: peer_messages.Report, sender: catalog.Address) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import struct
+import zlib
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import cbor2
@@ -25,6 +26,9 @@
 LONGEST_BYTES = 33_554_432
 """Longest message that is read; a configuration has at most a few megabytes."""
 
+COMPRESSION_LEVEL = 1
+"""Fastest level; configurations shrink to about a tenth, and hosts have small links."""
+
 BACKLOG = 256
 """Connections that wait to be accepted; all nodes may come at once after a change."""
 
@@ -108,7 +112,7 @@
                 request = await _read(reader, Request)
                 writer.write(_frame(self._answer(request)))
                 await writer.drain()
-        except (OSError, TimeoutError, EOFError, ValueError) as error:
+        except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
             logs.warning("transfer_failed", side="server", why=repr(error))
         finally:
             writer.close()
@@ -143,7 +147,7 @@
             http1.set_socket_options(writer)
             writer.write(_frame(request))
             return result.Ok(await _read(reader, Answer))
-    except (OSError, TimeoutError, EOFError, ValueError) as error:
+    except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
         return result.Err(repr(error))
     finally:
         if writer is not None:
@@ -151,7 +155,8 @@
 
 
 def _frame(message: Request | Answer) -> bytes:
-    content = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    plain = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    content = zlib.compress(plain, COMPRESSION_LEVEL)
     return _LENGTH.pack(len(content)) + content
 
 
@@ -159,4 +164,6 @@
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if length > LONGEST_BYTES:
         raise ValueError(f"message of {length} bytes")
-    return msgspec.convert(cbor2.loads(await reader.readexactly(length)), type=kind)
+    expanding = zlib.decompressobj()
+    plain = expanding.decompress(await reader.readexactly(length), LONGEST_BYTES)
+    return msgspec.convert(cbor2.loads(plain), type=kind)
