Pack shorts up to seven per engine, and judge servers by fair waits

(2) calls whose callers gave them 0.35 s made sound servers suspects. (3) the delay of other prompts' parts was not weighed.

--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -175,10 +175,11 @@
         before = self.pass_seconds() + self.backlog_seconds(now)
         loss = 0.0
         for read in self.reads_by_job.values():
-            if not read.is_lead:
-                continue
             job = read.job
-            if read.is_reading(now):
+            is_reading = read.is_reading(now)
+            if not read.is_lead and not is_reading:
+                continue
+            if is_reading:
                 elapsed = now - read.placed_at
                 due = elapsed + before
                 goal = job.goal_seconds
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -36,7 +36,7 @@
 FRESH_ENGINE_LOSS = 0.06
 """Worth assumed lost by taking an engine that has no requests, which long prompts could use."""
 
-PACKED_REQUESTS = 4
+PACKED_REQUESTS = 7
 """Requests up to which short prompts are packed onto engines already in use."""
 
 REMOTE_ZONE_LOSS = 0.004
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -25,6 +25,12 @@
 DRAIN_SECONDS = 0.5
 """Time to read the rest of an answer that is of no use, so that its connection stays usable."""
 
+TELLING_SECONDS = 1.0
+"""Time without an answer at the deadline from which the server counts as silent.
+
+Sound servers answer plain calls in a quarter of it, a long tail included.
+"""
+
 ASK_MOVE_SECONDS = 0.1
 """Time between two looks at whether a silent request can be moved."""
 
@@ -254,7 +260,9 @@
         if end is forwarding.End.SILENT:
             out_of_time = now >= self._life.deadline_at
             judged = server_health.Outcome.SILENT
-            if out_of_time and self._first_seconds:
+            # A caller with little time tells nothing of the server.
+            is_short = now - self._started_at < TELLING_SECONDS
+            if out_of_time and (is_short or self._first_seconds):
                 judged = server_health.Outcome.ABANDONED
             return Outcome(end, judged, first_event_seconds=self._first_seconds)
         if self._was_used and not began:
--- a/src/dragonflycove/measure/soak/proxy.py
+++ b/src/dragonflycove/measure/soak/proxy.py
@@ -51,7 +51,7 @@
         """Reset all open connections."""
         for writer in self._writers:
             raw = writer.get_extra_info("socket")
-            if raw is not None:
+            if raw is not None and raw.fileno() >= 0:
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
--- a/src/dragonflycove/standins/platform_server.py
+++ b/src/dragonflycove/standins/platform_server.py
@@ -120,6 +120,7 @@
         """Connections accepted."""
         self.reservations: dict[str, int] = {}
         """Memory set aside, tokens by id."""
+        self._holds: dict[str, asyncio.TimerHandle] = {}
         self._held_answer = b""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -197,8 +198,14 @@
 
     def _order(self, order: dict[str, object], writer: asyncio.StreamWriter) -> None:
         name = str(order["id"])
+        held = self._holds.pop(name, None)
+        if held is not None:
+            held.cancel()
         if order["operation"] == "reserve":
             self.reservations[name] = int(str(order["token_count"]))
+            seconds = float(str(order["hold_ms"])) / 1000
+            loop = asyncio.get_running_loop()
+            self._holds[name] = loop.call_later(seconds, self.reservations.pop, name, None)
         else:
             self.reservations.pop(name, None)
         writer.write(self._answer({}, 200, b'{"free":1}', []))
