--- a/src/dragonflycove/measure/soak/main.py
+++ b/src/dragonflycove/measure/soak/main.py
@@ -23,6 +23,9 @@
 JUDGED_SECONDS = 5.0
 """Last part of the calm time, in which nearly all requests must be served."""
 
+RELEASE_SECONDS = 1.0
+"""Time after the last request in which all memory is given back."""
+
 LEAST_SERVED = 0.95
 """Share of the requests of that part that must be served."""
 
@@ -85,6 +88,7 @@
         await playing.start()
         await asyncio.sleep(WARM_SECONDS)
         tasks = [asyncio.ensure_future(one.run()) for one in asking]
+        calling = tasks[:]
         watching = asyncio.ensure_future(_watch(playing, checking, asking, steps))
         tasks.append(watching)
         await _disturb(playing, steps)
@@ -96,6 +100,9 @@
         share = checking.served_share(finished)
         if share < LEAST_SERVED:
             checking.broken.append(f"RECOVER: {share:.2f} of {len(finished)} served at the end")
+        for task in calling:
+            task.cancel()
+        await asyncio.sleep(RELEASE_SECONDS)
         playing.check_leaks(checking)
         checking.check_all_runs(playing.runs)
         if watching.done():
