Split placing, forwarding and sending by concern; log abandoned sends

No behaviour changes but one line: a send whose caller left now logs its end, so that explain finds no line missing. Tests of fleet and gateway pass.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -11,46 +11,13 @@
 import collections
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import engine_forecast, server_health, work
+from dragonflycove.fleet import engine_forecast, prompt_choice, server_health, work
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from dragonflycove.fleet import catalog, knowledge
 
-MOST_HELPERS = 15
-"""Engines beside the first that may read one prompt; the platform's engines take 16 at most."""
-
-PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16)
-"""Numbers of engines that are weighed for a prompt."""
-
-SPLIT_TOKENS = 8_000
-"""Prompts under this length are read by one engine; a part costs each engine a request's overhead."""
-
-MEMORY_SHARE = 0.95
-"""Share of an engine's memory that placements fill; output lengths are estimates."""
-
-CROWDING_LOSS = 0.015
-"""Worth assumed lost per request already on an engine; breaks ties towards even packing."""
-
-FRESH_ENGINE_LOSS = 0.06
-"""Worth assumed lost by taking an engine that has no requests, which long prompts could use."""
-
-PACKED_REQUESTS = 7
-"""Requests up to which short prompts are packed onto engines already in use."""
-
-REMOTE_ZONE_LOSS = 0.004
-"""Worth assumed lost by crossing availability zones; breaks ties."""
-
-FAILURE_LOSS_SHARE = 1.5
-"""Worth assumed lost at a server that always fails, as a multiple of the request's worth."""
-
-WAIT_LOSS_PER_SECOND = 0.05
-"""Worth assumed lost per second to the first event, as a share of the request's worth."""
-
-PART_LOSS = 0.004
-"""Worth assumed lost per engine that takes part in a prompt; breaks ties towards fewer."""
-
 COLD_SHARE = 0.7
 """Share of the rate that a cold server bears that placements use; others may send to it as well."""
 
@@ -60,9 +27,6 @@
 PLAIN_SERVICE_SECONDS = 0.05
 """Time of a plain call until calls have been measured."""
 
-PLAIN_SECONDS_WEIGHT = 0.1
-"""Weight of the newest call in the measured time of a service."""
-
 QUEUE_POSITION_SECONDS = 0.25
 """Time until the next slot falls free on a full engine, before any is measured."""
 
@@ -71,14 +35,6 @@
 """Time after which a placement that its node does not report is dropped; answers can be lost."""
 
 
-class _Candidate(NamedTuple):
-    """One engine for one number of parts."""
-
-    loss: float
-    server: catalog.BackendServer
-    first_event_seconds: float
-
-
 class Placement(NamedTuple):
     """A request that is counted on servers."""
 
@@ -185,11 +141,11 @@
             wait = (1 + queued / server.slots) * seconds
             load = self._plain_by_instance[server.instance] / server.slots
             failing = self.health.failure_ratio(server.instance, now)
-            remote = REMOTE_ZONE_LOSS if server.zone != job.zone else 0.0
+            remote = prompt_choice.REMOTE_ZONE_LOSS if server.zone != job.zone else 0.0
             return (
                 engine_forecast.late_chance(wait, job.goal_seconds)
                 + 0.1 * load
-                + FAILURE_LOSS_SHARE * failing
+                + prompt_choice.FAILURE_LOSS_SHARE * failing
                 + remote
             )
 
@@ -216,179 +172,25 @@
         now: float,
     ) -> work.Grant | work.Wait | work.Refusal:
         forecasts = {server.instance: self._forecast(server, spec) for server in servers}
-        leads = [
-            server
-            for server in servers
-            if forecasts[server.instance].running < min(spec.slots, server.slots)
-        ]
-        if not leads:
+        choice = prompt_choice.PromptChoice(
+            job,
+            servers,
+            forecasts,
+            spec,
+            self.health,
+            lambda instance: self.is_cold(instance, now),
+            now,
+        )
+        if not choice.has_slot:
             return self._wait_for_slot(job, forecasts, spec)
-        best: tuple[float, work.Grant] | None = None
-        for count in self._part_counts(job, len(servers)):
-            option = self._weigh(job, servers, leads, forecasts, spec, count, now)
-            if option is not None and (best is None or option[0] < best[0]):
-                best = option
-        if best is None:
+        grant = choice.choose()
+        if grant is None:
             return self._without_memory(job, servers, forecasts, spec)
-        grant = best[1]
         if grant.first_event_seconds > job.deadline_seconds:
             return work.Refusal("no_room_in_time", grant.first_event_seconds / 2)
         self._commit(job, grant, forecasts, now)
         return grant
 
-    def _part_counts(self, job: work.Job, engines: int) -> list[int]:
-        if job.prompt_tokens < SPLIT_TOKENS:
-            return [1]
-        return [count for count in PART_COUNTS if count <= min(engines, MOST_HELPERS + 1)]
-
-    def _weigh(
-        self,
-        job: work.Job,
-        servers: list[catalog.BackendServer],
-        leads: list[catalog.BackendServer],
-        forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
-        spec: catalog.EngineSpec,
-        count: int,
-        now: float,
-    ) -> tuple[float, work.Grant] | None:
-        """Return the best choice of a number of engines with its loss; None if none fits."""
-        seconds = engine_forecast.read_seconds(spec, job.prompt_tokens, count)
-        lead = self._best_lead(job, leads, forecasts, spec, seconds, now)
-        if lead is None:
-            return None
-        helpers = self._best_helpers(
-            job, servers, lead.server, forecasts, spec, seconds, count, now
-        )
-        if len(helpers) < count - 1:
-            return None
-        reserved = self._reserve(job, lead.server, helpers, forecasts, spec)
-        if reserved is None:
-            return None
-        lead_reserved, parts = reserved
-        # The first token follows the last part.
-        first = max([lead.first_event_seconds, *(helper.first_event_seconds for helper in helpers)])
-        chance = engine_forecast.late_chance(first, job.goal_seconds)
-        own = job.value * (engine_forecast.LATE_SHARE * chance + WAIT_LOSS_PER_SECOND * first)
-        loss = own + lead.loss + sum(helper.loss for helper in helpers) + PART_LOSS * count
-        return loss, work.Grant(lead.server, parts, lead_reserved, first)
-
-    def _best_lead(
-        self,
-        job: work.Job,
-        leads: list[catalog.BackendServer],
-        forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
-        spec: catalog.EngineSpec,
-        seconds: float,
-        now: float,
-    ) -> _Candidate | None:
-        best: _Candidate | None = None
-        best_rank = float("inf")
-        for server in leads:
-            forecast = forecasts[server.instance]
-            candidate = self._candidate(job, server, forecast, seconds, now)
-            first = candidate.first_event_seconds
-            chance = engine_forecast.late_chance(first, job.goal_seconds)
-            rank = candidate.loss + job.value * (
-                engine_forecast.LATE_SHARE * chance + WAIT_LOSS_PER_SECOND * first
-            )
-            if not self._fits_whole(job, forecast, spec):
-                # A lead that lacks the memory needs reservations elsewhere.
-                rank += job.value
-            if rank < best_rank:
-                best, best_rank = candidate, rank
-        return best
-
-    def _candidate(
-        self,
-        job: work.Job,
-        server: catalog.BackendServer,
-        forecast: engine_forecast.EngineForecast,
-        seconds: float,
-        now: float,
-    ) -> _Candidate:
-        first = forecast.first_event_seconds(now, seconds)
-        loss = forecast.harm(now, seconds)
-        loss += FAILURE_LOSS_SHARE * job.value * self.health.failure_ratio(server.instance, now)
-        running = forecast.running
-        loss += CROWDING_LOSS * max(0, running - PACKED_REQUESTS)
-        if job.prompt_tokens < SPLIT_TOKENS and running == 0:
-            loss += FRESH_ENGINE_LOSS
-        if server.zone != job.zone:
-            loss += REMOTE_ZONE_LOSS
-        return _Candidate(loss, server, first)
-
-    def _best_helpers(
-        self,
-        job: work.Job,
-        servers: list[catalog.BackendServer],
-        lead: catalog.BackendServer,
-        forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
-        spec: catalog.EngineSpec,
-        seconds: float,
-        count: int,
-        now: float,
-    ) -> list[_Candidate]:
-        if count == 1:
-            return []
-        candidates = []
-        for server in servers:
-            forecast = forecasts[server.instance]
-            if server.instance == lead.instance or forecast.helping >= spec.slots:
-                continue
-            if self.is_cold(server.instance, now):
-                continue
-            candidates.append(self._candidate(job, server, forecast, seconds, now))
-
-        def rank(candidate: _Candidate) -> float:
-            first = candidate.first_event_seconds
-            chance = engine_forecast.late_chance(first, job.goal_seconds)
-            late = engine_forecast.LATE_SHARE * chance + WAIT_LOSS_PER_SECOND * first
-            return candidate.loss + job.value * late
-
-        candidates.sort(key=rank)
-        return candidates[: count - 1]
-
-    def _fits_whole(
-        self,
-        job: work.Job,
-        forecast: engine_forecast.EngineForecast,
-        spec: catalog.EngineSpec,
-    ) -> bool:
-        return job.memory_tokens <= self._free_memory(forecast, spec)
-
-    def _free_memory(
-        self, forecast: engine_forecast.EngineForecast, spec: catalog.EngineSpec
-    ) -> int:
-        return int(spec.memory_tokens * MEMORY_SHARE) - forecast.memory_tokens
-
-    def _reserve(
-        self,
-        job: work.Job,
-        lead: catalog.BackendServer,
-        helpers: list[_Candidate],
-        forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
-        spec: catalog.EngineSpec,
-    ) -> tuple[int, tuple[work.Part, ...]] | None:
-        """Split a prompt's memory over its engines; None if it does not fit.
-
-        A prompt that fits into its first engine needs no reservation. Any other has as much
-        reserved at each helper as its even share, more where the first engine lacks room.
-        """
-        free = self._free_memory(forecasts[lead.instance], spec)
-        if job.memory_tokens <= free:
-            return 0, tuple(work.Part(helper.server, 0) for helper in helpers)
-        rest = job.memory_tokens - max(0, free)
-        rooms = [self._free_memory(forecasts[helper.server.instance], spec) for helper in helpers]
-        if sum(max(0, room) for room in rooms) < rest:
-            return None
-        parts = []
-        for index, helper in enumerate(helpers):
-            share = -(-rest // (len(helpers) - index))
-            tokens = max(0, min(share, rooms[index]))
-            rest -= tokens
-            parts.append(work.Part(helper.server, tokens))
-        return (0, tuple(parts)) if rest <= 0 else None
-
     def _wait_for_slot(
         self,
         job: work.Job,
@@ -407,7 +209,7 @@
         forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
         spec: catalog.EngineSpec,
     ) -> work.Wait | work.Refusal:
-        most = int(spec.memory_tokens * MEMORY_SHARE) * len(servers)
+        most = int(spec.memory_tokens * prompt_choice.MEMORY_SHARE) * len(servers)
         if job.memory_tokens > most:
             return work.Refusal("larger_than_all_engines", 1.0)
         return self._wait_for_slot(job, forecasts, spec)
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -27,6 +27,7 @@
     directory,
     forwarder,
     knowledge_task,
+    lives,
     peer_link,
     peer_placing,
     peer_records,
@@ -145,7 +146,7 @@
         retries = retry_share.RetryShare(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_seconds
         )
-        identity = forwarder.NodeIdentity(settings.host, incarnation, settings.zone)
+        identity = lives.NodeIdentity(settings.host, incarnation, settings.zone)
         self._metrics = fleet_metrics.FleetMetrics(self._gauges)
         self._forwarder = forwarder.Forwarder(
             identity,
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING
 
 import result
 import xxhash
 
-from dragonflycove.fleet import catalog, forwarding, server_health, work
-from dragonflycove.gateway import sends
+from dragonflycove.fleet import forwarding, server_health, work
+from dragonflycove.gateway import lives, send_values, sends
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -40,80 +40,14 @@
 """Sends of one request, refused ones included; each costs the fleet's retry budget."""
 
 
-class Placing(Protocol):
-    """Finds servers for requests."""
-
-    async def place(self, job: work.Job) -> work.Grant | work.Refusal:
-        """Wait until a request is placed or refused."""
-        ...
-
-    def on_first_event(self, key: work.JobKey) -> None:
-        """Note that a prompt has been read."""
-        ...
-
-    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
-        """Note that a send ended; returns whether its server became a suspect."""
-        ...
-
-
-class NodeIdentity(NamedTuple):
-    """Who sends."""
-
-    host: str
-    """Name of this host."""
-
-    incarnation: int
-    """Start of this process."""
-
-    zone: str
-    """Availability zone of this host."""
-
-
-class Life(NamedTuple):
-    """What stays the same over the sends of one request."""
-
-    request: forwarding.CallerRequest
-    """The request."""
-
-    route: catalog.Route
-    """Its route."""
-
-    service: str
-    """Service that runs it."""
-
-    organisation: catalog.Organisation | None
-    """Organisation that sent it; None on a public route without a key."""
-
-    received_at: float
-    """Loop time at which it had been read."""
-
-    deadline_at: float
-    """Loop time at which its time is over."""
-
-    fingerprint: int
-    """Hash of what makes the request itself."""
-
-    @property
-    def organisation_name(self) -> str:
-        """Name of the organisation; empty for none."""
-        return self.organisation.name if self.organisation else ""
-
-    @property
-    def priority(self) -> int:
-        """Rank; the organisation's goes before the route's."""
-        if self.organisation is not None and self.organisation.priority is not None:
-            return self.organisation.priority
-        return self.route.priority
-
-
 class Forwarder:
     """Serves callers' requests."""
 
     def __init__(
         self,
-        identity: NodeIdentity,
+        identity: lives.NodeIdentity,
         belief: knowledge.Knowledge,
-        placing: Placing,
+        placing: lives.Placing,
         pool: server_pool.ServerPool,
         retries: retry_share.RetryShare,
         suspects: crash_suspects.CrashSuspects,
@@ -171,7 +105,9 @@
             raise
         self._metrics.whole(life.ok_value.route.kind, loop.time() - started_at)
 
-    def _admit(self, request: forwarding.CallerRequest) -> result.Result[Life, forwarding.Final]:
+    def _admit(
+        self, request: forwarding.CallerRequest
+    ) -> result.Result[lives.Life, forwarding.Final]:
         """Find the route and the organisation of a request."""
         configuration = self._belief.configuration
         if configuration is None:
@@ -190,7 +126,7 @@
         weights = [weight for _, weight in route.weights_by_service]
         service = self._rng.choices(services, weights)[0] if sum(weights) else services[0]
         name = organisation.name if organisation else ""
-        life = Life(
+        life = lives.Life(
             request=request,
             route=route,
             service=service,
@@ -213,13 +149,13 @@
         )
         return result.Ok(life)
 
-    async def _run(self, life: Life, reply: callers.Reply) -> None:
+    async def _run(self, life: lives.Life, reply: callers.Reply) -> None:
         """Send a request until it is answered, or nothing more can be done."""
         loop = asyncio.get_running_loop()
-        stream = sends.StreamState(life.request.last_event_number)
+        stream = send_values.StreamState(life.request.last_event_number)
         ends: list[forwarding.End] = []
         excluded: list[str] = []
-        kept: sends.KeptAnswer | None = None
+        kept: send_values.KeptAnswer | None = None
         while True:
             now = loop.time()
             final = self._may_send(life, ends, now)
@@ -244,7 +180,7 @@
         await self._finish(life, reply, kept, final)
 
     def _may_send(
-        self, life: Life, ends: list[forwarding.End], now: float
+        self, life: lives.Life, ends: list[forwarding.End], now: float
     ) -> forwarding.Final | None:
         """Return why a request is not sent, or not again; None if it is."""
         if now + LEAST_SEND_SECONDS > life.deadline_at:
@@ -279,7 +215,7 @@
         )
         return None
 
-    async def _end_of(self, outcome: sends.Outcome, grant: work.Grant) -> forwarding.End:
+    async def _end_of(self, outcome: send_values.Outcome, grant: work.Grant) -> forwarding.End:
         """Tell a server that broke off from one that is gone."""
         if outcome.end is not forwarding.End.BROKEN:
             return outcome.end
@@ -289,7 +225,7 @@
             return outcome.end
         return forwarding.End.SERVER_GONE
 
-    def _may_move(self, life: Life, ends: list[forwarding.End]) -> bool:
+    def _may_move(self, life: lives.Life, ends: list[forwarding.End]) -> bool:
         """Whether a request whose server is silent could go to another one."""
         after = [*ends, forwarding.End.SILENT]
         now = asyncio.get_running_loop().time()
@@ -301,7 +237,7 @@
         )
 
     def _job(
-        self, life: Life, excluded: list[str], stream: sends.StreamState, now: float
+        self, life: lives.Life, excluded: list[str], stream: send_values.StreamState, now: float
     ) -> work.Job:
         request = life.request
         elapsed = now - life.received_at
@@ -323,13 +259,13 @@
 
     async def _send(
         self,
-        life: Life,
+        life: lives.Life,
         job: work.Job,
         grant: work.Grant,
         reply: callers.Reply,
-        stream: sends.StreamState,
+        stream: send_values.StreamState,
         ends: list[forwarding.End],
-    ) -> sends.Outcome:
+    ) -> send_values.Outcome:
         """Send a request to the servers that it was placed on."""
         logs.event(
             "sent",
@@ -344,13 +280,15 @@
         )
         judged = server_health.Outcome.ABANDONED
         held: reservations.Held | None = None
+        outcome: send_values.Outcome | None = None
         try:
             reserved = await self._reserving.reserve(grant, job)
             if isinstance(reserved, result.Err):
                 judged = server_health.Outcome.FULL
-                return sends.Outcome(forwarding.End.NOT_SENT, judged)
+                outcome = send_values.Outcome(forwarding.End.NOT_SENT, judged)
+                return outcome
             held = reserved.ok_value
-            plan = sends.Plan(
+            plan = send_values.Plan(
                 grant=grant,
                 helpers=held.helpers,
                 predicted_seconds=grant.first_event_seconds,
@@ -363,23 +301,27 @@
             if held is not None:
                 self._reserving.release(held)
             is_suspect = self._placing.on_end(job.key, judged)
-        now = asyncio.get_running_loop().time()
+            now = asyncio.get_running_loop().time()
+            logs.event(
+                "send_ended",
+                request=life.request.attempt_id,
+                server=grant.lead.instance.server_id,
+                end=outcome.end.value if outcome else "abandoned",
+                judged=judged.value,
+                first=outcome.first_event_seconds if outcome else 0.0,
+                events=stream.delivered,
+                seconds=now - life.received_at,
+                suspect=is_suspect,
+            )
         self._judge_request(life, outcome, stream, now)
-        logs.event(
-            "send_ended",
-            request=life.request.attempt_id,
-            server=grant.lead.instance.server_id,
-            end=outcome.end.value,
-            judged=judged.value,
-            first=outcome.first_event_seconds,
-            events=stream.delivered,
-            seconds=now - life.received_at,
-            suspect=is_suspect,
-        )
         return outcome
 
     def _judge_request(
-        self, life: Life, outcome: sends.Outcome, stream: sends.StreamState, now: float
+        self,
+        life: lives.Life,
+        outcome: send_values.Outcome,
+        stream: send_values.StreamState,
+        now: float,
     ) -> None:
         """Count a lost server against the request that it was running."""
         if outcome.end is forwarding.End.DELIVERED:
@@ -388,7 +330,7 @@
             self._suspects.on_lost_server(life.fingerprint, now)
 
     def _refused(
-        self, life: Life, ends: list[forwarding.End], refusal: work.Refusal
+        self, life: lives.Life, ends: list[forwarding.End], refusal: work.Refusal
     ) -> forwarding.Final:
         """Choose the answer to a request for which there is no place."""
         if any(end not in forwarding.PROVEN_NOT_RUN for end in ends):
@@ -399,9 +341,9 @@
 
     async def _finish(
         self,
-        life: Life,
+        life: lives.Life,
         reply: callers.Reply,
-        kept: sends.KeptAnswer | None,
+        kept: send_values.KeptAnswer | None,
         final: forwarding.Final,
     ) -> None:
         """Write the final answer of a request that was not served."""
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import result
 
 from dragonflycove.fleet import catalog, event_stream, forwarding, server_health
+from dragonflycove.gateway import send_values
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable
 
-    from dragonflycove.fleet import knowledge, work
-    from dragonflycove.gateway import callers, forwarder, server_pool
+    from dragonflycove.fleet import knowledge
+    from dragonflycove.gateway import callers, lives, server_pool
     from dragonflycove.telemetry import fleet_metrics
     from dragonflycove.transport import http1
 
@@ -41,69 +42,6 @@
 _T = TypeVar("_T")
 
 
-class KeptAnswer(NamedTuple):
-    """A server's whole answer that is passed on if no better one comes."""
-
-    head: forwarding.AnswerHead
-    """Its head."""
-
-    body: bytes
-    """Its body."""
-
-
-class Outcome(NamedTuple):
-    """How a send ended."""
-
-    end: forwarding.End
-    """What it means for the request."""
-
-    judged: server_health.Outcome
-    """What it tells of the server."""
-
-    kept: KeptAnswer | None = None
-    """The server's failure, if it gave a whole one."""
-
-    faulty_server: str | None = None
-    """Id of another server that was at fault."""
-
-    first_event_seconds: float = 0.0
-    """Time from the send to the first event or the answer; 0 if there was none."""
-
-
-class Plan(NamedTuple):
-    """Where and how a request is sent."""
-
-    grant: work.Grant
-    """The servers."""
-
-    helpers: tuple[str, ...]
-    """Helping engines, encoded."""
-
-    predicted_seconds: float
-    """Predicted time to the first event."""
-
-    on_first_event: Callable[[], None]
-    """Called when the first event comes."""
-
-    may_move: Callable[[], bool]
-    """Tells whether the request could go to another server now."""
-
-
-class StreamState:
-    """How far a caller's stream has come, over all sends."""
-
-    def __init__(self, last_number: int | None) -> None:
-        """Start after the events that the caller has.
-
-        Args:
-            last_number: Number of its last event; None if it has none.
-        """
-        self.position = event_stream.StreamPosition(last_number)
-        """Position in the events."""
-        self.delivered = 0
-        """Events passed on."""
-
-
 class Sender:
     """Sends requests to servers and passes answers on."""
 
@@ -125,8 +63,12 @@
         self._metrics = metrics
 
     async def send(
-        self, life: forwarder.Life, plan: Plan, reply: callers.Reply, stream: StreamState
-    ) -> Outcome:
+        self,
+        life: lives.Life,
+        plan: send_values.Plan,
+        reply: callers.Reply,
+        stream: send_values.StreamState,
+    ) -> send_values.Outcome:
         """Send a request once.
 
         Args:
@@ -146,12 +88,12 @@
             connect_seconds=max(0.01, life.deadline_at - loop.time()),
         )
         if isinstance(taken, result.Err):
-            return Outcome(forwarding.End.NOT_SENT, server_health.Outcome.UNREACHABLE)
+            return send_values.Outcome(forwarding.End.NOT_SENT, server_health.Outcome.UNREACHABLE)
         connection = taken.ok_value
         left = life.deadline_at - loop.time()
         if left <= 0 or not self._belief.is_usable(server.instance, loop.time()):
             connection.close()
-            return Outcome(forwarding.End.NOT_SENT, server_health.Outcome.ABANDONED)
+            return send_values.Outcome(forwarding.End.NOT_SENT, server_health.Outcome.ABANDONED)
         exchange = _Exchange(life, plan, reply, stream, connection, self._pool, self._metrics)
         try:
             return await exchange.run(left)
@@ -165,10 +107,10 @@
 
     def __init__(
         self,
-        life: forwarder.Life,
-        plan: Plan,
+        life: lives.Life,
+        plan: send_values.Plan,
         reply: callers.Reply,
-        stream: StreamState,
+        stream: send_values.StreamState,
         connection: http1.Connection,
         pool: server_pool.ServerPool,
         metrics: fleet_metrics.FleetMetrics,
@@ -187,7 +129,7 @@
         self.is_kept = False
         """Whether the connection went back to the pool."""
 
-    async def run(self, left: float) -> Outcome:
+    async def run(self, left: float) -> send_values.Outcome:
         life = self._life
         organisation = life.organisation.name if life.organisation else None
         send = requests.Send(
@@ -254,7 +196,7 @@
             if answer.closes or not self._connection.skip_answer():
                 return result.Err("connection_ends")
 
-    def _lost(self, end: forwarding.End, *, began: bool) -> Outcome:
+    def _lost(self, end: forwarding.End, *, began: bool) -> send_values.Outcome:
         """Judge a send whose answer did not come whole."""
         now = asyncio.get_running_loop().time()
         if end is forwarding.End.SILENT:
@@ -264,18 +206,20 @@
             is_short = now - self._started_at < TELLING_SECONDS
             if out_of_time and (is_short or self._first_seconds):
                 judged = server_health.Outcome.ABANDONED
-            return Outcome(end, judged, first_event_seconds=self._first_seconds)
+            return send_values.Outcome(end, judged, first_event_seconds=self._first_seconds)
         if self._was_used and not began:
-            return Outcome(forwarding.End.STALE, server_health.Outcome.ABANDONED)
-        return Outcome(end, server_health.Outcome.BROKEN, first_event_seconds=self._first_seconds)
+            return send_values.Outcome(forwarding.End.STALE, server_health.Outcome.ABANDONED)
+        return send_values.Outcome(
+            end, server_health.Outcome.BROKEN, first_event_seconds=self._first_seconds
+        )
 
-    async def _on_head(self, answer: forwarding.AnswerHead) -> Outcome:
+    async def _on_head(self, answer: forwarding.AnswerHead) -> send_values.Outcome:
         if answer.is_not_run:
             await self._drain(answer)
             return self._not_run(answer)
         is_success = 200 <= answer.status < 300
         if is_success and (not answer.is_signed or answer.is_encoded):
-            return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+            return send_values.Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
         if is_success and self._life.route.kind is catalog.CallKind.STREAMING:
             return await self._pass_stream(answer)
         body = await self._within(float("inf"), self._read_body())
@@ -284,7 +228,7 @@
         self._keep(answer)
         return await self._on_whole(answer, body.ok_value)
 
-    def _not_run(self, answer: forwarding.AnswerHead) -> Outcome:
+    def _not_run(self, answer: forwarding.AnswerHead) -> send_values.Outcome:
         lead = self._plan.grant.lead.instance.server_id
         faulty = answer.faulty_server
         judged = server_health.Outcome.FULL
@@ -292,24 +236,24 @@
             judged = server_health.Outcome.WRONG_INSTANCE
         if faulty is not None and faulty != lead:
             judged = server_health.Outcome.ABANDONED
-        return Outcome(forwarding.End.NOT_RUN, judged, faulty_server=faulty)
+        return send_values.Outcome(forwarding.End.NOT_RUN, judged, faulty_server=faulty)
 
-    async def _on_whole(self, answer: forwarding.AnswerHead, body: bytes) -> Outcome:
+    async def _on_whole(self, answer: forwarding.AnswerHead, body: bytes) -> send_values.Outcome:
         """Pass a whole answer on, unless another server may give a better one."""
         seconds = asyncio.get_running_loop().time() - self._started_at
         if answer.status in _PROMISES:
             # Passed on, the status would promise that the request never ran.
-            return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
-        kept = KeptAnswer(answer, body)
+            return send_values.Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+        kept = send_values.KeptAnswer(answer, body)
         if answer.status >= 500:
-            return Outcome(
+            return send_values.Outcome(
                 forwarding.End.ERROR_STATUS, server_health.Outcome.SERVER_ERROR, kept=kept
             )
         if self._reply.is_started:
-            return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+            return send_values.Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
         await self._reply.answer(answer.status, answer.headers, body)
         self._metrics.first(self._life.route.kind, seconds)
-        return Outcome(
+        return send_values.Outcome(
             forwarding.End.DELIVERED,
             server_health.Outcome.ANSWERED,
             first_event_seconds=seconds,
@@ -339,7 +283,7 @@
         self._pool.put(self._plan.grant.lead.address, self._connection, answer)
         self.is_kept = True
 
-    async def _pass_stream(self, answer: forwarding.AnswerHead) -> Outcome:
+    async def _pass_stream(self, answer: forwarding.AnswerHead) -> send_values.Outcome:
         """Pass a stream on, event by event, until it ends or breaks."""
         splitter = event_stream.EventSplitter()
         loop = asyncio.get_running_loop()
@@ -362,7 +306,9 @@
                 self._plan.on_first_event()
             self._last_event_at = now
             if not await self._pass_events(answer, events):
-                return Outcome(forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR)
+                return send_values.Outcome(
+                    forwarding.End.BROKEN, server_health.Outcome.SERVER_ERROR
+                )
             if self._life.route.is_resumable:
                 limit = forwarding.silence_between_events(self._life.route)
         if splitter.has_part:
@@ -371,7 +317,7 @@
         if not self._reply.is_started:
             await self._reply.start(answer.status, answer.headers, b"")
         await self._reply.end()
-        return Outcome(
+        return send_values.Outcome(
             forwarding.End.DELIVERED,
             server_health.Outcome.ANSWERED,
             first_event_seconds=self._first_seconds,
