--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -4,7 +4,7 @@
 
 import random
 
-import fleet
+import node_fleet
 import pytest
 
 from dragonflycove.admission import dispatcher, effects, organisation_limits
@@ -14,7 +14,9 @@
 
 
 def make(*servers, policy=policies.Policy.BORROWING, **changes):
-    configuration = fleet.make_configuration(*(servers or (fleet.make_server("s1"),)), **changes)
+    configuration = node_fleet.make_configuration(
+        *(servers or (node_fleet.make_server("s1"),)), **changes
+    )
     return dispatcher.Dispatcher.from_config(configuration, "z1", policy, random.Random(1))
 
 
@@ -31,7 +33,7 @@
 )
 def test_refuses_at_once(request_changes, configuration_changes, reason):
     subject = make(**configuration_changes)
-    [effect] = subject.submit(fleet.make_request("r", **request_changes), 1.0)
+    [effect] = subject.submit(node_fleet.make_request("r", **request_changes), 1.0)
     assert isinstance(effect, effects.Refuse)
     assert effect.outcome.reason is reason
     assert subject.snapshot().counts_by_reason == {reason: 1}
@@ -39,8 +41,8 @@
 
 def test_second_submission_of_a_running_request_is_refused():
     subject = make()
-    subject.submit(fleet.make_request("r"), 0.0)
-    [effect] = subject.submit(fleet.make_request("r"), 1.0)
+    subject.submit(node_fleet.make_request("r"), 0.0)
+    [effect] = subject.submit(node_fleet.make_request("r"), 1.0)
     assert effect.outcome.reason is outcomes.Reason.ALREADY_RUNNING
 
 
@@ -48,7 +50,7 @@
 def test_limit_is_kept_and_a_free_slot_is_used(policy):
     subject = make(policy=policy)
     subject.set_limits({"s1": 2}, 0.0)
-    sent = [e for i in range(4) for e in subject.submit(fleet.make_request(f"r{i}"), 0.0)]
+    sent = [e for i in range(4) for e in subject.submit(node_fleet.make_request(f"r{i}"), 0.0)]
     assert [e.request.request_id for e in sent] == ["r0", "r1"]
     [third] = subject.on_finished("r0", 1.0)
     assert third.request.request_id == "r2"
@@ -60,8 +62,8 @@
 def test_limits_that_were_not_renewed_let_nothing_start():
     subject = make()
     subject.set_limits({"s1": 2}, 0.0, 1.0)
-    assert len(subject.submit(fleet.make_request("in time"), 1.0)) == 1
-    assert subject.submit(fleet.make_request("after a pause"), 1.1) == []
+    assert len(subject.submit(node_fleet.make_request("in time"), 1.0)) == 1
+    assert subject.submit(node_fleet.make_request("after a pause"), 1.1) == []
     [late] = subject.set_limits({"s1": 2}, 1.2, 1.0)
     assert late.request.request_id == "after a pause"
 
@@ -70,7 +72,7 @@
 def test_deadline_ends_a_request(is_sent):
     subject = make()
     subject.set_limits({"s1": int(is_sent)}, 0.0) if is_sent else None
-    subject.submit(fleet.make_request("r", deadline=9.0), 0.0)
+    subject.submit(node_fleet.make_request("r", deadline=9.0), 0.0)
     if not is_sent:
         subject.on_attempt_failed("r", "s1", outcomes.Reason.BACKEND_CRASHED, 1.0)
     assert subject.next_tick(1.0) == 9.0
@@ -81,8 +83,8 @@
 
 
 def test_broken_attempt_moves_to_another_server_and_never_back():
-    subject = make(fleet.make_server("s1"), fleet.make_server("s2"))
-    [first] = subject.submit(fleet.make_request("r"), 0.0)
+    subject = make(node_fleet.make_server("s1"), node_fleet.make_server("s2"))
+    [first] = subject.submit(node_fleet.make_request("r"), 0.0)
     reason = outcomes.Reason.BACKEND_CRASHED
     subject.on_attempt_failed("r", first.server_id, reason, 1.0)
     [second] = subject.resubmit(first.request, 1.0, frozenset({first.server_id}), reason)
@@ -93,12 +95,12 @@
 
 
 def test_retry_budget_ends_a_storm_of_retries():
-    subject = make(fleet.make_server("s1"), fleet.make_server("s2"))
-    subject.submit(fleet.make_request("r", deadline=1e6), 0.0)
+    subject = make(node_fleet.make_server("s1"), node_fleet.make_server("s2"))
+    subject.submit(node_fleet.make_request("r", deadline=1e6), 0.0)
     ends = []
     for _ in range(30):
         ends += subject.resubmit(
-            fleet.make_request("r", deadline=1e6), 0.0, frozenset(), outcomes.Reason.STREAM_GAP
+            node_fleet.make_request("r", deadline=1e6), 0.0, frozenset(), outcomes.Reason.STREAM_GAP
         )
     assert [e.outcome.reason for e in ends if isinstance(e, effects.Fail)] == [
         outcomes.Reason.RETRY_BUDGET
@@ -106,8 +108,8 @@
 
 
 def test_request_larger_than_any_engine_gets_a_group():
-    subject = make(fleet.make_server("s1"), fleet.make_server("s2"))
-    request = fleet.make_request("r", 130_000, deadline=600.0)
+    subject = make(node_fleet.make_server("s1"), node_fleet.make_server("s2"))
+    request = node_fleet.make_request("r", 130_000, deadline=600.0)
     [needed] = subject.submit(request, 0.0)
     assert (type(needed), needed.request) == (effects.NeedsGroup, request)
     assert sorted(needed.candidates) == ["s1", "s2"]
@@ -121,8 +123,8 @@
     subject.set_limits({"s1": 0}, 0.0)
     subject.set_limits({"s1": 1}, 0.0)
     for name in ("r0", "r1"):
-        subject.submit(fleet.make_request(name), 0.0)
-    out = fleet.make_configuration(fleet.make_server("s1"), zones_out=frozenset({"z1"}))
+        subject.submit(node_fleet.make_request(name), 0.0)
+    out = node_fleet.make_configuration(node_fleet.make_server("s1"), zones_out=frozenset({"z1"}))
     [failed] = subject.set_configuration(out, 1.0)
     assert (failed.request_id, failed.outcome.ran) == ("r1", outcomes.Ran.NOT_RUN)
     assert subject.on_finished("r0", 2.0) == []
@@ -134,13 +136,13 @@
     subject.set_organisation_share(0.5)
     seen = []
     for index, at in enumerate((0.0, 0.0, 0.2, 0.29, 1.0)):
-        [effect] = subject.submit(fleet.make_request(f"r{index}"), at)
+        [effect] = subject.submit(node_fleet.make_request(f"r{index}"), at)
         seen.append(getattr(effect, "outcome", None))
     assert seen[0] is None
     assert {refused.reason for refused in seen[1:4]} == {outcomes.Reason.ORGANISATION_LIMIT}
     assert seen[1].retry_after_seconds == pytest.approx(0.3)
     assert seen[4] is None
-    [other] = subject.submit(fleet.make_request("other", organisation="b"), 1.0)
+    [other] = subject.submit(node_fleet.make_request("other", organisation="b"), 1.0)
     assert isinstance(other, effects.Dispatch)
 
 
--- a/tests/admission/test_dispatcher_machine.py
+++ b/tests/admission/test_dispatcher_machine.py
@@ -4,8 +4,8 @@
 
 import random
 
-import fleet
 import hypothesis
+import node_fleet
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -35,8 +35,8 @@
 
     @stateful.initialize(policy=st.sampled_from(policies.Policy), seed=st.integers(0, 9))
     def start(self, policy, seed):
-        self.configuration = fleet.make_configuration(
-            *(fleet.make_server(name, zone=f"z{i % 2 + 1}") for i, name in enumerate(SERVERS))
+        self.configuration = node_fleet.make_configuration(
+            *(node_fleet.make_server(name, zone=f"z{i % 2 + 1}") for i, name in enumerate(SERVERS))
         )
         self.subject = dispatcher.Dispatcher.from_config(
             self.configuration, "z1", policy, random.Random(seed)
@@ -86,7 +86,7 @@
     )
     def submit(self, tokens, seconds, urgency, organisation):
         self.number += 1
-        request = fleet.make_request(
+        request = node_fleet.make_request(
             f"r{self.number}",
             tokens,
             deadline=self.now + seconds,
@@ -178,7 +178,17 @@
         self.check(
             self.subject.on_report(
                 load_view.EngineReport(
-                    server, 0.2, "1", 1, 0, (0, 0), (0, tokens), tokens, 100_000, 9, (fleet.MODEL,)
+                    server,
+                    0.2,
+                    "1",
+                    1,
+                    0,
+                    (0, 0),
+                    (0, tokens),
+                    tokens,
+                    100_000,
+                    9,
+                    (node_fleet.MODEL,),
                 ),
                 self.now,
             )
--- a/tests/routing/test_load_view.py
+++ b/tests/routing/test_load_view.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import fleet
+import node_fleet
 import pytest
 
 from dragonflycove.routing import digests, load_view
@@ -10,12 +10,12 @@
 
 def make_report(age=0.2, first=0, second=0, memory=0, start="1"):
     return load_view.EngineReport(
-        "s1", age, start, 1, 0, (0, 0), (first, second), memory, 100_000, 9, (fleet.MODEL,)
+        "s1", age, start, 1, 0, (0, 0), (first, second), memory, 100_000, 9, (node_fleet.MODEL,)
     )
 
 
 def make_load():
-    return load_view.EngineLoad(fleet.make_server("s1"), 4)
+    return load_view.EngineLoad(node_fleet.make_server("s1"), 4)
 
 
 def work(sent_at, tokens, request_id="r", memory=500):
@@ -59,7 +59,7 @@
 
 def test_digest_replaces_the_last_one_and_a_newer_report_ends_it():
     view = load_view.LoadView()
-    view.set_servers([fleet.make_server("s1")])
+    view.set_servers([node_fleet.make_server("s1")])
     peers = digests.Peers()
 
     def tell(age, tokens):
@@ -83,7 +83,7 @@
 def test_digest_is_bounded():
     loads = []
     for index in range(600):
-        load = load_view.EngineLoad(fleet.make_server(f"s{index}"), 4)
+        load = load_view.EngineLoad(node_fleet.make_server(f"s{index}"), 4)
         load.add(work(1.0, (index, 0)))
         loads.append(load)
     works = digests.collect_works(loads)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -5,7 +5,7 @@
 import collections
 import random
 
-import fleet
+import node_fleet
 import pytest
 
 from dragonflycove.routing import demands, load_view, policies, rooms, router
@@ -15,18 +15,20 @@
 
 def make(count, policy=policies.Policy.BORROWING, **changes):
     subject = router.Router(policy, random.Random(3))
-    servers = [fleet.make_server(f"s{i}", concurrency=1_000, **changes) for i in range(count)]
-    subject.set_configuration(fleet.make_configuration(*servers))
+    servers = [node_fleet.make_server(f"s{i}", concurrency=1_000, **changes) for i in range(count)]
+    subject.set_configuration(node_fleet.make_configuration(*servers))
     return subject
 
 
 def demand(tokens=1_000, priority=0, is_long=False, prefix=(), excluded=frozenset()):
-    return demands.Demand(fleet.MODEL, tokens, tokens + 30, priority, prefix, is_long, excluded)
+    return demands.Demand(
+        node_fleet.MODEL, tokens, tokens + 30, priority, prefix, is_long, excluded
+    )
 
 
 def report(server_id, first=0, second=0, memory=0):
     return load_view.EngineReport(
-        server_id, 0.0, "1", 1, 0, (0, 0), (first, second), memory, 100_000, 9, (fleet.MODEL,)
+        server_id, 0.0, "1", 1, 0, (0, 0), (first, second), memory, 100_000, 9, (node_fleet.MODEL,)
     )
 
 
@@ -34,8 +36,8 @@
     chosen = collections.Counter()
     for seed in range(200):
         subject = router.Router(policies.Policy.BORROWING, random.Random(seed))
-        servers = [fleet.make_server(f"s{i}") for i in range(10)]
-        subject.set_configuration(fleet.make_configuration(*servers))
+        servers = [node_fleet.make_server(f"s{i}") for i in range(10)]
+        subject.set_configuration(node_fleet.make_configuration(*servers))
         chosen[subject.choose(demand(), 0.0).server_id] += 1
     assert len(chosen) == 10
     assert max(chosen.values()) <= 40
@@ -79,7 +81,7 @@
     ],
 )
 def test_room(home, reported, wanted, utilisation, expected):
-    load = load_view.EngineLoad(fleet.make_server("s1"), 4)
+    load = load_view.EngineLoad(node_fleet.make_server("s1"), 4)
     load.on_report(report("s1", *reported), 0.0)
     found = rooms.find_room(
         policies.Policy.BORROWING,
