Keep shorts off engines that have no request with short pauses

Joining an engine without requests of short pauses now costs 0.1. The test fails on the code before.

--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -25,6 +25,9 @@
 LATE_WIDTH = 0.07
 """How fast the chance of being late rises around the midpoint, as a share of the goal."""
 
+TIGHT_GAP_SECONDS = 0.4
+"""Longest pause of a request that can't bear a long read beside it; a prompt of 45,000 tokens."""
+
 _STEEPEST = 30.0
 """Largest exponent that is computed."""
 
@@ -46,6 +49,15 @@
     return 1.0 / (1.0 + math.exp(exponent))
 
 
+def is_tight(job: work.Job) -> bool:
+    """Whether a request allows no pause in which a long prompt could be read.
+
+    Args:
+        job: The request.
+    """
+    return job.gap_goal_seconds < TIGHT_GAP_SECONDS
+
+
 def read_seconds(spec: catalog.EngineSpec, prompt_tokens: int, parts: int) -> float:
     """Return the time in which one of several equal parts of a prompt is read.
 
@@ -117,6 +129,11 @@
         """Requests that hold a slot."""
         return sum(1 for read in self.reads_by_job.values() if read.is_lead)
 
+    @property
+    def tight(self) -> int:
+        """Requests that hold a slot and allow only short pauses."""
+        return sum(1 for read in self.reads_by_job.values() if read.is_lead and is_tight(read.job))
+
     @property
     def helping(self) -> int:
         """Prompts of other engines that this one helps to read or holds."""
--- a/src/dragonflycove/fleet/prompt_choice.py
+++ b/src/dragonflycove/fleet/prompt_choice.py
@@ -30,8 +30,12 @@
 CROWDING_LOSS = 0.015
 """Worth assumed lost per request already on an engine; breaks ties towards even packing."""
 
-FRESH_ENGINE_LOSS = 0.06
-"""Worth assumed lost by taking an engine that has no requests, which long prompts could use."""
+FRESH_ENGINE_LOSS = 0.1
+"""Worth assumed lost where a request with short pauses joins an engine that has no such request.
+
+Engines without such requests read long prompts without harm; this keeps them from being taken while
+others still have slots.
+"""
 
 PACKED_REQUESTS = 7
 """Requests up to which short prompts are packed onto engines already in use."""
@@ -170,7 +174,7 @@
         loss += FAILURE_LOSS_SHARE * job.value * failing
         running = forecast.running
         loss += CROWDING_LOSS * max(0, running - PACKED_REQUESTS)
-        if job.prompt_tokens < SPLIT_TOKENS and running == 0:
+        if engine_forecast.is_tight(job) and forecast.tight == 0:
             loss += FRESH_ENGINE_LOSS
         if server.zone != job.zone:
             loss += REMOTE_ZONE_LOSS
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -61,6 +61,18 @@
     assert short.lead.instance not in reading or len(reading) == 3
 
 
+def test_shorts_don_t_join_an_engine_that_only_writes_a_long_answer() -> None:
+    # An engine without short requests can read the next long prompt without harm.
+    deciding = placing(2)
+    # The engine with the long answer is nearer.
+    first = granted(deciding, builders.job(0, excluded=("e1",)))
+    apart = (first.lead.instance.server_id,)
+    long = granted(deciding, builders.job(1, tokens=7_900, goal=3.0, gap=1.0, excluded=apart))
+    deciding.on_first_event(work.JobKey("n1", 1, 1), 0.1)
+    shorts = [granted(deciding, builders.job(2 + n), 0.2 + n / 10) for n in range(6)]
+    assert long.lead not in [grant.lead for grant in shorts]
+
+
 def test_a_prompt_over_one_engines_memory_reserves_the_rest_elsewhere() -> None:
     grant = granted(placing(), builders.job(1, tokens=600_000, goal=3.0, gap=1.0, deadline=15.0))
     reserved = sum(part.reserved_tokens for part in grant.helpers)
