--- a/src/dragonflycove/measure/soak/checks.py
+++ b/src/dragonflycove/measure/soak/checks.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from dragonflycove.standins import platform_server
+    from dragonflycove.standins.platform import server as platform_server
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that say that a request has not run and never will."""
--- a/src/dragonflycove/measure/soak/world.py
+++ b/src/dragonflycove/measure/soak/world.py
@@ -13,7 +13,8 @@
 
 from dragonflycove.fleet import catalog
 from dragonflycove.measure.soak import plan, proxy
-from dragonflycove.standins import platform_server, platform_store
+from dragonflycove.standins.platform import server as platform_server
+from dragonflycove.standins.platform import store as platform_store
 
 if TYPE_CHECKING:
     import pathlib
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -13,7 +13,8 @@
 
 from dragonflycove.fleet import catalog, host_settings
 from dragonflycove.gateway import daemon
-from dragonflycove.standins import platform_server, platform_store
+from dragonflycove.standins.platform import server as platform_server
+from dragonflycove.standins.platform import store as platform_store
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 
 from dragonflycove.fleet import catalog
 from dragonflycove.platform import members, store
-from dragonflycove.standins import platform_store
+from dragonflycove.standins.platform import store as platform_store
 from tests.fleet import test_roster
 from tests.gateway import deployment
 
