Take the tests' ports from outside the range of outgoing connections

Cause, from the kept log of entry-2: its port, 54165, was in use when it started again; it lay in the kernel's range for outgoing connections, and another process had taken it between kill and start. Ruled out: a slow start (the test passes with 14 s between kill and start).

--- a/tests/cli/test_status_command.py
+++ b/tests/cli/test_status_command.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import json
-import socket
 from typing import TYPE_CHECKING
 
 import aiohttp
+import ports
 import pytest
 import pytest_asyncio
 from starlette import applications
@@ -25,9 +25,7 @@
 
 def find_address() -> str:
     """Return a free address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{ports.free_port()}"
 
 
 class FakeNode:
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -6,7 +6,6 @@
 import collections
 import contextlib
 import itertools
-import socket
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
@@ -15,6 +14,7 @@
 from dragonflycove.gateway import daemon
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import store as platform_store
+from tests import ports
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,16 +39,9 @@
     """Whether the answer was complete."""
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def loopback() -> catalog.Address:
     """Return an address that nothing listens on."""
-    return catalog.Address("127.0.0.1", free_port())
+    return catalog.Address("127.0.0.1", ports.free_port())
 
 
 def settings(name: str, store: catalog.Address, zone: str = "z1") -> host_settings.HostSettings:
@@ -186,7 +179,7 @@
         door = loopback()
         self.faults.append(await self.store.open_door(door))
         own = settings(f"n{len(self.nodes)}", door, zone)
-        node = daemon.Daemon(own, "/nonexistent", metrics_port=free_port())
+        node = daemon.Daemon(own, "/nonexistent", metrics_port=ports.free_port())
         self.settings.append(own)
         self.nodes.append(node)
         await node.start()
--- a/tests/node/test_control_tasks.py
+++ b/tests/node/test_control_tasks.py
@@ -9,6 +9,7 @@
 
 import cbor2
 import fake_log
+import ports
 import pytest
 import pytest_asyncio
 import waiting
@@ -81,9 +82,7 @@
         self.nodes_by_host: dict[str, Node] = {}
 
     def add(self, host: str, log: fake_log.FakeLog | None = None) -> Node:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{probe.getsockname()[1]}"
+        address = f"127.0.0.1:{ports.free_port()}"
         node = Node(host, address, log or self.log)
         self.nodes_by_host[host] = node
         entries = {
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,6 +15,8 @@
 from concurrent import futures
 from typing import Any
 
+import ports
+
 ROOT = pathlib.Path(__file__).parents[2]
 """Folder of the project."""
 
@@ -42,9 +43,7 @@
 
 def free_address() -> str:
     """Return a loopback address whose port nobody uses now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{ports.free_port()}"
 
 
 def http(
