Give room first to waiting requests that can be in time

Ruled out: late delivery, engines reading long prompts (first events came 0.1 s after the send). Now those who can be in time go first, the worth most before others; those who are late get what is left, and are told to come back when that is too little. A stream that stands still counts as in time.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -25,11 +25,7 @@
 """Window in which requests to a cold server are counted."""
 
 PLAIN_SERVICE_SECONDS = 0.05
-"""Time of a plain call until calls have been measured."""
-
-QUEUE_POSITION_SECONDS = 0.25
-"""Time until the next slot falls free on a full engine, before any is measured."""
-
+"""Time of a plain call; the users' sheets state 45 ms of work."""
 
 UNUSED_SECONDS = 0.8
 """Time after which a placement that its node does not report is dropped; answers can be lost."""
@@ -72,7 +68,6 @@
         self.health = server_health.ServerHealth()
         self._forecast_by_instance: dict[catalog.Instance, engine_forecast.EngineForecast] = {}
         self._plain_by_instance: collections.Counter[catalog.Instance] = collections.Counter()
-        self._plain_seconds_by_service: dict[str, float] = {}
         self._placement_by_job: dict[work.JobKey, Placement] = {}
         self._sends_by_cold: dict[catalog.Instance, collections.deque[float]] = {}
 
@@ -134,7 +129,7 @@
     def _place_plain(
         self, job: work.Job, servers: list[catalog.BackendServer], now: float
     ) -> work.Grant | work.Wait | work.Refusal:
-        seconds = self._plain_seconds_by_service.get(job.service, PLAIN_SERVICE_SECONDS)
+        seconds = PLAIN_SERVICE_SECONDS
 
         def loss(server: catalog.BackendServer) -> float:
             queued = max(0, self._plain_by_instance[server.instance] + 1 - server.slots)
@@ -156,8 +151,8 @@
             return work.Refusal("no_room_in_time", wait)
         # A call that would queue at every server waits here, where it can still be moved.
         if queued > 0:
-            return work.Wait(wait)
-        grant = work.Grant(best, (), 0, wait + seconds)
+            return work.Wait(PLAIN_SERVICE_SECONDS)
+        grant = work.Grant(best, (), wait + seconds)
         self._plain_by_instance[best.instance] += 1
         self._count(Placement(job, grant, now, is_prompt=False), now)
         return grant
@@ -200,7 +195,10 @@
         shortest = engine_forecast.read_seconds(spec, job.prompt_tokens, len(forecasts))
         if shortest > job.deadline_seconds:
             return work.Refusal("no_room_in_time", shortest)
-        return work.Wait(QUEUE_POSITION_SECONDS)
+        parts = max(1, min(len(forecasts), job.prompt_tokens // prompt_choice.SPLIT_TOKENS))
+        passes = 2 * max(forecast.pass_seconds() for forecast in forecasts.values())
+        seconds = engine_forecast.read_seconds(spec, job.prompt_tokens, parts) + passes
+        return work.Wait(seconds)
 
     def _without_memory(
         self,
--- a/src/dragonflycove/fleet/prompt_choice.py
+++ b/src/dragonflycove/fleet/prompt_choice.py
@@ -132,7 +132,7 @@
         # The first token follows the last part.
         first = max([lead.first_event_seconds, *(helper.first_event_seconds for helper in helpers)])
         loss = self._own_loss(first) + lead.loss + sum(helper.loss for helper in helpers)
-        return loss + PART_LOSS * count, work.Grant(lead.server, parts, 0, first)
+        return loss + PART_LOSS * count, work.Grant(lead.server, parts, first)
 
     def _own_loss(self, first_event_seconds: float) -> float:
         """Return the worth that the prompt itself loses by the time of its first event."""
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -1,10 +1,18 @@
-"""Requests that wait for room, in the order in which they get it."""
+"""Requests that wait for room, in the order in which they get it.
+
+The load that it answers: for some seconds more requests arrive than the servers have places for, as
+when traffic jumps while an availability zone is evacuated. In order of arrival everyone would wait
+for the same time, and all first events would come late. Here room goes first to requests that can
+still be in time, the worth most first. Those whose time has passed get what is left, and are told to
+come back when that is too little.
+"""
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import work
+from dragonflycove.fleet import engine_forecast, work
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import placer
@@ -15,6 +23,18 @@
 MOST_WAITING = 500
 """Requests that wait at once; more than a fleet of a hundred engines clears within a deadline."""
 
+FIRST_GRANT_SECONDS = 0.1
+"""Time between two grants assumed until some were seen."""
+
+LONGEST_GRANT_SECONDS = 1.0
+"""Longest time between two grants that counts; above it the line stood empty or all servers did."""
+
+GRANT_WEIGHT = 0.2
+"""Weight of the newest time in the mean time between grants; about the last ten count."""
+
+LATE_CHANCE = 0.5
+"""Chance of being late above which a request no longer counts as one that can be in time."""
+
 
 class Placed(NamedTuple):
     """What became of a request that waited."""
@@ -27,9 +47,54 @@
 
 
 class _Waiting(NamedTuple):
+    """A request in the line."""
+
     job: work.Job
     since: float
-    deadline_at: float
+    ends_at: float
+    """Loop time at which its deadline is reached or its caller gives up."""
+    service_seconds: float
+    """Predicted time from its placement to its first event."""
+
+    def is_late(self, now: float) -> bool:
+        """Whether its goal would be missed if it were placed now."""
+        return (
+            engine_forecast.late_chance(
+                now - self.since + self.service_seconds, self.job.goal_seconds
+            )
+            > LATE_CHANCE
+        )
+
+    def rank(self, now: float) -> tuple[int, bool, float, float]:
+        """Return the place in the line; the lowest goes first."""
+        # A stream that stands still is worse for its caller than one that hasn't begun.
+        is_late = self.is_late(now) and not self.job.is_begun
+        # Among the late ones worth doesn't count, so that none is overtaken for ever.
+        worth = 0.0 if is_late else self.job.value
+        return self.job.priority, is_late, -worth, self.since
+
+
+class _Pace:
+    """How fast requests of one kind leave the line."""
+
+    def __init__(self, now: float) -> None:
+        self._seconds = FIRST_GRANT_SECONDS
+        self._last_at = now
+
+    def on_grant(self, now: float) -> None:
+        """Note that a request was placed."""
+        gap = min(LONGEST_GRANT_SECONDS, max(0.0, now - self._last_at))
+        self._seconds += GRANT_WEIGHT * (gap - self._seconds)
+        self._last_at = now
+
+    def on_empty(self, now: float) -> None:
+        """Note that nobody waits; the time until the next one comes says nothing."""
+        self._last_at = now
+
+    def wait_seconds(self, place: int, now: float) -> float:
+        """Return the expected time until the one at a place in the line, from 1, is placed."""
+        # With no grant for some time, the next one is expected after as long again.
+        return max(self._seconds, now - self._last_at) + (place - 1) * self._seconds
 
 
 class WaitingLine:
@@ -43,9 +108,8 @@
         """
         self._placer = deciding
         self._waiting_by_key: dict[work.JobKey, _Waiting] = {}
-        self._grants = 0
-        self._grant_seconds = 0.1
-        self._last_grant_at = 0.0
+        self._pace_by_service: dict[str, _Pace] = {}
+        self._late_pace_by_service: dict[str, _Pace] = {}
 
     def __len__(self) -> int:
         """Return how many requests wait."""
@@ -61,22 +125,32 @@
         Returns:
             Where it goes, why it goes nowhere, or that it waits.
         """
-        if job.key in self._waiting_by_key:
-            return work.Wait(self._expected_wait())
+        known = self._waiting_by_key.get(job.key)
+        if known is not None:
+            return work.Wait(known.service_seconds)
         decision = self._placer.place(job, now)
         if not isinstance(decision, work.Wait):
             return decision
-        expected = self._expected_wait()
+        patience = min(job.deadline_seconds, job.patience_seconds)
+        waiting = _Waiting(job, now, now + patience, decision.service_seconds)
+        expected = self._expected_wait(waiting, now)
         if len(self._waiting_by_key) >= MOST_WAITING:
             return work.Refusal("line_full", expected)
-        if expected + LEAST_SERVICE_SECONDS > job.deadline_seconds:
+        if expected + LEAST_SERVICE_SECONDS > patience:
             return work.Refusal("no_room_in_time", expected)
-        self._waiting_by_key[job.key] = _Waiting(job, now, now + job.deadline_seconds)
-        return work.Wait(expected)
+        self._waiting_by_key[job.key] = waiting
+        return decision
 
-    def _expected_wait(self) -> float:
+    def _expected_wait(self, newcomer: _Waiting, now: float) -> float:
         """Return the wait of a newcomer, from how fast the line has moved."""
-        return (1 + len(self._waiting_by_key)) * self._grant_seconds
+        rank = newcomer.rank(now)
+        ahead = sum(
+            1
+            for waiting in self._waiting_by_key.values()
+            if waiting.job.service == newcomer.job.service and waiting.rank(now) <= rank
+        )
+        pace = self._pace_by_service.get(newcomer.job.service)
+        return pace.wait_seconds(1 + ahead, now) if pace else (1 + ahead) * FIRST_GRANT_SECONDS
 
     def advance(self, now: float) -> list[Placed]:
         """Place the requests for which there is room now.
@@ -88,33 +162,58 @@
             The requests that no longer wait.
         """
         placed = []
-        for key, waiting in sorted(self._waiting_by_key.items(), key=_rank):
-            left = waiting.deadline_at - now
-            if left < LEAST_SERVICE_SECONDS:
-                decision: work.Grant | work.Refusal = work.Refusal(
-                    "no_room_in_time", self._expected_wait()
-                )
-            else:
-                aged = waiting.job._replace(
-                    deadline_seconds=left,
-                    goal_seconds=max(0.001, waiting.job.goal_seconds - (now - waiting.since)),
-                )
-                choice = self._placer.place(aged, now)
-                if isinstance(choice, work.Wait):
-                    continue
-                decision = choice
+        late_ahead: collections.Counter[str] = collections.Counter()
+        for key, waiting in sorted(
+            self._waiting_by_key.items(), key=lambda item: item[1].rank(now)
+        ):
+            decision = self._decide(waiting, late_ahead, now)
+            if decision is None:
+                continue
             del self._waiting_by_key[key]
             placed.append(Placed(key, decision))
-            if isinstance(decision, work.Grant):
-                self._measure_grant(now)
-        if not self._waiting_by_key:
-            self._last_grant_at = now
+        self._forget_paces(now)
         return placed
 
-    def _measure_grant(self, now: float) -> None:
-        gap = min(1.0, max(0.0, now - self._last_grant_at))
-        self._grant_seconds += 0.2 * (gap - self._grant_seconds)
-        self._last_grant_at = now
+    def _decide(
+        self, waiting: _Waiting, late_ahead: collections.Counter[str], now: float
+    ) -> work.Grant | work.Refusal | None:
+        """Place one request or refuse it; None if it goes on waiting."""
+        service = waiting.job.service
+        left = waiting.ends_at - now
+        is_late = waiting.is_late(now)
+        late_pace = self._late_pace_by_service.setdefault(service, _Pace(now))
+        if left < LEAST_SERVICE_SECONDS:
+            return work.Refusal("no_room_in_time", late_pace.wait_seconds(1, now))
+        aged = waiting.job._replace(
+            deadline_seconds=waiting.job.deadline_seconds - (now - waiting.since),
+            patience_seconds=waiting.job.patience_seconds - (now - waiting.since),
+            goal_seconds=max(0.001, waiting.job.goal_seconds - (now - waiting.since)),
+        )
+        choice = self._placer.place(aged, now)
+        if isinstance(choice, work.Refusal):
+            return choice
+        if isinstance(choice, work.Grant):
+            self._pace_by_service.setdefault(service, _Pace(now)).on_grant(now)
+            if is_late:
+                late_pace.on_grant(now)
+            return choice
+        if is_late:
+            late_ahead[service] += 1
+            expected = late_pace.wait_seconds(late_ahead[service], now)
+            if expected + LEAST_SERVICE_SECONDS > left:
+                return work.Refusal("no_room_in_time", expected)
+        return None
+
+    def _forget_paces(self, now: float) -> None:
+        """Stop the clocks of the kinds of which nobody waits."""
+        waiting = {one.job.service for one in self._waiting_by_key.values()}
+        late = {one.job.service for one in self._waiting_by_key.values() if one.is_late(now)}
+        for service, pace in self._pace_by_service.items():
+            if service not in waiting:
+                pace.on_empty(now)
+        for service, pace in self._late_pace_by_service.items():
+            if service not in late:
+                pace.on_empty(now)
 
     def withdraw(self, key: work.JobKey) -> None:
         """Take a request out of the line.
@@ -123,8 +222,3 @@
             key: The request.
         """
         self._waiting_by_key.pop(key, None)
-
-
-def _rank(item: tuple[work.JobKey, _Waiting]) -> tuple[int, float]:
-    waiting = item[1]
-    return waiting.job.priority, waiting.since
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -72,8 +72,11 @@
     fingerprint: int
     """Hash of what makes the request itself, for finding requests that crash servers."""
 
-    resumed_events: int
-    """Events that the caller already has."""
+    patience_seconds: float
+    """Time that is left for the next event; after it the caller gives up."""
+
+    is_begun: bool
+    """Whether the caller already has events of the answer."""
 
     @property
     def value(self) -> float:
@@ -105,9 +108,6 @@
     helpers: tuple[Part, ...]
     """Engines that read parts of the prompt, the lead left out."""
 
-    lead_reserved_tokens: int
-    """Memory reserved at the lead; 0 for none."""
-
     first_event_seconds: float
     """Predicted time to the first event or the answer."""
 
@@ -125,5 +125,5 @@
 class Wait(NamedTuple):
     """The request waits for room."""
 
-    expected_seconds: float
-    """Predicted time until it is placed."""
+    service_seconds: float
+    """Predicted time from its placement to its first event or answer."""
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -9,7 +9,7 @@
 import result
 import xxhash
 
-from dragonflycove.fleet import forwarding, server_health, work
+from dragonflycove.fleet import catalog, forwarding, server_health, work
 from dragonflycove.gateway import lives, send_values, sends
 from dragonflycove.telemetry import logs
 
@@ -240,7 +240,13 @@
         self, life: lives.Life, excluded: list[str], stream: send_values.StreamState, now: float
     ) -> work.Job:
         request = life.request
+        route = life.route
         elapsed = now - life.received_at
+        is_begun = stream.delivered > 0
+        left = life.deadline_at - now
+        patience = left
+        if route.kind is catalog.CallKind.STREAMING:
+            patience = forwarding.caller_patience(route) - (0.0 if is_begun else elapsed)
         return work.Job(
             key=work.JobKey(self._identity.host, self._identity.incarnation, next(self._numbers)),
             service=life.service,
@@ -248,13 +254,17 @@
             priority=life.priority,
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens or work.DEFAULT_OUTPUT_TOKENS,
-            goal_seconds=max(0.001, life.route.goal_seconds - elapsed),
-            gap_goal_seconds=life.route.gap_goal_seconds,
-            deadline_seconds=life.deadline_at - now,
+            # A caller that has events already waits for the next one.
+            goal_seconds=(
+                route.gap_goal_seconds if is_begun else max(0.001, route.goal_seconds - elapsed)
+            ),
+            gap_goal_seconds=route.gap_goal_seconds,
+            deadline_seconds=left,
             zone=self._identity.zone,
             excluded=tuple(excluded),
             fingerprint=life.fingerprint,
-            resumed_events=stream.delivered,
+            patience_seconds=patience,
+            is_begun=is_begun,
         )
 
     async def _send(
