Count what callers' patience costs, and don't send behind long reads

Now: a request carries the time after which its caller gives up; loss is counted to the goal and to that time; late ones count only the second; a short waits for a slot rather than go behind a read that outlasts its goal, and is refused at once where every engine reads for longer than its caller waits. A stream is moved after 1.2 s of silence in place of 0.9: moving sooner only added reads, as the pause was too long already. test_reservations_are_given_back now asks a route whose goal fits its 300,000 tokens; on the old route (0.3 s) such a prompt is refused, rightly.

--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -10,8 +10,10 @@
 import math
 from typing import TYPE_CHECKING
 
+from dragonflycove.fleet import forwarding, work
+
 if TYPE_CHECKING:
-    from dragonflycove.fleet import catalog, work
+    from dragonflycove.fleet import catalog
 
 LATE_SHARE = 0.75
 """Share of a request's worth that is lost when it is late; the users pay a quarter for late ones."""
@@ -49,6 +51,18 @@
     return 1.0 / (1.0 + math.exp(exponent))
 
 
+def lost_share(seconds: float, goal_seconds: float, patience_seconds: float) -> float:
+    """Return the share of a request's worth that it is predicted to lose.
+
+    Args:
+        seconds: The predicted time to its next event.
+        goal_seconds: Time within which it earns its full worth.
+        patience_seconds: Time after which its caller gives up.
+    """
+    late = LATE_SHARE * late_chance(seconds, goal_seconds)
+    return late + (1 - LATE_SHARE) * late_chance(seconds, patience_seconds)
+
+
 def is_tight(job: work.Job) -> bool:
     """Whether a request allows no pause in which a long prompt could be read.
 
@@ -71,10 +85,26 @@
     return whole / parts
 
 
+def _pause_patience(job: work.Job) -> float:
+    """Return the pause of a running stream at which its caller gives up."""
+    return max(
+        forwarding.CALLER_PATIENCE_SECONDS, forwarding.CALLER_PATIENCE_GAPS * job.gap_goal_seconds
+    )
+
+
 class PlacedRead:
     """One part of a prompt on one engine."""
 
-    __slots__ = ("ends_at", "is_lead", "job", "memory_tokens", "placed_at", "seconds", "writes")
+    __slots__ = (
+        "ends_at",
+        "is_late",
+        "is_lead",
+        "job",
+        "memory_tokens",
+        "placed_at",
+        "seconds",
+        "writes",
+    )
 
     def __init__(
         self,
@@ -103,6 +133,8 @@
         """Loop time at which the part is predicted to be read."""
         self.writes = False
         """Whether the first event has come."""
+        self.is_late = job.is_late
+        """Whether the goal has been missed, so that a further pause costs little."""
 
     def is_reading(self, now: float) -> bool:
         """Whether the part is predicted to be still unread."""
@@ -197,14 +229,15 @@
             if not read.is_lead and not is_reading:
                 continue
             if is_reading:
-                elapsed = now - read.placed_at
-                due = elapsed + before
-                goal = job.goal_seconds
+                due = now - read.placed_at + before
+                goal, patience = job.goal_seconds, job.patience_seconds
             else:
                 due = before
-                goal = job.gap_goal_seconds
-            risk = late_chance(due + added, goal) - late_chance(due, goal)
-            loss += job.value * LATE_SHARE * risk
+                goal, patience = job.gap_goal_seconds, _pause_patience(job)
+            if read.is_late:
+                goal = work.LEAST_GOAL_SECONDS
+            risk = lost_share(due + added, goal, patience) - lost_share(due, goal, patience)
+            loss += job.value * risk
         return loss
 
     def add(self, read: PlacedRead) -> None:
@@ -229,6 +262,7 @@
         if read is None or read.writes:
             return
         read.writes = True
+        read.is_late = read.is_late or now - read.placed_at > read.job.goal_seconds
         read.ends_at = min(read.ends_at, now)
         self._settle(now)
 
--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -7,8 +7,8 @@
 
 from dragonflycove.fleet import catalog
 
-LEAST_SILENCE_SECONDS = 0.9
-"""Shortest silence after which a stream is moved; passes beside long reads take less."""
+LEAST_SILENCE_SECONDS = 1.2
+"""Shortest silence after which a stream is moved; most reads of long prompts take less."""
 
 SILENT_GAPS = 2.5
 """Silence, in longest pauses that are in time, after which a running stream is moved."""
@@ -22,6 +22,9 @@
 PATIENCE_SHARE = 0.7
 """Share of the time after which callers give a silent stream up at which it is moved at the latest."""
 
+PLACING_PATIENCE_SHARE = 0.85
+"""Share of that time up to which a request is placed; the rest covers errors of predictions."""
+
 CALLER_PATIENCE_SECONDS = 2.0
 """Shortest silence after which callers give a stream up."""
 
@@ -175,6 +178,15 @@
     return min(wanted, PATIENCE_SHARE * caller_patience(route))
 
 
+def placing_patience(route: catalog.Route) -> float:
+    """Return the time without an event up to which a stream is placed.
+
+    Args:
+        route: The route.
+    """
+    return PLACING_PATIENCE_SHARE * caller_patience(route)
+
+
 def silence_between_events(route: catalog.Route) -> float:
     """Return how long a running stream may be silent before it is moved.
 
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -181,8 +181,14 @@
         grant = choice.choose()
         if grant is None:
             return self._without_memory(job, servers, forecasts, spec)
-        if grant.first_event_seconds > job.deadline_seconds:
-            return work.Refusal("no_room_in_time", grant.first_event_seconds / 2)
+        first = grant.first_event_seconds
+        soonest = choice.soonest_at_full_engines()
+        if min(first, soonest) > min(job.deadline_seconds, job.patience_seconds):
+            return work.Refusal("no_room_in_time", min(first, soonest) / 2)
+        is_hopeless = first > job.patience_seconds
+        # An engine that has just taken a long read is worth less than a slot at another one.
+        if is_hopeless or soonest <= job.goal_seconds < first:
+            return self._wait_for_slot(job, forecasts, spec)
         self._commit(job, grant, forecasts, now)
         return grant
 
--- a/src/dragonflycove/fleet/prompt_choice.py
+++ b/src/dragonflycove/fleet/prompt_choice.py
@@ -41,7 +41,10 @@
 """Requests up to which short prompts are packed onto engines already in use."""
 
 WAIT_LOSS_PER_SECOND = 0.05
-"""Worth assumed lost per second to the first event, as a share of the request's worth."""
+"""Worth assumed lost per second up to the goal, as a share of the request's worth."""
+
+LATE_WAIT_LOSS_PER_SECOND = 0.01
+"""The same per second after the goal; breaks ties, since late is late."""
 
 PART_LOSS = 0.004
 """Worth assumed lost per engine that takes part in a prompt; breaks ties towards fewer."""
@@ -103,6 +106,23 @@
         """Whether an engine has a place for another request."""
         return bool(self._leads)
 
+    def soonest_at_full_engines(self) -> float:
+        """Return the time to the first event at the best engine without a free slot.
+
+        Returns:
+            Seconds if a slot fell free there now; infinite if all engines have slots.
+        """
+        seconds = engine_forecast.read_seconds(self._spec, self._job.prompt_tokens, 1)
+        leads = {server.instance for server in self._leads}
+        return min(
+            (
+                self._forecasts[server.instance].first_event_seconds(self._now, seconds)
+                for server in self._servers
+                if server.instance not in leads
+            ),
+            default=float("inf"),
+        )
+
     def choose(self) -> work.Grant | None:
         """Return the choice with the least loss; None if the memory does not suffice."""
         best: tuple[float, work.Grant] | None = None
@@ -136,9 +156,11 @@
 
     def _own_loss(self, first_event_seconds: float) -> float:
         """Return the worth that the prompt itself loses by the time of its first event."""
-        chance = engine_forecast.late_chance(first_event_seconds, self._job.goal_seconds)
-        late = engine_forecast.LATE_SHARE * chance
-        return self._job.value * (late + WAIT_LOSS_PER_SECOND * first_event_seconds)
+        goal = self._job.goal_seconds
+        lost = engine_forecast.lost_share(first_event_seconds, goal, self._job.patience_seconds)
+        lost += WAIT_LOSS_PER_SECOND * min(first_event_seconds, goal)
+        lost += LATE_WAIT_LOSS_PER_SECOND * max(0.0, first_event_seconds - goal)
+        return self._job.value * lost
 
     def _best_lead(self, seconds: float) -> _Candidate:
         def rank(candidate: _Candidate) -> float:
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -187,7 +187,9 @@
         aged = waiting.job._replace(
             deadline_seconds=waiting.job.deadline_seconds - (now - waiting.since),
             patience_seconds=waiting.job.patience_seconds - (now - waiting.since),
-            goal_seconds=max(0.001, waiting.job.goal_seconds - (now - waiting.since)),
+            goal_seconds=max(
+                work.LEAST_GOAL_SECONDS, waiting.job.goal_seconds - (now - waiting.since)
+            ),
         )
         choice = self._placer.place(aged, now)
         if isinstance(choice, work.Refusal):
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -16,6 +16,9 @@
 VALUE_PER_TOKEN = 0.000105
 """Worth that each prompt token adds; see `VALUE_BASE`."""
 
+LEAST_GOAL_SECONDS = 0.001
+"""Goal of a request whose goal has passed."""
+
 DEFAULT_OUTPUT_TOKENS = 1_300
 """Output length assumed where the caller tells none; the mean of the users' sheets."""
 
@@ -73,11 +76,16 @@
     """Hash of what makes the request itself, for finding requests that crash servers."""
 
     patience_seconds: float
-    """Time that is left for the next event; after it the caller gives up."""
+    """Time that is left for the next event; after it the caller is about to give up."""
 
     is_begun: bool
     """Whether the caller already has events of the answer."""
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the goal has been missed already."""
+        return self.goal_seconds <= LEAST_GOAL_SECONDS
+
     @property
     def value(self) -> float:
         """Worth of the request, in the users' units of credit."""
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -241,12 +241,15 @@
     ) -> work.Job:
         request = life.request
         route = life.route
-        elapsed = now - life.received_at
         is_begun = stream.delivered > 0
+        # A caller that has events already waits for the next one.
+        waits_since = stream.last_event_at if is_begun else life.received_at
+        goal = route.gap_goal_seconds if is_begun else route.goal_seconds
+        waited = now - waits_since
         left = life.deadline_at - now
         patience = left
         if route.kind is catalog.CallKind.STREAMING:
-            patience = forwarding.caller_patience(route) - (0.0 if is_begun else elapsed)
+            patience = forwarding.placing_patience(route) - waited
         return work.Job(
             key=work.JobKey(self._identity.host, self._identity.incarnation, next(self._numbers)),
             service=life.service,
@@ -254,10 +257,7 @@
             priority=life.priority,
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.output_tokens or work.DEFAULT_OUTPUT_TOKENS,
-            # A caller that has events already waits for the next one.
-            goal_seconds=(
-                route.gap_goal_seconds if is_begun else max(0.001, route.goal_seconds - elapsed)
-            ),
+            goal_seconds=max(work.LEAST_GOAL_SECONDS, goal - waited),
             gap_goal_seconds=route.gap_goal_seconds,
             deadline_seconds=left,
             zone=self._identity.zone,
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -73,3 +73,5 @@
         """Position in the events."""
         self.delivered = 0
         """Events passed on."""
+        self.last_event_at = float("-inf")
+        """Loop time at which the last one was passed on."""
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -342,6 +342,7 @@
                 wanted.append(event.raw)
         if wanted:
             self._stream.delivered += len(wanted)
+            self._stream.last_event_at = asyncio.get_running_loop().time()
             data = b"".join(wanted)
             if self._reply.is_started:
                 await self._reply.send(data)
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -157,6 +157,61 @@
     assert isinstance(deciding.place(jobs[18], 0.0), work.Wait)
 
 
+def busy_engines(count: int, *, reading: int) -> placer.Placer:
+    """Return engines full of shorts, but for the first ones, which read for four seconds."""
+    deciding = placing(count)
+    others = tuple(f"e{n}" for n in range(reading, count))
+    for n in range(reading):
+        apart = tuple(f"e{m}" for m in range(reading) if m != n)
+        long = builders.job(
+            900 + n, tokens=200_000, goal=6.0, gap=1.0, deadline=15.0, excluded=others + apart
+        )
+        granted(deciding, long)
+    readers = tuple(f"e{n}" for n in range(reading))
+    for n in range((count - reading) * 8):
+        granted(deciding, builders.job(n, excluded=readers))
+        deciding.on_first_event(work.JobKey("n1", 1, n), 0.0)
+    return deciding
+
+
+def test_a_short_waits_for_a_slot_and_does_not_go_behind_a_long_read() -> None:
+    deciding = busy_engines(4, reading=2)
+    assert isinstance(deciding.place(builders.job(500, patience=1.4), 0.1), work.Wait)
+    deciding.on_end(work.JobKey("n1", 1, 3), server_health.Outcome.ANSWERED, 0.2)
+    grant = granted(deciding, builders.job(500, patience=1.4), 0.2)
+    assert grant.first_event_seconds < 0.3
+
+
+def test_a_short_is_refused_at_once_where_every_engine_reads_for_longer_than_it_waits() -> None:
+    deciding = busy_engines(2, reading=2)
+    refusal = deciding.place(builders.job(500, patience=1.4), 0.1)
+    assert isinstance(refusal, work.Refusal)
+    assert refusal.retry_after_seconds > 1.0
+
+
+def test_a_prompt_that_can_not_be_in_time_silences_few_engines() -> None:
+    deciding = placing(6)
+    for n in range(42):
+        granted(deciding, builders.job(n))
+        deciding.on_first_event(work.JobKey("n1", 1, n), 0.05)
+    giant = builders.job(500, tokens=364_000, goal=3.0, gap=1.0, deadline=15.0, patience=8.4)
+    grant = granted(deciding, giant, 0.1)
+    assert len(grant.helpers) <= 1
+
+
+def test_engines_whose_requests_are_late_read_long_prompts_first() -> None:
+    deciding = placing(2)
+    for n in range(8):
+        engine = f"e{n % 2}"
+        late = engine == "e1"
+        goal = work.LEAST_GOAL_SECONDS if late else 0.3
+        granted(deciding, builders.job(n, goal=goal, excluded=("e0" if late else "e1",)))
+        deciding.on_first_event(work.JobKey("n1", 1, n), 0.05)
+    long = builders.job(500, tokens=120_000, goal=3.0, gap=1.0, deadline=15.0)
+    grant = granted(deciding, long, 0.1)
+    assert [grant.lead.instance.server_id, grant.helpers] == ["e1", ()]
+
+
 class _Engines:
     """Plays a mix of requests against placements with the engine model.
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -81,6 +81,7 @@
     """Return an operator's configuration as it stands in the store."""
     routes = [
         _route("/ask/", "streaming", "svc"),
+        _route("/review/", "streaming", "svc", latency_goal_ms=3_000, gap_target_ms=1_000),
         _route("/post/", "non_idempotent", "plain", max_attempts=1),
         _route("/look/", "idempotent", "plain"),
         _route("/open/", "idempotent", "plain", public=True),
--- a/tests/gateway/test_rules.py
+++ b/tests/gateway/test_rules.py
@@ -319,7 +319,7 @@
 async def test_reservations_are_given_back_at_the_end() -> None:
     async with deployment.deployed() as system:
         headers = {"X-Token-Counts": "300000,100"}
-        answer = await system.call("/ask/x", headers=headers, deadline_ms=9_000)
+        answer = await system.call("/review/x", headers=headers, deadline_ms=9_000)
         await asyncio.sleep(0.1)
         (run,) = system.runs()
         left = [server.reservations for server in system.server_by_id.values()]
