--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -198,6 +198,9 @@
     lost_servers: int
     """Servers lost with it so far, as far as the node knows."""
 
+    unhelpful: str
+    """Id of the server that refused to help; empty for none."""
+
 
 Message = (
     Report
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -299,13 +299,16 @@
             if forecast is not None:
                 forecast.on_first_event(key, now)
 
-    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, now: float) -> bool:
+    def on_end(
+        self, key: work.JobKey, outcome: server_health.Outcome, now: float, unhelpful: str = ""
+    ) -> bool:
         """Take a request away from its servers.
 
         Args:
             key: The request.
             outcome: How it ended there.
             now: Loop time.
+            unhelpful: Id of the server that refused to help; empty for none.
 
         Returns:
             Whether its server became a suspect by this.
@@ -321,6 +324,9 @@
                     forecast.remove(key, now)
         else:
             self._end_plain(lead)
+        for instance in placement.instances:
+            if instance.server_id == unhelpful:
+                self.health.on_outcome(instance, server_health.Outcome.HELP_REFUSED, now)
         return self.health.on_outcome(lead, outcome, now)
 
     def _end_plain(self, instance: catalog.Instance) -> None:
--- a/src/dragonflycove/fleet/server_health.py
+++ b/src/dragonflycove/fleet/server_health.py
@@ -39,6 +39,9 @@
     FULL = "full"
     """The server refused the request without running it."""
 
+    HELP_REFUSED = "help_refused"
+    """The server would not help another one; one that is leaving says no before its record does."""
+
     WRONG_INSTANCE = "wrong_instance"
     """Another server has the address."""
 
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -23,6 +23,12 @@
 MOST_WAITING = 500
 """Requests that wait at once; more than a fleet of a hundred engines clears within a deadline."""
 
+LEAST_RETURN_SECONDS = 1.0
+"""Shortest time after which a refused caller comes back; a jump of the load lasts for seconds."""
+
+MOST_RETURN_SECONDS = 5.0
+"""Longest such time; what the line will be like after that is not known."""
+
 FIRST_GRANT_SECONDS = 0.1
 """Time between two grants assumed until some were seen."""
 
@@ -135,12 +141,19 @@
         waiting = _Waiting(job, now, now + patience, decision.service_seconds)
         expected = self._expected_wait(waiting, now)
         if len(self._waiting_by_key) >= MOST_WAITING:
-            return work.Refusal("line_full", expected)
+            return work.Refusal("line_full", self._return_seconds(job.service, now))
         if expected + LEAST_SERVICE_SECONDS > patience:
-            return work.Refusal("no_room_in_time", expected)
+            return work.Refusal("no_room_in_time", self._return_seconds(job.service, now))
         self._waiting_by_key[job.key] = waiting
         return decision
 
+    def _return_seconds(self, service: str, now: float) -> float:
+        """Return when a refused caller should come back: after all who wait now."""
+        waiting = sum(1 for one in self._waiting_by_key.values() if one.job.service == service)
+        pace = self._pace_by_service.get(service)
+        seconds = pace.wait_seconds(1 + waiting, now) if pace else LEAST_RETURN_SECONDS
+        return min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
+
     def _expected_wait(self, newcomer: _Waiting, now: float) -> float:
         """Return the wait of a newcomer, from how fast the line has moved."""
         rank = newcomer.rank(now)
@@ -183,7 +196,7 @@
         is_late = waiting.is_late(now)
         late_pace = self._late_pace_by_service.setdefault(service, _Pace(now))
         if left < LEAST_SERVICE_SECONDS:
-            return work.Refusal("no_room_in_time", late_pace.wait_seconds(1, now))
+            return work.Refusal("no_room_in_time", self._return_seconds(service, now))
         aged = waiting.job._replace(
             deadline_seconds=waiting.job.deadline_seconds - (now - waiting.since),
             patience_seconds=waiting.job.patience_seconds - (now - waiting.since),
@@ -203,7 +216,7 @@
             late_ahead[service] += 1
             expected = late_pace.wait_seconds(late_ahead[service], now)
             if expected + LEAST_SERVICE_SECONDS > left:
-                return work.Refusal("no_room_in_time", expected)
+                return work.Refusal("no_room_in_time", self._return_seconds(service, now))
         return None
 
     def _forget_paces(self, now: float) -> None:
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -310,7 +310,9 @@
         finally:
             if held is not None:
                 self._reserving.release(held)
-            is_suspect = self._placing.on_end(job.key, judged)
+            is_suspect = self._placing.on_end(
+                job.key, judged, (outcome.faulty_server if outcome else None) or ""
+            )
             now = asyncio.get_running_loop().time()
             logs.event(
                 "send_ended",
--- a/src/dragonflycove/gateway/lives.py
+++ b/src/dragonflycove/gateway/lives.py
@@ -19,7 +19,7 @@
         """Note that a prompt has been read."""
         ...
 
-    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, unhelpful: str = "") -> bool:
         """Note that a send ended; returns whether its server became a suspect."""
         ...
 
--- a/src/dragonflycove/gateway/peer_placing.py
+++ b/src/dragonflycove/gateway/peer_placing.py
@@ -207,24 +207,25 @@
         for address in self._hub_addresses():
             self._link.send(address, peer_messages.FirstEvent(key))
 
-    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, unhelpful: str = "") -> bool:
         """Note that a send ended.
 
         Args:
             key: The request.
             outcome: How it ended.
+            unhelpful: Id of the server that refused to help; empty for none.
 
         Returns:
             Whether its server became a suspect by this.
         """
         now = asyncio.get_running_loop().time()
         placement = self._placer.placement(key)
-        is_suspect = self._local.on_end(key, outcome)
+        is_suspect = self._local.on_end(key, outcome, unhelpful)
         if placement is not None:
             fingerprint = placement.job.fingerprint
             lost = self._suspects.losses(fingerprint, now)
             instance = placement.grant.lead.instance
-            message = peer_messages.Ended(key, outcome, instance, fingerprint, lost)
+            message = peer_messages.Ended(key, outcome, instance, fingerprint, lost, unhelpful)
             for address in self._hub_addresses():
                 self._link.send(address, message)
         return is_suspect
@@ -239,6 +240,6 @@
         if message.lost_servers:
             self._suspects.merge(message.fingerprint, message.lost_servers, now)
         if self._placer.placement(message.key) is not None:
-            self._local.on_end(message.key, message.outcome)
+            self._local.on_end(message.key, message.outcome, message.unhelpful)
         else:
             self._placer.health.on_outcome(message.instance, message.outcome, now)
--- a/src/dragonflycove/gateway/placing.py
+++ b/src/dragonflycove/gateway/placing.py
@@ -65,17 +65,18 @@
         """
         self._placer.on_first_event(key, asyncio.get_running_loop().time())
 
-    def on_end(self, key: work.JobKey, outcome: server_health.Outcome) -> bool:
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, unhelpful: str = "") -> bool:
         """Note that a send ended.
 
         Args:
             key: The request.
             outcome: How it ended.
+            unhelpful: Id of the server that refused to help; empty for none.
 
         Returns:
             Whether its server became a suspect by this.
         """
-        suspected = self._placer.on_end(key, outcome, asyncio.get_running_loop().time())
+        suspected = self._placer.on_end(key, outcome, asyncio.get_running_loop().time(), unhelpful)
         self._advance_soon()
         return suspected
 
--- a/tests/fleet/test_waiting_line.py
+++ b/tests/fleet/test_waiting_line.py
@@ -136,7 +136,8 @@
         waited = now - arrived_by_key[key]
         longest = max(longest, waited)
         if isinstance(decision, work.Refusal):
-            assert decision.retry_after_seconds > 0
+            # Told to come back within seconds, while the callers still want an answer.
+            assert 1.0 <= decision.retry_after_seconds <= 5.0
             refused += 1
             return
         on_time = waited + decision.first_event_seconds <= 0.3
