Predict that parts of split prompts are read before whole ones

Now the forecast keeps the unread parts in the engine's order, and harm counts only what really waits longer.

--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -2,7 +2,8 @@
 
 An engine works in passes. A pass that has writers runs a fixed number of steps, each of which also
 reads a chunk of a waiting prompt, and ends with one event for every writer. A prompt read beside
-writers therefore shows as a pause in their streams, as long as the whole read.
+writers therefore shows as a pause in their streams, as long as the whole read. Parts of prompts that
+several engines read go before the prompts that this engine reads alone.
 """
 
 from __future__ import annotations
@@ -92,14 +93,23 @@
     )
 
 
+def _risk(
+    job: work.Job, due_seconds: float, added_seconds: float, goal: float, patience: float
+) -> float:
+    """Return the worth that a request is predicted to lose by a delay."""
+    before = lost_share(due_seconds, goal, patience)
+    return job.value * (lost_share(due_seconds + added_seconds, goal, patience) - before)
+
+
 class PlacedRead:
     """One part of a prompt on one engine."""
 
     __slots__ = (
-        "ends_at",
         "is_late",
         "is_lead",
+        "is_split",
         "job",
+        "left_seconds",
         "memory_tokens",
         "placed_at",
         "seconds",
@@ -113,6 +123,7 @@
         seconds: float,
         *,
         is_lead: bool,
+        is_split: bool,
         memory_tokens: int,
     ) -> None:
         """Note a part.
@@ -122,6 +133,7 @@
             placed_at: Loop time at which it was placed.
             seconds: Time that reading takes.
             is_lead: Whether this engine writes the answer.
+            is_split: Whether other engines read parts of the prompt as well.
             memory_tokens: Memory that the part takes here.
         """
         self.job = job
@@ -129,17 +141,14 @@
         self.seconds = seconds
         self.is_lead = is_lead
         self.memory_tokens = memory_tokens
-        self.ends_at = placed_at + seconds
-        """Loop time at which the part is predicted to be read."""
+        self.is_split = is_split
+        self.left_seconds = seconds
+        """Time that reading the rest takes, as predicted."""
         self.writes = False
         """Whether the first event has come."""
         self.is_late = job.is_late
         """Whether the goal has been missed, so that a further pause costs little."""
 
-    def is_reading(self, now: float) -> bool:
-        """Whether the part is predicted to be still unread."""
-        return not self.writes and self.ends_at > now
-
 
 class EngineForecast:
     """The requests on one engine, and the times that follow."""
@@ -154,7 +163,8 @@
         self.pace = 1.0
         """How many times slower than stated the engine works."""
         self.reads_by_job: dict[work.JobKey, PlacedRead] = {}
-        self._read_until = 0.0
+        self._unread: list[PlacedRead] = []
+        self._advanced_at = 0.0
 
     @property
     def running(self) -> int:
@@ -176,13 +186,29 @@
         """Memory that the placed requests take."""
         return sum(read.memory_tokens for read in self.reads_by_job.values())
 
-    def backlog_seconds(self, now: float) -> float:
-        """Return the time until all prompts placed here are read.
+    def backlog_seconds(self, now: float, *, is_split: bool = False) -> float:
+        """Return the time until a prompt placed now would begin to be read.
 
         Args:
             now: Loop time.
+            is_split: Whether other engines read parts of it as well.
         """
-        return max(0.0, self._read_until - now)
+        self._advance(now)
+        ahead = (read for read in self._unread if read.is_split or not is_split)
+        return sum(read.left_seconds for read in ahead) * self.pace
+
+    def _advance(self, now: float) -> None:
+        """Count as read what the engine has read since the last look."""
+        worked = max(0.0, now - self._advanced_at) / self.pace
+        self._advanced_at = max(now, self._advanced_at)
+        for read in self._unread:
+            step = min(worked, read.left_seconds)
+            read.left_seconds -= step
+            worked -= step
+            if worked <= 0:
+                break
+        while self._unread and self._unread[0].left_seconds <= 0:
+            self._unread.pop(0)
 
     def pass_seconds(self) -> float:
         """Return the time of a pass in which nothing is read."""
@@ -199,45 +225,45 @@
         )
         return step * spec.steps_per_pass * self.pace
 
-    def first_event_seconds(self, now: float, seconds: float) -> float:
+    def first_event_seconds(self, now: float, seconds: float, *, is_split: bool = False) -> float:
         """Predict the first event of a prompt that would be placed now.
 
         Args:
             now: Loop time.
             seconds: Time that its part takes here.
+            is_split: Whether other engines read parts of it as well.
         """
         base = self.pass_seconds()
         # A newcomer joins at the end of the pass in progress, half a pass away on average.
         wait = base / 2 if self.reads_by_job else 0.0
-        return self.backlog_seconds(now) + seconds * self.pace + wait + base
+        return self.backlog_seconds(now, is_split=is_split) + seconds * self.pace + wait + base
 
-    def harm(self, now: float, seconds: float) -> float:
+    def harm(self, now: float, seconds: float, *, is_split: bool = False) -> float:
         """Return the worth that others lose if a prompt is read here as well.
 
         Args:
             now: Loop time.
             seconds: Time that its part takes here.
+            is_split: Whether other engines read parts of it as well.
         """
         if not self.reads_by_job:
             return 0.0
         added = seconds * self.pace
-        before = self.pass_seconds() + self.backlog_seconds(now)
+        base = self.pass_seconds()
+        pause = base + self.backlog_seconds(now)
         loss = 0.0
+        unread_until = 0.0
+        for read in self._unread:
+            unread_until += read.left_seconds * self.pace
+            # What was placed before goes before, except for parts, which go before whole prompts.
+            if is_split and not read.is_split:
+                due = now - read.placed_at + unread_until + base
+                goal = work.LEAST_GOAL_SECONDS if read.is_late else read.job.goal_seconds
+                loss += _risk(read.job, due, added, goal, read.job.patience_seconds)
         for read in self.reads_by_job.values():
-            job = read.job
-            is_reading = read.is_reading(now)
-            if not read.is_lead and not is_reading:
-                continue
-            if is_reading:
-                due = now - read.placed_at + before
-                goal, patience = job.goal_seconds, job.patience_seconds
-            else:
-                due = before
-                goal, patience = job.gap_goal_seconds, _pause_patience(job)
-            if read.is_late:
-                goal = work.LEAST_GOAL_SECONDS
-            risk = lost_share(due + added, goal, patience) - lost_share(due, goal, patience)
-            loss += job.value * risk
+            if read.is_lead and read.left_seconds <= 0:
+                goal = work.LEAST_GOAL_SECONDS if read.is_late else read.job.gap_goal_seconds
+                loss += _risk(read.job, pause, added, goal, _pause_patience(read.job))
         return loss
 
     def add(self, read: PlacedRead) -> None:
@@ -246,10 +272,12 @@
         Args:
             read: The part.
         """
-        now = read.placed_at
-        self._read_until = max(now, self._read_until) + read.seconds * self.pace
-        read.ends_at = self._read_until
+        self._advance(read.placed_at)
         self.reads_by_job[read.job.key] = read
+        place = len(self._unread)
+        if read.is_split:
+            place = sum(1 for one in self._unread if one.is_split)
+        self._unread.insert(place, read)
 
     def on_first_event(self, key: work.JobKey, now: float) -> None:
         """Note that a request's prompt has been read.
@@ -261,10 +289,10 @@
         read = self.reads_by_job.get(key)
         if read is None or read.writes:
             return
+        self._advance(now)
         read.writes = True
         read.is_late = read.is_late or now - read.placed_at > read.job.goal_seconds
-        read.ends_at = min(read.ends_at, now)
-        self._settle(now)
+        self._drop(read)
 
     def remove(self, key: work.JobKey, now: float) -> None:
         """Take a request away.
@@ -273,10 +301,12 @@
             key: The request.
             now: Loop time.
         """
-        if self.reads_by_job.pop(key, None) is not None:
-            self._settle(now)
-
-    def _settle(self, now: float) -> None:
-        """Shorten the backlog to what is still predicted to be unread."""
-        unread = sum(read.seconds for read in self.reads_by_job.values() if read.is_reading(now))
-        self._read_until = min(self._read_until, now + unread * self.pace)
+        read = self.reads_by_job.pop(key, None)
+        if read is not None:
+            self._advance(now)
+            self._drop(read)
+
+    def _drop(self, read: PlacedRead) -> None:
+        read.left_seconds = 0.0
+        if read in self._unread:
+            self._unread.remove(read)
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -228,16 +228,20 @@
         spec = forecasts[grant.lead.instance].spec
         seconds = engine_forecast.read_seconds(spec, job.prompt_tokens, 1 + len(grant.helpers))
         reserved = sum(part.reserved_tokens for part in grant.helpers)
-        lead_read = engine_forecast.PlacedRead(
-            job, now, seconds, is_lead=True, memory_tokens=max(0, job.memory_tokens - reserved)
+        tokens_by_instance = {grant.lead.instance: max(0, job.memory_tokens - reserved)}
+        tokens_by_instance.update(
+            (part.server.instance, part.reserved_tokens) for part in grant.helpers
         )
-        forecasts[grant.lead.instance].add(lead_read)
-        for part in grant.helpers:
-            forecasts[part.server.instance].add(
-                engine_forecast.PlacedRead(
-                    job, now, seconds, is_lead=False, memory_tokens=part.reserved_tokens
-                )
+        for instance, tokens in tokens_by_instance.items():
+            read = engine_forecast.PlacedRead(
+                job,
+                now,
+                seconds,
+                is_lead=instance == grant.lead.instance,
+                is_split=bool(grant.helpers),
+                memory_tokens=tokens,
             )
+            forecasts[instance].add(read)
         self._count(Placement(job, grant, now, is_prompt=True), now)
 
     def _forecast(
--- a/src/dragonflycove/fleet/prompt_choice.py
+++ b/src/dragonflycove/fleet/prompt_choice.py
@@ -142,7 +142,7 @@
         """Return the best choice of a number of engines with its loss; None if none fits."""
         job = self._job
         seconds = engine_forecast.read_seconds(self._spec, job.prompt_tokens, count)
-        lead = self._best_lead(seconds)
+        lead = self._best_lead(seconds, count)
         helpers = self._best_helpers(lead.server, seconds, count)
         if len(helpers) < count - 1:
             return None
@@ -162,7 +162,7 @@
         lost += LATE_WAIT_LOSS_PER_SECOND * max(0.0, first_event_seconds - goal)
         return self._job.value * lost
 
-    def _best_lead(self, seconds: float) -> _Candidate:
+    def _best_lead(self, seconds: float, count: int) -> _Candidate:
         def rank(candidate: _Candidate) -> float:
             loss = candidate.loss + self._own_loss(candidate.first_event_seconds)
             if self._job.memory_tokens > self._free_memory(candidate.server):
@@ -170,7 +170,7 @@
                 loss += self._job.value
             return loss
 
-        return min((self._candidate(server, seconds) for server in self._leads), key=rank)
+        return min((self._candidate(server, seconds, count) for server in self._leads), key=rank)
 
     def _best_helpers(
         self, lead: catalog.BackendServer, seconds: float, count: int
@@ -178,7 +178,7 @@
         if count == 1:
             return []
         candidates = [
-            self._candidate(server, seconds)
+            self._candidate(server, seconds, count)
             for server in self._servers
             if server.instance != lead.instance
             and self._forecasts[server.instance].helping < self._spec.slots
@@ -187,11 +187,11 @@
         candidates.sort(key=lambda one: one.loss + self._own_loss(one.first_event_seconds))
         return candidates[: count - 1]
 
-    def _candidate(self, server: catalog.BackendServer, seconds: float) -> _Candidate:
+    def _candidate(self, server: catalog.BackendServer, seconds: float, count: int) -> _Candidate:
         forecast = self._forecasts[server.instance]
         job = self._job
-        first = forecast.first_event_seconds(self._now, seconds)
-        loss = forecast.harm(self._now, seconds)
+        first = forecast.first_event_seconds(self._now, seconds, is_split=count > 1)
+        loss = forecast.harm(self._now, seconds, is_split=count > 1)
         failing = self._health.failure_ratio(server.instance, self._now)
         loss += FAILURE_LOSS_SHARE * job.value * failing
         running = forecast.running
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -31,6 +31,23 @@
     assert engine_forecast.read_seconds(builders.ENGINE, 45_000, 1) == pytest.approx(0.36, abs=0.02)
 
 
+def test_parts_of_a_split_prompt_are_read_before_whole_prompts() -> None:
+    # Seen on scale-1 of andrade-cove: 2.1 s were predicted for a prompt that took 5.4 s.
+    forecast = engine_forecast.EngineForecast(builders.ENGINE)
+    whole = builders.job(1, tokens=135_000, goal=3.0, gap=1.0)
+    part = builders.job(2, tokens=265_000, goal=3.0, gap=1.0)
+    for job, at, seconds, split in ((whole, 0.0, 2.0, False), (part, 0.3, 3.0, True)):
+        forecast.add(
+            engine_forecast.PlacedRead(
+                job, at, seconds, is_lead=not split, is_split=split, memory_tokens=1
+            )
+        )
+    assert forecast.backlog_seconds(0.3, is_split=True) == pytest.approx(3.0)
+    assert forecast.backlog_seconds(0.3) == pytest.approx(4.7)
+    forecast.on_first_event(part.key, 3.3)
+    assert forecast.backlog_seconds(3.3) == pytest.approx(1.7)
+
+
 def test_short_prompts_are_packed_and_leave_engines_free() -> None:
     deciding = placing()
     used = {granted(deciding, builders.job(n)).lead.instance for n in range(8)}
--- a/tests/fleet/test_waiting_line.py
+++ b/tests/fleet/test_waiting_line.py
@@ -112,6 +112,7 @@
     """What the callers of one run got."""
 
     asked: int
+    borne: float
     in_time: int
     late: int
     refused: int
@@ -162,7 +163,7 @@
         for placed in line.advance(now):
             settle(placed.key, placed.decision)
     assert in_time + late + refused == number
-    return _Callers(number, in_time, late, refused, longest)
+    return _Callers(number, seconds * rate / load, in_time, late, refused, longest)
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -171,7 +172,7 @@
     # An evacuated zone beside shorts at 2.5 times: up to two and a half times as many as places.
     callers = _overload(load, seed)
     # Nine tenths of what the places bear are served in time, the others are late or come back.
-    assert callers.in_time >= 0.9 * callers.asked / load
+    assert callers.in_time >= 0.9 * callers.borne
     assert callers.longest_wait < PATIENCE_SECONDS
 
 
