--- a/src/dragonflycove/fleet/prompt_choice.py
+++ b/src/dragonflycove/fleet/prompt_choice.py
@@ -183,6 +183,7 @@
             if server.instance != lead.instance
             and self._forecasts[server.instance].helping < self._spec.slots
             and not self._is_cold(server.instance)
+            and not self._health.is_unhelpful(server.instance, self._now)
         ]
         candidates.sort(key=lambda one: one.loss + self._own_loss(one.first_event_seconds))
         return candidates[: count - 1]
--- a/src/dragonflycove/fleet/server_health.py
+++ b/src/dragonflycove/fleet/server_health.py
@@ -23,6 +23,12 @@
 Failing servers fail for some seconds; a shorter time sends requests back before they are sound.
 """
 
+UNHELPFUL_SECONDS = 5.0
+"""Time for which a server that refused to help is asked for no help.
+
+One that is leaving serves on for some seconds.
+"""
+
 FULL_BACKOFF_SECONDS = 0.1
 """Time without new requests after a server said that it is full."""
 
@@ -61,12 +67,13 @@
 class _Record:
     """What is remembered of one server."""
 
-    __slots__ = ("changed_at", "failures_in_row", "ratio", "suspect_until")
+    __slots__ = ("changed_at", "failures_in_row", "ratio", "suspect_until", "unhelpful_until")
 
     def __init__(self) -> None:
         self.ratio = 0.0
         self.changed_at = 0.0
         self.suspect_until = 0.0
+        self.unhelpful_until = 0.0
         self.failures_in_row = 0
 
 
@@ -91,6 +98,9 @@
         if outcome is Outcome.ABANDONED:
             return False
         record = self._record_by_instance.setdefault(instance, _Record())
+        if outcome is Outcome.HELP_REFUSED:
+            record.unhelpful_until = now + UNHELPFUL_SECONDS
+            return False
         if outcome is Outcome.FULL:
             record.suspect_until = max(record.suspect_until, now + FULL_BACKOFF_SECONDS)
             return False
@@ -121,6 +131,16 @@
         record = self._record_by_instance.get(instance)
         return record is not None and record.suspect_until > now
 
+    def is_unhelpful(self, instance: catalog.Instance, now: float) -> bool:
+        """Whether a server has lately refused to help another one.
+
+        Args:
+            instance: The server.
+            now: Loop time.
+        """
+        record = self._record_by_instance.get(instance)
+        return record is not None and record.unhelpful_until > now
+
     def failure_ratio(self, instance: catalog.Instance, now: float) -> float:
         """Return the share of recent requests that failed.
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -168,9 +168,7 @@
                 break
             outcome = await self._send(life, job, decision, reply, stream, ends)
             ends.append(await self._end_of(outcome, decision))
-            excluded.append(decision.lead.instance.server_id)
-            if outcome.faulty_server:
-                excluded.append(outcome.faulty_server)
+            excluded.append(outcome.faulty_server or decision.lead.instance.server_id)
             if outcome.end is forwarding.End.DELIVERED:
                 return
             kept = outcome.kept or kept
