--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -317,6 +317,7 @@
                 request=life.request.attempt_id,
                 server=grant.lead.instance.server_id,
                 end=outcome.end.value if outcome else "abandoned",
+                faulty=(outcome.faulty_server if outcome else None) or "",
                 judged=judged.value,
                 first=outcome.first_event_seconds if outcome else 0.0,
                 events=stream.delivered,
