--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -111,11 +111,8 @@
     idle_seconds: float | None
     """How long the server keeps the connection open while idle; None if it does not say."""
 
-    faulty_server: str | None
-    """Id of the server at fault, where it is another one; None if it names none."""
-
-    is_event_stream: bool
-    """Whether the body is a series of events."""
+    faulty_address: catalog.Address | None
+    """Address of the server that could not do its part; None if the answer names none."""
 
 
 class End(enum.Enum):
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -168,7 +168,7 @@
                 break
             outcome = await self._send(life, job, decision, reply, stream, ends)
             ends.append(await self._end_of(outcome, decision))
-            excluded.append(outcome.faulty_server or decision.lead.instance.server_id)
+            excluded.append(outcome.unhelpful or decision.lead.instance.server_id)
             if outcome.end is forwarding.End.DELIVERED:
                 return
             kept = outcome.kept or kept
@@ -308,16 +308,15 @@
         finally:
             if held is not None:
                 self._reserving.release(held)
-            is_suspect = self._placing.on_end(
-                job.key, judged, (outcome.faulty_server if outcome else None) or ""
-            )
+            unhelpful = outcome.unhelpful if outcome else ""
+            is_suspect = self._placing.on_end(job.key, judged, unhelpful)
             now = asyncio.get_running_loop().time()
             logs.event(
                 "send_ended",
                 request=life.request.attempt_id,
                 server=grant.lead.instance.server_id,
                 end=outcome.end.value if outcome else "abandoned",
-                faulty=(outcome.faulty_server if outcome else None) or "",
+                unhelpful=unhelpful,
                 judged=judged.value,
                 first=outcome.first_event_seconds if outcome else 0.0,
                 events=stream.delivered,
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -34,8 +34,8 @@
     kept: KeptAnswer | None = None
     """The server's failure, if it gave a whole one."""
 
-    faulty_server: str | None = None
-    """Id of another server that was at fault."""
+    unhelpful: str = ""
+    """Id of the server that refused to help; empty for none."""
 
     first_event_seconds: float = 0.0
     """Time from the send to the first event or the answer; 0 if there was none."""
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -229,14 +229,16 @@
         return await self._on_whole(answer, body.ok_value)
 
     def _not_run(self, answer: forwarding.AnswerHead) -> send_values.Outcome:
-        lead = self._plan.grant.lead.instance.server_id
-        faulty = answer.faulty_server
-        judged = server_health.Outcome.FULL
-        if answer.status == 421:
-            judged = server_health.Outcome.WRONG_INSTANCE
-        if faulty is not None and faulty != lead:
-            judged = server_health.Outcome.ABANDONED
-        return send_values.Outcome(forwarding.End.NOT_RUN, judged, faulty_server=faulty)
+        for part in self._plan.grant.helpers:
+            if part.server.address == answer.faulty_address:
+                return send_values.Outcome(
+                    forwarding.End.NOT_RUN,
+                    server_health.Outcome.ABANDONED,
+                    unhelpful=part.server.instance.server_id,
+                )
+        is_wrong = answer.status == 421
+        judged = server_health.Outcome.WRONG_INSTANCE if is_wrong else server_health.Outcome.FULL
+        return send_values.Outcome(forwarding.End.NOT_RUN, judged)
 
     async def _on_whole(self, answer: forwarding.AnswerHead, body: bytes) -> send_values.Outcome:
         """Pass a whole answer on, unless another server may give a better one."""
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -6,13 +6,13 @@
 
 import xxhash
 
-from dragonflycove.fleet import forwarding
+from dragonflycove.fleet import catalog, forwarding
+from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from dragonflycove.fleet import catalog
 
 _ATTEMPT_ID = b"x-attempt-id"
 _DEADLINE = b"x-deadline-ms"
@@ -202,7 +202,6 @@
     attempt_id = first_by_name.get(_ATTEMPT_ID)
     says_not_run = _NOT_RUN in first_by_name or head.status in _STATUSES_NOT_RUN
     keep_alive = first_by_name.get(b"keep-alive", b"")
-    faulty = first_by_name.get(_FAULTY_SERVER)
     return forwarding.AnswerHead(
         status=head.status,
         headers=tuple(
@@ -216,11 +215,21 @@
         is_encoded=b"content-encoding" in first_by_name,
         closes=b"close" in first_by_name.get(b"connection", b"").lower(),
         idle_seconds=_keep_alive_seconds(keep_alive),
-        faulty_server=None if faulty is None else faulty.decode("latin-1"),
-        is_event_stream=first_by_name.get(b"content-type", b"").startswith(b"text/event-stream"),
+        faulty_address=_faulty_address(first_by_name.get(_FAULTY_SERVER)),
     )
 
 
+def _faulty_address(value: bytes | None) -> catalog.Address | None:
+    """Decode the address of a server at fault; despite the header's name it holds no id."""
+    if value is None:
+        return None
+    try:
+        return catalog.parse_address(value.decode("latin-1").strip())
+    except ValueError:
+        logs.warning("faulty_address_unreadable", value=value)
+        return None
+
+
 def _keep_alive_seconds(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -120,6 +120,8 @@
         """Connections accepted."""
         self.reservations: dict[str, int] = {}
         """Memory set aside, tokens by id."""
+        self.refused_helpers: set[str] = set()
+        """Addresses of helpers that refuse, as one that is leaving does."""
         self._holds: dict[str, asyncio.TimerHandle] = {}
         self._held_answer = b""
         self._server: asyncio.Server | None = None
@@ -228,6 +230,12 @@
         if fault is Fault.REFUSED:
             writer.write(self._answer(run.headers, 503, b"full", ["X-Not-Executed: 1"]))
             return True
+        for helper in run.headers.get("x-helpers", "").split(","):
+            address = helper.partition("/")[0]
+            if address in self.refused_helpers:
+                lines = ["X-Not-Executed: 1", f"At-Server: {address}"]
+                writer.write(self._answer(run.headers, 503, b"no help", lines))
+                return True
         self.runs.append(run)
         if fault in (Fault.RESET, Fault.SILENT, Fault.GARBAGE, Fault.UNSIGNED):
             return await self._answer_badly(run, fault, reader, writer)
--- a/tests/gateway/test_rules.py
+++ b/tests/gateway/test_rules.py
@@ -328,6 +328,26 @@
     assert left == [{}, {}, {}, {}]
 
 
+async def test_a_prompt_is_sent_again_without_the_helper_that_refused() -> None:
+    # Seed 34819e15 of tsm-ub: the same leaving helper was asked four times, then the caller refused.
+    async with deployment.deployed() as system:
+        await system.add_server("e3")
+        await asyncio.sleep(1.0)
+        leaving = str(system.address_by_id["e3"])
+        for server in system.server_by_id.values():
+            server.refused_helpers.add(leaving)
+        headers = {"X-Token-Counts": "300000,100"}
+        arrivals = []
+        for number in range(2):
+            answer = await system.call(
+                "/review/x", headers=headers, attempt=f"h{number}", deadline_ms=9_000
+            )
+            assert (answer.status, answer.is_whole) == (200, True)
+            arrivals.append(sum(server.arrivals for server in system.server_by_id.values()))
+    # The second prompt is not offered to it at all.
+    assert arrivals == [2, 3]
+
+
 async def test_a_body_over_the_limit_is_rejected() -> None:
     async with deployment.deployed() as system:
         answer = await system.call("/post/x", body=b"x" * 200_000)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -240,3 +240,14 @@
     )
     assert report is not None
     assert (report.pace, report.reservation_ids) == (1.0, ("t1",))
+
+
+@pytest.mark.parametrize(
+    ("named", "address"),
+    [(b"10.3.64.34:8304", catalog.Address("10.3.64.34", 8304)), (b"i-1", None), (b"", None)],
+)
+def test_a_refusal_names_the_address_of_the_server_at_fault(
+    named: bytes, address: catalog.Address | None
+) -> None:
+    head = http1.Head(503, ((b"x-not-executed", b"1"), (b"at-server", named)))
+    assert requests.decode_answer(head).faulty_address == address
