--- a/src/dragonflycove/fleet/catalog.py
+++ b/src/dragonflycove/fleet/catalog.py
@@ -132,15 +132,9 @@
     seconds_per_pair: float
     """Time for the attention of one token to one earlier token while reading."""
 
-    chunk_tokens: int
-    """Most prompt tokens read in one step."""
-
     steps_per_pass: int
     """Steps in a pass that has a writer; each writer sends one event a pass."""
 
-    hop_seconds: float
-    """Time that a step takes longer when the prompt is spread over several engines."""
-
 
 class Service(NamedTuple):
     """A group of interchangeable backend servers."""
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -52,13 +52,18 @@
     """Where it goes, or why it goes nowhere."""
 
 
-class _Waiting(NamedTuple):
+class Waiting(NamedTuple):
     """A request in the line."""
 
     job: work.Job
+    """The request."""
+
     since: float
+    """Loop time at which it began to wait."""
+
     ends_at: float
     """Loop time at which its deadline is reached or its caller gives up."""
+
     service_seconds: float
     """Predicted time from its placement to its first event."""
 
@@ -71,7 +76,7 @@
             > LATE_CHANCE
         )
 
-    def rank(self, now: float) -> tuple[int, bool, float, float]:
+    def rank(self, now: float) -> tuple[float, ...]:
         """Return the place in the line; the lowest goes first."""
         # A stream that stands still is worse for its caller than one that hasn't begun.
         is_late = self.is_late(now) and not self.job.is_begun
@@ -113,7 +118,7 @@
             deciding: Places the requests.
         """
         self._placer = deciding
-        self._waiting_by_key: dict[work.JobKey, _Waiting] = {}
+        self._waiting_by_key: dict[work.JobKey, Waiting] = {}
         self._pace_by_service: dict[str, _Pace] = {}
         self._late_pace_by_service: dict[str, _Pace] = {}
 
@@ -121,6 +126,10 @@
         """Return how many requests wait."""
         return len(self._waiting_by_key)
 
+    def _order(self, waiting: Waiting, now: float) -> tuple[float, ...]:
+        """Return a request's place in the line; the lowest goes first."""
+        return waiting.rank(now)
+
     def offer(self, job: work.Job, now: float) -> work.Grant | work.Refusal | work.Wait:
         """Place a request, or let it wait.
 
@@ -138,7 +147,7 @@
         if not isinstance(decision, work.Wait):
             return decision
         patience = min(job.deadline_seconds, job.patience_seconds)
-        waiting = _Waiting(job, now, now + patience, decision.service_seconds)
+        waiting = Waiting(job, now, now + patience, decision.service_seconds)
         expected = self._expected_wait(waiting, now)
         if len(self._waiting_by_key) >= MOST_WAITING:
             return work.Refusal("line_full", self._return_seconds(job.service, now))
@@ -154,13 +163,13 @@
         seconds = pace.wait_seconds(1 + waiting, now) if pace else LEAST_RETURN_SECONDS
         return min(MOST_RETURN_SECONDS, max(LEAST_RETURN_SECONDS, seconds))
 
-    def _expected_wait(self, newcomer: _Waiting, now: float) -> float:
+    def _expected_wait(self, newcomer: Waiting, now: float) -> float:
         """Return the wait of a newcomer, from how fast the line has moved."""
-        rank = newcomer.rank(now)
+        rank = self._order(newcomer, now)
         ahead = sum(
             1
             for waiting in self._waiting_by_key.values()
-            if waiting.job.service == newcomer.job.service and waiting.rank(now) <= rank
+            if waiting.job.service == newcomer.job.service and self._order(waiting, now) <= rank
         )
         pace = self._pace_by_service.get(newcomer.job.service)
         return pace.wait_seconds(1 + ahead, now) if pace else (1 + ahead) * FIRST_GRANT_SECONDS
@@ -177,7 +186,7 @@
         placed = []
         late_ahead: collections.Counter[str] = collections.Counter()
         for key, waiting in sorted(
-            self._waiting_by_key.items(), key=lambda item: item[1].rank(now)
+            self._waiting_by_key.items(), key=lambda item: self._order(item[1], now)
         ):
             decision = self._decide(waiting, late_ahead, now)
             if decision is None:
@@ -188,7 +197,7 @@
         return placed
 
     def _decide(
-        self, waiting: _Waiting, late_ahead: collections.Counter[str], now: float
+        self, waiting: Waiting, late_ahead: collections.Counter[str], now: float
     ) -> work.Grant | work.Refusal | None:
         """Place one request or refuse it; None if it goes on waiting."""
         service = waiting.job.service
--- /dev/null
+++ b/src/dragonflycove/measure/heavy_engines.py
@@ -0,0 +1,146 @@
+"""Engines of the heavy loads, which work in passes as the platform's pages describe."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from dragonflycove.fleet import engine_forecast
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog, work
+
+CHUNK_TOKENS = 2_048
+"""Prompt tokens that one step reads at most, as the users' sheets state."""
+
+
+class Part:
+    """One engine's part of a prompt."""
+
+    __slots__ = ("chunk_seconds", "is_split", "key", "left_seconds")
+
+    def __init__(
+        self, key: work.JobKey, spec: catalog.EngineSpec, prompt_tokens: int, parts: int
+    ) -> None:
+        """Create an unread part.
+
+        Args:
+            key: The prompt's request.
+            spec: The engine.
+            prompt_tokens: Length of the whole prompt.
+            parts: Engines that read it.
+        """
+        self.key = key
+        self.left_seconds = engine_forecast.read_seconds(spec, prompt_tokens, parts)
+        chunks = max(1.0, prompt_tokens / parts / CHUNK_TOKENS)
+        self.chunk_seconds = self.left_seconds / chunks
+        self.is_split = parts > 1
+
+
+class Writer:
+    """A request that an engine writes."""
+
+    __slots__ = ("context_tokens", "events_left")
+
+    def __init__(self, events: int, context_tokens: int) -> None:
+        """Begin to write.
+
+        Args:
+            events: Events of the answer after the first.
+            context_tokens: Tokens that each step looks at.
+        """
+        self.events_left = events
+        self.context_tokens = context_tokens
+
+
+class PassEnd(NamedTuple):
+    """What a pass brought."""
+
+    read: tuple[Part, ...]
+    """Parts that were read to their end."""
+
+    written: tuple[work.JobKey, ...]
+    """Requests that wrote an event."""
+
+
+class Engine:
+    """One engine of the heavy loads."""
+
+    def __init__(self, spec: catalog.EngineSpec) -> None:
+        """Create an idle engine.
+
+        Args:
+            spec: Its speed and size.
+        """
+        self._spec = spec
+        self._unread: list[Part] = []
+        self.writer_by_key: dict[work.JobKey, Writer] = {}
+        """Requests that are being written."""
+        self._pass_ends_at = 0.0
+        self._in_pass: PassEnd | None = None
+
+    def read(self, part: Part) -> None:
+        """Take in a part; parts of split prompts go before whole ones.
+
+        Args:
+            part: The part.
+        """
+        place = len(self._unread)
+        if part.is_split:
+            place = sum(1 for one in self._unread if one.is_split)
+        self._unread.insert(place, part)
+
+    def drop(self, key: work.JobKey) -> None:
+        """Forget a request that has ended.
+
+        Args:
+            key: The request.
+        """
+        self._unread = [part for part in self._unread if part.key != key]
+        self.writer_by_key.pop(key, None)
+
+    def advance(self, now: float) -> PassEnd | None:
+        """End a pass if it is over, and begin the next.
+
+        Args:
+            now: Time on the run's clock.
+
+        Returns:
+            What the pass brought; None while none ends.
+        """
+        if now < self._pass_ends_at:
+            return None
+        ended, self._in_pass = self._in_pass, None
+        return ended
+
+    def begin(self, now: float) -> None:
+        """Begin a pass if none runs and there is work.
+
+        Args:
+            now: Time on the run's clock.
+        """
+        if self._in_pass is not None or not (self._unread or self.writer_by_key):
+            return
+        spec = self._spec
+        steps = spec.steps_per_pass if self.writer_by_key else 1
+        context = sum(writer.context_tokens for writer in self.writer_by_key.values())
+        step = (
+            spec.step_seconds
+            + max(1, len(self.writer_by_key)) * spec.step_seconds_per_writer
+            + context * spec.step_seconds_per_context_token
+        )
+        seconds = steps * step
+        read = []
+        chunks = float(steps)
+        while self._unread and chunks > 0:
+            part = self._unread[0]
+            taken = min(part.left_seconds, chunks * part.chunk_seconds)
+            chunks -= taken / part.chunk_seconds
+            part.left_seconds -= taken
+            seconds += taken
+            if part.left_seconds > 1e-9:
+                break
+            read.append(self._unread.pop(0))
+        self._in_pass = PassEnd(tuple(read), tuple(self.writer_by_key))
+        # A pass ends where the last one ended, however late this engine was looked at.
+        began = max(self._pass_ends_at, now - 0.01)
+        self._pass_ends_at = began + seconds
--- /dev/null
+++ b/src/dragonflycove/measure/heavy_load.py
@@ -0,0 +1,403 @@
+"""Plays the load of the heaviest days against a policy, and counts what callers get.
+
+Short prompts at a multiple of the usual rate, then long ones, on engines of which some may be gone.
+Callers give up after a silence, come back once after a refusal, and some don't wait as told.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from dragonflycove.fleet import server_health, work
+from dragonflycove.measure import heavy_engines
+
+if TYPE_CHECKING:
+    from dragonflycove.fleet import catalog
+
+STEP_SECONDS = 0.01
+"""Step of the clock; a fifth of an engine's shortest pass."""
+
+SETTLE_SECONDS = 12.0
+"""Time after the last arrival in which the rest is served; the longest patience."""
+
+GIVE_UP_SECONDS = 2.0
+"""Shortest silence after which callers give up, as the platform's pages state."""
+
+LATE_CREDIT = 0.25
+"""Share of its worth that a late answer earns; the users' sheets pay a quarter."""
+
+HONOURED_SHARE = 1 / 3
+"""Share of their time up to which callers wait as told."""
+
+IMPATIENT_RETURN_SECONDS = 0.1
+"""Time after which callers that don't wait as told come back."""
+
+
+class Kind(NamedTuple):
+    """A kind of prompts, as on the users' sheets."""
+
+    name: str
+    """Name."""
+
+    mean_tokens: int
+    """Mean length."""
+
+    spread: float
+    """Standard deviation of the length's logarithm."""
+
+    rate: float
+    """Prompts a second at the usual load."""
+
+    worth: float
+    """Worth of a prompt of mean length."""
+
+    goal_seconds: float
+    """Time to the first event that earns full worth."""
+
+    gap_seconds: float
+    """Longest pause that earns full worth."""
+
+    deadline_seconds: float
+    """Time that callers have."""
+
+    events: int
+    """Mean number of events."""
+
+    @property
+    def give_up_seconds(self) -> float:
+        """Silence after which callers give up."""
+        return max(GIVE_UP_SECONDS, 4 * self.goal_seconds, 8 * self.gap_seconds)
+
+
+KINDS = (
+    Kind("short", 5_000, 0.7, 14.9, 1.3, 0.3, 0.25, 10.0, 32),
+    Kind("medium", 45_000, 0.3, 0.81, 3.9, 1.5, 0.6, 10.0, 19),
+    Kind("long", 133_000, 0.5, 0.68, 15.0, 3.0, 1.0, 15.0, 16),
+)
+"""The kinds of prompts of the users' smaller site."""
+
+
+class Load(NamedTuple):
+    """One load."""
+
+    name: str
+    """Name."""
+
+    engines: int
+    """Engines that are left of the users' 14."""
+
+    short_factor: float
+    """Multiple of the usual rate of short prompts in the first half."""
+
+    long_factor: float
+    """The same for all others in the second half."""
+
+    seconds: float = 20.0
+    """Time in which requests arrive."""
+
+    impatient_share: float = 0.0
+    """Share of the callers that come back at once after a refusal."""
+
+    leaving_share: float = 0.0
+    """Share of the callers that leave within a second."""
+
+
+LOADS = (
+    Load("usual", 14, 1.0, 1.0),
+    Load("bursts", 14, 2.5, 2.8),
+    Load("bursts, half the engines", 7, 2.5, 2.8),
+    Load("usual, three engines", 3, 1.0, 1.0),
+    Load("bursts, impatient callers", 7, 2.5, 2.8, impatient_share=0.5),
+    Load("bursts, callers leave", 7, 2.5, 2.8, leaving_share=0.5),
+)
+"""The loads that are played."""
+
+
+class Policy(Protocol):
+    """Places requests."""
+
+    def offer(self, job: work.Job, now: float) -> work.Grant | work.Refusal | work.Wait:
+        """Place a request, refuse it or let it wait."""
+        ...
+
+    def advance(self, now: float) -> list[tuple[work.JobKey, work.Grant | work.Refusal]]:
+        """Place requests that waited."""
+        ...
+
+    def withdraw(self, key: work.JobKey) -> None:
+        """Take a waiting request away."""
+        ...
+
+    def on_first_event(self, key: work.JobKey, now: float) -> None:
+        """Note that a prompt has been read."""
+        ...
+
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, now: float) -> None:
+        """Note that a request ended."""
+        ...
+
+
+class KindFigures(NamedTuple):
+    """What the callers of one kind got."""
+
+    asked: int
+    """Callers."""
+
+    in_time: int
+    """Served in time."""
+
+    late: int
+    """Served late."""
+
+    refused: int
+    """Refused twice."""
+
+    given_up: int
+    """Gave up, or left before they were served."""
+
+    worth: float
+    """Share of the kind's worth that was earned."""
+
+    longest_refusal: float
+    """Longest time after which a caller was refused, seconds."""
+
+
+class _Caller:
+    """One caller and its tries."""
+
+    __slots__ = (
+        "engine",
+        "events",
+        "first_asked_at",
+        "helpers",
+        "is_late",
+        "job",
+        "kind",
+        "last_event_at",
+        "leaves_at",
+        "offered_at",
+        "outcome",
+        "parts_left",
+        "returned",
+        "worth",
+    )
+
+    def __init__(self, kind: Kind, job: work.Job, events: int, now: float) -> None:
+        self.kind = kind
+        self.job = job
+        self.events = events
+        self.first_asked_at = now
+        self.offered_at = now
+        self.last_event_at = now
+        self.leaves_at = float("inf")
+        self.is_late = False
+        self.returned = False
+        self.parts_left = 0
+        self.engine = ""
+        self.helpers: tuple[str, ...] = ()
+        self.outcome = ""
+        self.worth = kind.worth * min(4.0, 0.3 + 0.7 * job.prompt_tokens / kind.mean_tokens)
+
+
+class HeavyLoad:
+    """One load against one policy."""
+
+    def __init__(self, load: Load, policy: Policy, spec: catalog.EngineSpec, seed: int) -> None:
+        """Prepare a run.
+
+        Args:
+            load: The load.
+            policy: What places requests.
+            spec: The engines.
+            seed: Seed of arrivals, lengths and returns.
+        """
+        self._load = load
+        self._policy = policy
+        self._spec = spec
+        self._rng = random.Random(seed)
+        self._engine_by_id = {f"e{n}": heavy_engines.Engine(spec) for n in range(load.engines)}
+        self._caller_by_key: dict[work.JobKey, _Caller] = {}
+        self._returns: list[tuple[float, int, _Caller]] = []
+        self._callers: list[_Caller] = []
+        self._longest_refusal_by_kind: dict[str, float] = {}
+        self._numbers = 0
+        self._now = 0.0
+
+    def run(self) -> dict[str, KindFigures]:
+        """Play the load to its end.
+
+        Returns:
+            What the callers got, by kind.
+        """
+        arrivals = self._arrivals()
+        steps = int((self._load.seconds + SETTLE_SECONDS) / STEP_SECONDS)
+        position = 0
+        for step in range(steps):
+            self._now = step * STEP_SECONDS
+            while position < len(arrivals) and arrivals[position][0] <= self._now:
+                self._arrive(arrivals[position][1])
+                position += 1
+            while self._returns and self._returns[0][0] <= self._now:
+                self._offer(heapq.heappop(self._returns)[2])
+            for key, decision in self._policy.advance(self._now):
+                self._settle(self._caller_by_key[key], decision)
+            self._work()
+            self._leave()
+        return {kind.name: self._figures(kind) for kind in KINDS}
+
+    def _arrivals(self) -> list[tuple[float, Kind]]:
+        arrivals = []
+        for kind in KINDS:
+            at = 0.0
+            while at < self._load.seconds:
+                first_half = at < self._load.seconds / 2
+                factor = 1.0
+                if kind is KINDS[0] and first_half:
+                    factor = self._load.short_factor
+                if kind is not KINDS[0] and not first_half:
+                    factor = self._load.long_factor
+                at += self._rng.expovariate(kind.rate * factor)
+                arrivals.append((at, kind))
+        return sorted(arrivals, key=lambda arrival: arrival[0])
+
+    def _arrive(self, kind: Kind) -> None:
+        mean = kind.mean_tokens
+        draw = self._rng.lognormvariate(-kind.spread**2 / 2, kind.spread)
+        tokens = max(40, int(mean * draw))
+        events = max(2, int(self._rng.gammavariate(4.0, kind.events / 4)))
+        job = self._job(kind, tokens, events)
+        caller = _Caller(kind, job, events, self._now)
+        if self._rng.random() < self._load.leaving_share:
+            caller.leaves_at = self._now + self._rng.random()
+        self._callers.append(caller)
+        self._offer(caller)
+
+    def _job(self, kind: Kind, tokens: int, events: int) -> work.Job:
+        self._numbers += 1
+        return work.Job(
+            key=work.JobKey("n0", 1, self._numbers),
+            service="svc",
+            organisation="org",
+            priority=1,
+            prompt_tokens=tokens,
+            output_tokens=events * self._spec.steps_per_pass,
+            goal_seconds=kind.goal_seconds,
+            gap_goal_seconds=kind.gap_seconds,
+            deadline_seconds=kind.deadline_seconds,
+            zone="z1",
+            excluded=(),
+            fingerprint=self._numbers,
+            patience_seconds=0.85 * kind.give_up_seconds,
+            is_begun=False,
+        )
+
+    def _offer(self, caller: _Caller) -> None:
+        if caller.returned:
+            caller.job = self._job(caller.kind, caller.job.prompt_tokens, caller.events)
+        caller.offered_at = caller.last_event_at = self._now
+        self._caller_by_key[caller.job.key] = caller
+        decision = self._policy.offer(caller.job, self._now)
+        if not isinstance(decision, work.Wait):
+            self._settle(caller, decision)
+
+    def _settle(self, caller: _Caller, decision: work.Grant | work.Refusal) -> None:
+        if isinstance(decision, work.Refusal):
+            self._refuse(caller, decision)
+            return
+        servers = [decision.lead, *(part.server for part in decision.helpers)]
+        ids = [server.instance.server_id for server in servers]
+        caller.engine, caller.helpers = ids[0], tuple(ids[1:])
+        caller.parts_left = len(ids)
+        for name in ids:
+            part = heavy_engines.Part(
+                caller.job.key, self._spec, caller.job.prompt_tokens, len(ids)
+            )
+            self._engine_by_id[name].read(part)
+
+    def _refuse(self, caller: _Caller, refusal: work.Refusal) -> None:
+        name = caller.kind.name
+        longest = self._longest_refusal_by_kind.get(name, 0.0)
+        self._longest_refusal_by_kind[name] = max(longest, self._now - caller.offered_at)
+        del self._caller_by_key[caller.job.key]
+        if caller.returned:
+            caller.outcome = "refused"
+            return
+        caller.returned = True
+        wait = min(refusal.retry_after_seconds, HONOURED_SHARE * caller.kind.deadline_seconds)
+        if self._rng.random() < self._load.impatient_share:
+            wait = IMPATIENT_RETURN_SECONDS
+        heapq.heappush(self._returns, (self._now + wait, caller.job.key.number, caller))
+
+    def _work(self) -> None:
+        for name, engine in self._engine_by_id.items():
+            ended = engine.advance(self._now)
+            for key in ended.written if ended else ():
+                self._on_event(name, key)
+            for part in ended.read if ended else ():
+                self._on_read(part.key)
+            engine.begin(self._now)
+
+    def _on_read(self, key: work.JobKey) -> None:
+        caller = self._caller_by_key.get(key)
+        if caller is None:
+            return
+        caller.parts_left -= 1
+        if caller.parts_left:
+            return
+        self._policy.on_first_event(key, self._now)
+        caller.is_late = self._now - caller.first_asked_at > caller.kind.goal_seconds
+        caller.last_event_at = self._now
+        writer = heavy_engines.Writer(caller.events, caller.job.memory_tokens)
+        self._engine_by_id[caller.engine].writer_by_key[key] = writer
+
+    def _on_event(self, engine: str, key: work.JobKey) -> None:
+        caller = self._caller_by_key.get(key)
+        writer = self._engine_by_id[engine].writer_by_key.get(key)
+        if caller is None or writer is None:
+            return
+        writer.events_left -= 1
+        caller.is_late |= self._now - caller.last_event_at > caller.kind.gap_seconds
+        caller.last_event_at = self._now
+        if writer.events_left <= 0:
+            self._end(caller, "late" if caller.is_late else "in_time")
+
+    def _leave(self) -> None:
+        """Let callers go who have heard nothing for too long."""
+        for caller in list(self._caller_by_key.values()):
+            silence = self._now - caller.last_event_at
+            if silence > caller.kind.give_up_seconds or self._now >= caller.leaves_at:
+                self._policy.withdraw(caller.job.key)
+                self._end(caller, "given_up")
+
+    def _end(self, caller: _Caller, outcome: str) -> None:
+        caller.outcome = outcome
+        key = caller.job.key
+        for name in (caller.engine, *caller.helpers):
+            if name:
+                self._engine_by_id[name].drop(key)
+        judged = server_health.Outcome.ANSWERED
+        if outcome == "given_up":
+            judged = server_health.Outcome.ABANDONED
+        self._policy.on_end(key, judged, self._now)
+        del self._caller_by_key[key]
+
+    def _figures(self, kind: Kind) -> KindFigures:
+        callers = [caller for caller in self._callers if caller.kind is kind]
+        owed = [caller for caller in callers if caller.leaves_at == float("inf")]
+
+        def count(outcome: str) -> int:
+            return sum(1 for caller in owed if caller.outcome == outcome)
+
+        credit_by_outcome = {"in_time": 1.0, "late": LATE_CREDIT}
+        earned = sum(one.worth * credit_by_outcome.get(one.outcome, 0.0) for one in owed)
+        return KindFigures(
+            asked=len(owed),
+            in_time=count("in_time"),
+            late=count("late"),
+            refused=count("refused"),
+            given_up=count("given_up"),
+            worth=earned / max(1e-9, sum(one.worth for one in owed)),
+            longest_refusal=self._longest_refusal_by_kind.get(kind.name, 0.0),
+        )
--- /dev/null
+++ b/src/dragonflycove/measure/heavy_policies.py
@@ -0,0 +1,175 @@
+"""Policies for the heavy loads: the product's, parts of it left out, and two baselines."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+from typing import TYPE_CHECKING
+
+from dragonflycove.fleet import catalog, knowledge, placer, waiting_line, work
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dragonflycove.fleet import server_health
+
+SPEC = catalog.EngineSpec(
+    slots=8,
+    memory_tokens=232_000,
+    steps_per_pass=43,
+    step_seconds=0.00102,
+    step_seconds_per_writer=4.52e-6,
+    step_seconds_per_context_token=4.31e-9,
+    read_tokens_per_second=206_000.0,
+    seconds_per_pair=0.138e-9,
+)
+"""An engine as the users' smaller site states it."""
+
+
+def make_belief(engines: int) -> knowledge.Knowledge:
+    """Return a belief of one service with some engines.
+
+    Args:
+        engines: How many.
+    """
+    belief = knowledge.Knowledge()
+    service = catalog.Service("svc", "/health", 100, 3.0, 0.0, SPEC)
+    configuration = catalog.Configuration(
+        version=1,
+        route_by_host_prefix={},
+        service_by_name={"svc": service},
+        organisation_by_key={},
+        needs_keys=False,
+        limits=catalog.CallerLimits(),
+    )
+    belief.apply_configuration(configuration, 0)
+    for number in range(engines):
+        server = catalog.BackendServer(
+            instance=catalog.Instance(f"e{number}", 1),
+            service="svc",
+            address=catalog.Address("10.0.0.1", 9_000 + number),
+            zone="z1",
+            slots=SPEC.slots,
+            state=catalog.ServerState.READY,
+            cold_seconds=0.0,
+        )
+        belief.apply_server(f"e{number}", server, number, 0.0)
+    return belief
+
+
+class ProductPolicy:
+    """The product's placer and line."""
+
+    def __init__(
+        self,
+        engines: int,
+        make_line: Callable[[placer.Placer], waiting_line.WaitingLine] = waiting_line.WaitingLine,
+    ) -> None:
+        """Create without requests.
+
+        Args:
+            engines: Engines that there are.
+            make_line: Creates the line.
+        """
+        self._placer = placer.Placer(make_belief(engines), "z1")
+        self._line = make_line(self._placer)
+
+    def offer(self, job: work.Job, now: float) -> work.Grant | work.Refusal | work.Wait:
+        """Place a request, refuse it or let it wait."""
+        return self._line.offer(job, now)
+
+    def advance(self, now: float) -> list[tuple[work.JobKey, work.Grant | work.Refusal]]:
+        """Place requests that waited."""
+        return [(placed.key, placed.decision) for placed in self._line.advance(now)]
+
+    def withdraw(self, key: work.JobKey) -> None:
+        """Take a waiting request away."""
+        self._line.withdraw(key)
+
+    def on_first_event(self, key: work.JobKey, now: float) -> None:
+        """Note that a prompt has been read."""
+        self._placer.on_first_event(key, now)
+
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, now: float) -> None:
+        """Note that a request ended."""
+        self._placer.on_end(key, outcome, now)
+
+
+class ArrivalLine(waiting_line.WaitingLine):
+    """The product's line with requests in order of arrival."""
+
+    def _order(self, waiting: waiting_line.Waiting, now: float) -> tuple[float, ...]:
+        return (waiting.since,)
+
+
+class _QueuePolicy:
+    """Whole prompts to single engines; the others wait in order of arrival."""
+
+    def __init__(self, engines: int) -> None:
+        """Create without requests.
+
+        Args:
+            engines: Engines that there are.
+        """
+        self._servers = make_belief(engines).usable_servers("svc", 0.0)
+        self._running: collections.Counter[str] = collections.Counter()
+        self._engine_by_key: dict[work.JobKey, str] = {}
+        self._queue: dict[work.JobKey, work.Job] = {}
+        self._turns = itertools.count()
+
+    def _choose(self, free: list[catalog.BackendServer]) -> catalog.BackendServer:
+        raise NotImplementedError
+
+    def offer(self, job: work.Job, now: float) -> work.Grant | work.Refusal | work.Wait:
+        """Place a request or let it wait."""
+        self._queue[job.key] = job
+        for key, decision in self.advance(now):
+            if key == job.key:
+                return decision
+        return work.Wait(0.0)
+
+    def advance(self, now: float) -> list[tuple[work.JobKey, work.Grant | work.Refusal]]:
+        """Place requests that waited."""
+        placed: list[tuple[work.JobKey, work.Grant | work.Refusal]] = []
+        for key in list(self._queue):
+            free = [
+                server
+                for server in self._servers
+                if self._running[server.instance.server_id] < server.slots
+            ]
+            if not free:
+                break
+            del self._queue[key]
+            server = self._choose(free)
+            name = server.instance.server_id
+            self._running[name] += 1
+            self._engine_by_key[key] = name
+            placed.append((key, work.Grant(server, (), 0.0)))
+        return placed
+
+    def withdraw(self, key: work.JobKey) -> None:
+        """Take a waiting request away."""
+        self._queue.pop(key, None)
+
+    def on_first_event(self, key: work.JobKey, now: float) -> None:
+        """Note that a prompt has been read."""
+
+    def on_end(self, key: work.JobKey, outcome: server_health.Outcome, now: float) -> None:
+        """Note that a request ended."""
+        engine = self._engine_by_key.pop(key, None)
+        if engine is not None:
+            self._running[engine] -= 1
+
+
+class RoundRobin(_QueuePolicy):
+    """Engines in turn."""
+
+    def _choose(self, free: list[catalog.BackendServer]) -> catalog.BackendServer:
+        return free[next(self._turns) % len(free)]
+
+
+class LeastInFlight(_QueuePolicy):
+    """The engine with the fewest requests."""
+
+    def _choose(self, free: list[catalog.BackendServer]) -> catalog.BackendServer:
+        return min(free, key=lambda server: self._running[server.instance.server_id])
--- a/src/dragonflycove/platform/records.py
+++ b/src/dragonflycove/platform/records.py
@@ -134,9 +134,7 @@
         read_tokens_per_second=float(fields["read_per_s"]),
         # The wire gives milliseconds per million pairs.
         seconds_per_pair=float(fields.get("pairs_per_m", 0)) * _MS / 1e6,
-        chunk_tokens=int(fields.get("chunk", 2048)),
         steps_per_pass=int(fields.get("stride", 1)),
-        hop_seconds=float(fields.get("hop_ms", 0)) * _MS,
     )
 
 
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -12,9 +12,7 @@
     step_seconds_per_context_token=0.00431e-6,
     read_tokens_per_second=206_000.0,
     seconds_per_pair=0.138e-9,
-    chunk_tokens=2_048,
     steps_per_pass=43,
-    hop_seconds=0.000075,
 )
 """An engine as the users' sheets describe it."""
 
