Weigh waiting requests once a look where none has a place

Now one answer stands for all shorts of a service that are alike, and a long prompt is weighed again after 0.1 s.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -151,7 +151,7 @@
             return work.Refusal("no_room_in_time", wait)
         # A call that would queue at every server waits here, where it can still be moved.
         if queued > 0:
-            return work.Wait(PLAIN_SERVICE_SECONDS)
+            return work.Wait(PLAIN_SERVICE_SECONDS, is_full=not job.excluded)
         grant = work.Grant(best, (), wait + seconds)
         self._plain_by_instance[best.instance] += 1
         self._count(Placement(job, grant, now, is_prompt=False), now)
@@ -177,7 +177,7 @@
             now,
         )
         if not choice.has_slot:
-            return self._wait_for_slot(job, forecasts, spec)
+            return self._wait(job, forecasts, spec, is_full=not job.excluded)
         grant = choice.choose()
         if grant is None:
             return self._without_memory(job, servers, forecasts, spec)
@@ -188,15 +188,17 @@
         is_hopeless = first > job.patience_seconds
         # An engine that has just taken a long read is worth less than a slot at another one.
         if is_hopeless or soonest <= job.goal_seconds < first:
-            return self._wait_for_slot(job, forecasts, spec)
+            return self._wait(job, forecasts, spec, is_full=False)
         self._commit(job, grant, forecasts, now)
         return grant
 
-    def _wait_for_slot(
+    def _wait(
         self,
         job: work.Job,
         forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
         spec: catalog.EngineSpec,
+        *,
+        is_full: bool,
     ) -> work.Wait | work.Refusal:
         shortest = engine_forecast.read_seconds(spec, job.prompt_tokens, len(forecasts))
         if shortest > job.deadline_seconds:
@@ -204,7 +206,7 @@
         parts = max(1, min(len(forecasts), job.prompt_tokens // prompt_choice.SPLIT_TOKENS))
         passes = 2 * max(forecast.pass_seconds() for forecast in forecasts.values())
         seconds = engine_forecast.read_seconds(spec, job.prompt_tokens, parts) + passes
-        return work.Wait(seconds)
+        return work.Wait(seconds, is_full)
 
     def _without_memory(
         self,
@@ -216,7 +218,7 @@
         most = int(spec.memory_tokens * prompt_choice.MEMORY_SHARE) * len(servers)
         if job.memory_tokens > most:
             return work.Refusal("larger_than_all_engines", 1.0)
-        return self._wait_for_slot(job, forecasts, spec)
+        return self._wait(job, forecasts, spec, is_full=False)
 
     def _commit(
         self,
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -38,6 +38,9 @@
 GRANT_WEIGHT = 0.2
 """Weight of the newest time in the mean time between grants; about the last ten count."""
 
+LONG_RETRY_SECONDS = 0.1
+"""Time between two tries of a long prompt that waits; weighing its splits is the dearest decision."""
+
 LATE_CHANCE = 0.5
 """Chance of being late above which a request no longer counts as one that can be in time."""
 
@@ -67,6 +70,11 @@
     service_seconds: float
     """Predicted time from its placement to its first event."""
 
+    @property
+    def is_short(self) -> bool:
+        """Whether one engine reads its prompt between the passes of others."""
+        return engine_forecast.is_tight(self.job)
+
     def is_late(self, now: float) -> bool:
         """Whether its goal would be missed if it were placed now."""
         return (
@@ -85,6 +93,17 @@
         return self.job.priority, is_late, -worth, self.since
 
 
+class _Group(NamedTuple):
+    """Requests that get places alike; long prompts differ too much from each other."""
+
+    service: str
+    is_short: bool
+    is_late: bool
+
+
+_EITHER = (False, True)
+
+
 class _Pace:
     """How fast requests of one kind leave the line."""
 
@@ -119,6 +138,7 @@
         """
         self._placer = deciding
         self._waiting_by_key: dict[work.JobKey, Waiting] = {}
+        self._next_try_by_key: dict[work.JobKey, float] = {}
         self._pace_by_service: dict[str, _Pace] = {}
         self._late_pace_by_service: dict[str, _Pace] = {}
 
@@ -142,7 +162,7 @@
         """
         known = self._waiting_by_key.get(job.key)
         if known is not None:
-            return work.Wait(known.service_seconds)
+            return work.Wait(known.service_seconds, is_full=False)
         decision = self._placer.place(job, now)
         if not isinstance(decision, work.Wait):
             return decision
@@ -185,35 +205,40 @@
         """
         placed = []
         late_ahead: collections.Counter[str] = collections.Counter()
+        full: set[_Group] = set()
         for key, waiting in sorted(
             self._waiting_by_key.items(), key=lambda item: self._order(item[1], now)
         ):
-            decision = self._decide(waiting, late_ahead, now)
+            decision = self._decide(waiting, late_ahead, full, now)
             if decision is None:
                 continue
-            del self._waiting_by_key[key]
+            self.withdraw(key)
             placed.append(Placed(key, decision))
         self._forget_paces(now)
         return placed
 
     def _decide(
-        self, waiting: Waiting, late_ahead: collections.Counter[str], now: float
+        self,
+        waiting: Waiting,
+        late_ahead: collections.Counter[str],
+        full: set[_Group],
+        now: float,
     ) -> work.Grant | work.Refusal | None:
-        """Place one request or refuse it; None if it goes on waiting."""
+        """Place one request or refuse it; None if it goes on waiting.
+
+        Args:
+            waiting: The request.
+            late_ahead: Late requests before it that go on waiting, by service.
+            full: Groups that have no place now, which are not asked for again.
+            now: Loop time.
+        """
         service = waiting.job.service
         left = waiting.ends_at - now
         is_late = waiting.is_late(now)
         late_pace = self._late_pace_by_service.setdefault(service, _Pace(now))
         if left < LEAST_SERVICE_SECONDS:
             return work.Refusal("no_room_in_time", self._return_seconds(service, now))
-        aged = waiting.job._replace(
-            deadline_seconds=waiting.job.deadline_seconds - (now - waiting.since),
-            patience_seconds=waiting.job.patience_seconds - (now - waiting.since),
-            goal_seconds=max(
-                work.LEAST_GOAL_SECONDS, waiting.job.goal_seconds - (now - waiting.since)
-            ),
-        )
-        choice = self._placer.place(aged, now)
+        choice = self._try(waiting, full, now)
         if isinstance(choice, work.Refusal):
             return choice
         if isinstance(choice, work.Grant):
@@ -228,6 +253,33 @@
                 return work.Refusal("no_room_in_time", self._return_seconds(service, now))
         return None
 
+    def _try(
+        self, waiting: Waiting, full: set[_Group], now: float
+    ) -> work.Grant | work.Refusal | None:
+        """Ask for a place, unless there is none for requests like this one."""
+        group = _Group(waiting.job.service, waiting.is_short, waiting.is_late(now))
+        key = waiting.job.key
+        if group in full or now < self._next_try_by_key.get(key, now):
+            return None
+        aged = waiting.job._replace(
+            deadline_seconds=waiting.job.deadline_seconds - (now - waiting.since),
+            patience_seconds=waiting.job.patience_seconds - (now - waiting.since),
+            goal_seconds=max(
+                work.LEAST_GOAL_SECONDS, waiting.job.goal_seconds - (now - waiting.since)
+            ),
+        )
+        choice = self._placer.place(aged, now)
+        if not isinstance(choice, work.Wait):
+            return choice
+        service = waiting.job.service
+        if choice.is_full:
+            full.update(_Group(service, short, late) for short in _EITHER for late in _EITHER)
+        elif waiting.is_short:
+            full.add(group)
+        else:
+            self._next_try_by_key[key] = now + LONG_RETRY_SECONDS
+        return None
+
     def _forget_paces(self, now: float) -> None:
         """Stop the clocks of the kinds of which nobody waits."""
         waiting = {one.job.service for one in self._waiting_by_key.values()}
@@ -246,3 +298,4 @@
             key: The request.
         """
         self._waiting_by_key.pop(key, None)
+        self._next_try_by_key.pop(key, None)
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -135,3 +135,6 @@
 
     service_seconds: float
     """Predicted time from its placement to its first event or answer."""
+
+    is_full: bool
+    """Whether no server of the service has a free place for any request."""
--- a/src/dragonflycove/measure/heavy_policies.py
+++ b/src/dragonflycove/measure/heavy_policies.py
@@ -126,7 +126,7 @@
         for key, decision in self.advance(now):
             if key == job.key:
                 return decision
-        return work.Wait(0.0)
+        return work.Wait(0.0, is_full=True)
 
     def advance(self, now: float) -> list[tuple[work.JobKey, work.Grant | work.Refusal]]:
         """Place requests that waited."""
--- a/tests/fleet/test_waiting_line.py
+++ b/tests/fleet/test_waiting_line.py
@@ -108,6 +108,23 @@
     assert refused_at < PATIENCE_SECONDS
 
 
+def test_a_long_line_at_full_engines_asks_once_for_all() -> None:
+    # Hundreds may wait while a zone is out; each look at the line must stay cheap.
+    deciding, line = full_line()
+    for n in range(50):
+        assert isinstance(line.offer(builders.job(100 + n), 0.0), work.Wait)
+    asked = []
+    place = deciding.place
+
+    def counting(job: work.Job, now: float) -> work.Grant | work.Wait | work.Refusal:
+        asked.append(job.key)
+        return place(job, now)
+
+    deciding.place = counting  # type: ignore[method-assign]
+    line.advance(0.01)
+    assert len(asked) == 1
+
+
 class _Callers(NamedTuple):
     """What the callers of one run got."""
 
