Measure heavy loads and predictions from the command line

`dragonflycove measure heavy` plays six loads with the product's placing, its line in order of arrival, least in flight and round robin, and writes JSON, a plot and a table; `measure predictions < logs` compares predicted with seen first events. Lines are parsed in one place for this and for `explain`. Tests play the loads and check what callers get.

--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import re
 import sys
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.cli import exit_codes
+from dragonflycove.telemetry import log_lines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-
 _CAUSE_BY_END = {
     "broken": "the server's connection broke, or its answer was damaged",
     "silent": "the server sent nothing in time",
@@ -85,7 +83,7 @@
     for text in source:
         if request_id not in text:
             continue
-        fields = {key: value.strip('"') for key, value in _PAIR.findall(text)}
+        fields = log_lines.fields(text)
         if request_id in (fields.get("request"), fields.get("other")):
             found.append(Line(fields, text.rstrip("\n")))
     return sorted(found, key=lambda line: line.fields.get("time", ""))
--- a/src/dragonflycove/measure/experiment_command.py
+++ b/src/dragonflycove/measure/experiment_command.py
@@ -9,7 +9,16 @@
 
 from absl import flags
 
-from dragonflycove.measure import capacity, control_capacity, decision, experiments, plots, workload
+from dragonflycove.measure import (
+    capacity,
+    control_capacity,
+    decision,
+    experiments,
+    heavy_report,
+    plots,
+    predictions,
+    workload,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -60,10 +69,24 @@
     _write(values, name, [*capacity.measure(values.seed), *control_capacity.measure(values.seed)])
 
 
+def _run_heavy(values: flags.FlagValues, name: str) -> None:
+    found = heavy_report.measure(values.seed)
+    heavy_report.draw(found, _write(values, name, found).with_suffix(".png"))
+    print(heavy_report.table(found))
+
+
+def _run_predictions(values: flags.FlagValues, name: str) -> None:
+    pairs = predictions.collect(sys.stdin)
+    path = _write(values, name, predictions.summarize(pairs))
+    predictions.draw(pairs, path.with_suffix(".png"))
+
+
 COMMANDS_BY_NAME: dict[str, Callable[[flags.FlagValues, str], None]] = {
     **dict.fromkeys(experiments.MEASURES_BY_EXPERIMENT, _run_experiment),
     "decision": _run_decision,
     "capacity": _run_capacity,
+    "heavy": _run_heavy,
+    "predictions": _run_predictions,
 }
 """What can be measured."""
 
--- a/src/dragonflycove/measure/heavy_load.py
+++ b/src/dragonflycove/measure/heavy_load.py
@@ -160,6 +160,9 @@
     worth: float
     """Share of the kind's worth that was earned."""
 
+    owed_worth: float
+    """Worth of all of the kind."""
+
     longest_refusal: float
     """Longest time after which a caller was refused, seconds."""
 
@@ -391,6 +394,7 @@
             return sum(1 for caller in owed if caller.outcome == outcome)
 
         credit_by_outcome = {"in_time": 1.0, "late": LATE_CREDIT}
+        owed_worth = sum(one.worth for one in owed)
         earned = sum(one.worth * credit_by_outcome.get(one.outcome, 0.0) for one in owed)
         return KindFigures(
             asked=len(owed),
@@ -398,6 +402,7 @@
             late=count("late"),
             refused=count("refused"),
             given_up=count("given_up"),
-            worth=earned / max(1e-9, sum(one.worth for one in owed)),
+            worth=earned / owed_worth if owed_worth else 0.0,
+            owed_worth=owed_worth,
             longest_refusal=self._longest_refusal_by_kind.get(kind.name, 0.0),
         )
--- /dev/null
+++ b/src/dragonflycove/measure/heavy_report.py
@@ -0,0 +1,152 @@
+"""Plays every heavy load with every policy, and draws what callers get."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+import matplotlib as mpl
+
+mpl.use("Agg")
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+from dragonflycove.measure import heavy_load, heavy_policies  # noqa: E402
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Callable
+
+SEEDS = 3
+"""Runs of each load and policy; their figures are added up."""
+
+MAKE_POLICY_BY_NAME: dict[str, Callable[[int], heavy_load.Policy]] = {
+    "product": heavy_policies.ProductPolicy,
+    "product, order of arrival": lambda engines: heavy_policies.ProductPolicy(
+        engines, heavy_policies.ArrivalLine
+    ),
+    "least in flight": heavy_policies.LeastInFlight,
+    "round robin": heavy_policies.RoundRobin,
+}
+"""The policies that are compared."""
+
+
+class KindRow(TypedDict):
+    """What the callers of one kind got over all runs."""
+
+    kind: str
+    asked: int
+    in_time: int
+    late: int
+    refused: int
+    given_up: int
+    worth: float
+
+
+class HeavyRun(TypedDict):
+    """One load with one policy."""
+
+    load: str
+    policy: str
+    worth: float
+    """Share of all worth that was earned."""
+    kinds: list[KindRow]
+
+
+class HeavyFigures(TypedDict):
+    """All loads with all policies."""
+
+    seed: int
+    runs: list[HeavyRun]
+
+
+def play(load: heavy_load.Load, policy: str, seed: int) -> HeavyRun:
+    """Play one load with one policy.
+
+    Args:
+        load: The load.
+        policy: Name of the policy.
+        seed: First seed.
+
+    Returns:
+        The figures over all runs.
+    """
+    results = []
+    for number in range(seed, seed + SEEDS):
+        made = MAKE_POLICY_BY_NAME[policy](load.engines)
+        results.append(heavy_load.HeavyLoad(load, made, heavy_policies.SPEC, number).run())
+    rows: list[KindRow] = []
+    earned = owed = 0.0
+    for kind in heavy_load.KINDS:
+        of_kind = [result[kind.name] for result in results]
+        kind_owed = sum(one.owed_worth for one in of_kind)
+        kind_earned = sum(one.worth * one.owed_worth for one in of_kind)
+        earned += kind_earned
+        owed += kind_owed
+        rows.append(
+            KindRow(
+                kind=kind.name,
+                asked=sum(one.asked for one in of_kind),
+                in_time=sum(one.in_time for one in of_kind),
+                late=sum(one.late for one in of_kind),
+                refused=sum(one.refused for one in of_kind),
+                given_up=sum(one.given_up for one in of_kind),
+                worth=round(kind_earned / kind_owed, 3),
+            )
+        )
+    return HeavyRun(load=load.name, policy=policy, worth=round(earned / owed, 3), kinds=rows)
+
+
+def measure(seed: int) -> HeavyFigures:
+    """Play every load with every policy.
+
+    Args:
+        seed: First seed.
+
+    Returns:
+        The figures.
+    """
+    runs = [play(load, name, seed) for load in heavy_load.LOADS for name in MAKE_POLICY_BY_NAME]
+    return HeavyFigures(seed=seed, runs=runs)
+
+
+def table(found: HeavyFigures) -> str:
+    """Return the figures as a table of a Markdown page.
+
+    Args:
+        found: The figures.
+    """
+    lines = [
+        "| load | policy | worth | short: in time, late, refused, gave up | medium | long |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for run in found["runs"]:
+        cells = [
+            f"{row['in_time']}, {row['late']}, {row['refused']}, {row['given_up']}"
+            for row in run["kinds"]
+        ]
+        lines.append(f"| {run['load']} | {run['policy']} | {run['worth']} | {' | '.join(cells)} |")
+    return "\n".join(lines)
+
+
+def draw(found: HeavyFigures, path: pathlib.Path) -> None:
+    """Draw the share of the worth by load and policy.
+
+    Args:
+        found: The figures.
+        path: PNG file to write.
+    """
+    figure, axes = plt.subplots(figsize=(11, 5))
+    loads = list(dict.fromkeys(run["load"] for run in found["runs"]))
+    width = 0.8 / len(MAKE_POLICY_BY_NAME)
+    for offset, policy in enumerate(MAKE_POLICY_BY_NAME):
+        heights = [run["worth"] for run in found["runs"] if run["policy"] == policy]
+        places = [index + offset * width for index in range(len(loads))]
+        axes.bar(places, heights, width, label=policy)
+    axes.set_xticks([index + 0.3 for index in range(len(loads))])
+    axes.set_xticklabels(loads, fontsize=8)
+    axes.set_ylabel("share of the worth earned")
+    axes.set_title(f"heavy loads, {SEEDS} runs each from seed {found['seed']}")
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100, metadata={"Software": None})
+    plt.close(figure)
--- /dev/null
+++ b/src/dragonflycove/measure/predictions.py
@@ -0,0 +1,128 @@
+"""Compares predicted first events with those seen, from the nodes' logs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, TypedDict
+
+import matplotlib as mpl
+
+mpl.use("Agg")
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+from dragonflycove.measure import figures  # noqa: E402
+from dragonflycove.telemetry import log_lines  # noqa: E402
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Iterable
+
+LENGTHS = (0, 3_000, 8_000, 24_000, 60_000, 120_000, 250_000, 2_000_000)
+"""Bounds of the classes of prompt lengths, in tokens."""
+
+
+class Pair(NamedTuple):
+    """One send."""
+
+    tokens: int
+    """Length of the prompt."""
+
+    predicted: float
+    """Predicted time to the first event, seconds."""
+
+    seen: float
+    """Time to the first event, seconds."""
+
+
+class PredictionRow(TypedDict):
+    """One class of prompt lengths."""
+
+    from_tokens: int
+    to_tokens: int
+    sends: int
+    predicted_median: float
+    seen_median: float
+    ratio_p10: float
+    """Tenth percentile of seen over predicted."""
+    ratio_p90: float
+    """The ninetieth."""
+
+
+def collect(source: Iterable[str]) -> list[Pair]:
+    """Find the sends whose first event came.
+
+    Args:
+        source: Lines of any nodes, each node's in order.
+
+    Returns:
+        The sends.
+    """
+    sent_by_key: dict[tuple[str, str], dict[str, str]] = {}
+    pairs = []
+    for text in source:
+        if "event=sent " not in text and "event=send_ended " not in text:
+            continue
+        fields = log_lines.fields(text)
+        key = (fields.get("request", ""), fields.get("server", ""))
+        if fields.get("event") == "sent":
+            sent_by_key[key] = fields
+            continue
+        sent = sent_by_key.pop(key, None)
+        seen = float(fields.get("first", 0.0))
+        if sent is not None and seen > 0 and int(sent.get("tokens", 0)) > 0:
+            pairs.append(Pair(int(sent["tokens"]), float(sent["predicted"]), seen))
+    return pairs
+
+
+def summarize(pairs: list[Pair]) -> list[PredictionRow]:
+    """Summarize sends by prompt length.
+
+    Args:
+        pairs: The sends.
+
+    Returns:
+        A row for each class that has sends.
+    """
+    rows = []
+    for low, high in zip(LENGTHS, LENGTHS[1:], strict=False):
+        chosen = [pair for pair in pairs if low <= pair.tokens < high]
+        if not chosen:
+            continue
+        ratios = [pair.seen / max(1e-6, pair.predicted) for pair in chosen]
+        rows.append(
+            PredictionRow(
+                from_tokens=low,
+                to_tokens=high,
+                sends=len(chosen),
+                predicted_median=round(figures.percentile((p.predicted for p in chosen), 0.5), 4),
+                seen_median=round(figures.percentile((p.seen for p in chosen), 0.5), 4),
+                ratio_p10=round(figures.percentile(ratios, 0.1), 2),
+                ratio_p90=round(figures.percentile(ratios, 0.9), 2),
+            )
+        )
+    return rows
+
+
+def draw(pairs: list[Pair], path: pathlib.Path) -> None:
+    """Draw seen over predicted times.
+
+    Args:
+        pairs: The sends.
+        path: PNG file to write.
+    """
+    figure, axes = plt.subplots(figsize=(7, 6))
+    for low, high in zip(LENGTHS, LENGTHS[1:], strict=False):
+        chosen = [pair for pair in pairs if low <= pair.tokens < high]
+        if chosen:
+            predicted = [pair.predicted for pair in chosen]
+            seen = [pair.seen for pair in chosen]
+            axes.scatter(predicted, seen, s=8, label=f"{low:,} to {high:,} tokens")
+    axes.plot([0.02, 20], [0.02, 20], color="grey", linewidth=1)
+    axes.set_xscale("log")
+    axes.set_yscale("log")
+    axes.set_xlabel("predicted first event (s)")
+    axes.set_ylabel("seen first event (s)")
+    axes.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100, metadata={"Software": None})
+    plt.close(figure)
--- /dev/null
+++ b/tests/measure/test_heavy_load.py
@@ -0,0 +1,92 @@
+"""The loads of the heaviest days: what callers get, beside simple policies."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from dragonflycove.measure import experiment_command, heavy_load, heavy_policies, heavy_report
+
+if TYPE_CHECKING:
+    import pathlib
+
+LOAD_BY_NAME = {load.name: load for load in heavy_load.LOADS}
+
+
+def played(
+    load: str, make: type[heavy_load.Policy], seed: int
+) -> dict[str, heavy_load.KindFigures]:
+    """Play one load."""
+    chosen = LOAD_BY_NAME[load]
+    policy = make(chosen.engines)  # type: ignore[call-arg]
+    return heavy_load.HeavyLoad(chosen, policy, heavy_policies.SPEC, seed).run()
+
+
+def share(figures: dict[str, heavy_load.KindFigures]) -> float:
+    """Return the share of all worth that was earned."""
+    earned = sum(one.worth * one.owed_worth for one in figures.values())
+    return earned / sum(one.owed_worth for one in figures.values())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_the_usual_load_is_served_in_time(seed: int) -> None:
+    figures = played("usual", heavy_policies.ProductPolicy, seed)
+    short = figures["short"]
+    assert short.in_time >= 0.9 * short.asked
+    assert all(one.refused == 0 and one.given_up == 0 for one in figures.values())
+
+
+@pytest.mark.parametrize("load", [load.name for load in heavy_load.LOADS])
+def test_callers_get_more_than_by_simple_policies(load: str) -> None:
+    product = share(played(load, heavy_policies.ProductPolicy, 1))
+    assert product > share(played(load, heavy_policies.LeastInFlight, 1))
+    assert product > share(played(load, heavy_policies.RoundRobin, 1))
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_nobody_is_held_until_the_end_when_engines_are_few(seed: int) -> None:
+    figures = played("bursts, half the engines", heavy_policies.ProductPolicy, seed)
+    for kind in heavy_load.KINDS:
+        of_kind = figures[kind.name]
+        assert of_kind.longest_refusal < kind.give_up_seconds
+        # Who is not served is told so; few wait until they give up.
+        assert of_kind.given_up <= 0.05 * of_kind.asked
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_the_order_of_the_line_brings_more_shorts_in_time(seed: int) -> None:
+    load = LOAD_BY_NAME["bursts, half the engines"]
+    by_arrival = heavy_policies.ProductPolicy(load.engines, heavy_policies.ArrivalLine)
+    before = heavy_load.HeavyLoad(load, by_arrival, heavy_policies.SPEC, seed).run()["short"]
+    now = played(load.name, heavy_policies.ProductPolicy, seed)["short"]
+    assert now.in_time > 1.2 * before.in_time
+
+
+def test_a_run_repeats() -> None:
+    first = played("bursts", heavy_policies.ProductPolicy, 3)
+    assert played("bursts", heavy_policies.ProductPolicy, 3) == first
+
+
+def test_predictions_are_read_from_logs(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines = [
+        "time=1 level=INFO event=sent request=r1 server=s1 tokens=5000 predicted=0.10",
+        "time=1 level=INFO event=sent request=r2 server=s1 tokens=0 predicted=0.05",
+        "time=2 level=INFO event=send_ended request=r1 server=s1 end=delivered first=0.12",
+        "time=2 level=INFO event=send_ended request=r2 server=s1 end=delivered first=0.04",
+    ]
+    monkeypatch.setattr("sys.stdin", lines)
+    assert experiment_command.run(["predictions", "--out", str(tmp_path)]) == 0
+    (row,) = json.loads((tmp_path / "predictions.json").read_text())
+    assert (row["sends"], row["predicted_median"], row["seen_median"]) == (1, 0.1, 0.12)
+    assert (tmp_path / "predictions.png").exists()
+
+
+def test_the_report_draws_and_lists_every_run(tmp_path: pathlib.Path) -> None:
+    run = heavy_report.play(LOAD_BY_NAME["usual, three engines"], "round robin", 1)
+    found = heavy_report.HeavyFigures(seed=1, runs=[run])
+    assert run["load"] in heavy_report.table(found)
+    assert [row["kind"] for row in run["kinds"]] == ["short", "medium", "long"]
