--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -280,6 +280,7 @@
             request=life.request.attempt_id,
             server=grant.lead.instance.server_id,
             helpers=len(grant.helpers),
+            helped_by=",".join(part.server.instance.server_id for part in grant.helpers),
             tokens=job.prompt_tokens,
             predicted=grant.first_event_seconds,
             waited=asyncio.get_running_loop().time() - life.received_at,
