--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -3,7 +3,7 @@
 An engine works in passes. A pass that has writers runs a fixed number of steps, each of which also
 reads a chunk of a waiting prompt, and ends with one event for every writer. A prompt read beside
 writers therefore shows as a pause in their streams, as long as the whole read. Parts of prompts that
-several engines read go before the prompts that this engine reads alone.
+several engines read go before everything else that is unread, the newest first.
 """
 
 from __future__ import annotations
@@ -193,9 +193,10 @@
             now: Loop time.
             is_split: Whether other engines read parts of it as well.
         """
+        if is_split:
+            return 0.0
         self._advance(now)
-        ahead = (read for read in self._unread if read.is_split or not is_split)
-        return sum(read.left_seconds for read in ahead) * self.pace
+        return sum(read.left_seconds for read in self._unread) * self.pace
 
     def _advance(self, now: float) -> None:
         """Count as read what the engine has read since the last look."""
@@ -255,8 +256,8 @@
         unread_until = 0.0
         for read in self._unread:
             unread_until += read.left_seconds * self.pace
-            # What was placed before goes before, except for parts, which go before whole prompts.
-            if is_split and not read.is_split:
+            # A whole prompt goes behind all others, a part before them.
+            if is_split:
                 due = now - read.placed_at + unread_until + base
                 goal = work.LEAST_GOAL_SECONDS if read.is_late else read.job.goal_seconds
                 loss += _risk(read.job, due, added, goal, read.job.patience_seconds)
@@ -274,10 +275,7 @@
         """
         self._advance(read.placed_at)
         self.reads_by_job[read.job.key] = read
-        place = len(self._unread)
-        if read.is_split:
-            place = sum(1 for one in self._unread if one.is_split)
-        self._unread.insert(place, read)
+        self._unread.insert(0 if read.is_split else len(self._unread), read)
 
     def on_first_event(self, key: work.JobKey, now: float) -> None:
         """Note that a request's prompt has been read.
--- a/src/dragonflycove/measure/heavy_engines.py
+++ b/src/dragonflycove/measure/heavy_engines.py
@@ -79,15 +79,12 @@
         self._in_pass: PassEnd | None = None
 
     def read(self, part: Part) -> None:
-        """Take in a part; parts of split prompts go before whole ones.
+        """Take in a part; one of a split prompt goes before all others, as seen on the bench.
 
         Args:
             part: The part.
         """
-        place = len(self._unread)
-        if part.is_split:
-            place = sum(1 for one in self._unread if one.is_split)
-        self._unread.insert(place, part)
+        self._unread.insert(0 if part.is_split else len(self._unread), part)
 
     def drop(self, key: work.JobKey) -> None:
         """Forget a request that has ended.
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -31,23 +31,38 @@
     assert engine_forecast.read_seconds(builders.ENGINE, 45_000, 1) == pytest.approx(0.36, abs=0.02)
 
 
-def test_parts_of_a_split_prompt_are_read_before_whole_prompts() -> None:
-    # Seen on scale-1 of andrade-cove: 2.1 s were predicted for a prompt that took 5.4 s.
+def _forecast(*reads: tuple[int, float, float, bool]) -> engine_forecast.EngineForecast:
+    """Return an engine with reads: number, time of placement, seconds, whether split."""
     forecast = engine_forecast.EngineForecast(builders.ENGINE)
-    whole = builders.job(1, tokens=135_000, goal=3.0, gap=1.0)
-    part = builders.job(2, tokens=265_000, goal=3.0, gap=1.0)
-    for job, at, seconds, split in ((whole, 0.0, 2.0, False), (part, 0.3, 3.0, True)):
+    for number, at, seconds, split in reads:
+        job = builders.job(number, tokens=200_000, goal=3.0, gap=1.0)
         forecast.add(
             engine_forecast.PlacedRead(
                 job, at, seconds, is_lead=not split, is_split=split, memory_tokens=1
             )
         )
-    assert forecast.backlog_seconds(0.3, is_split=True) == pytest.approx(3.0)
+    return forecast
+
+
+def test_parts_of_a_split_prompt_are_read_before_whole_prompts() -> None:
+    # Seen on scale-1 of andrade-cove: 2.1 s were predicted for a prompt that took 5.4 s.
+    forecast = _forecast((1, 0.0, 2.0, False), (2, 0.3, 3.0, True))
     assert forecast.backlog_seconds(0.3) == pytest.approx(4.7)
-    forecast.on_first_event(part.key, 3.3)
+    forecast.on_first_event(work.JobKey("n1", 1, 2), 3.3)
     assert forecast.backlog_seconds(3.3) == pytest.approx(1.7)
 
 
+def test_the_newest_part_is_read_first_and_harms_the_others() -> None:
+    # Seen on scale-2 of tsm-ub-grown: 1.6 s were predicted for a part that waited 4.8 s behind
+    # parts that came later.
+    forecast = _forecast((1, 0.0, 1.5, True))
+    assert forecast.backlog_seconds(0.5, is_split=True) == 0.0
+    assert forecast.harm(0.5, 2.0, is_split=True) > 10.0
+    forecast = _forecast((1, 0.0, 1.5, True), (2, 0.5, 1.0, True))
+    forecast.on_first_event(work.JobKey("n1", 1, 2), 1.5)
+    assert forecast.backlog_seconds(1.5) == pytest.approx(1.0)
+
+
 def test_short_prompts_are_packed_and_leave_engines_free() -> None:
     deciding = placing()
     used = {granted(deciding, builders.job(n)).lead.instance for n in range(8)}
