Count callers who give up in the line apart

The heavy loads' engines don't move silent streams, so callers may give up on an engine that reads; the promise is that nobody gives up in the line.

--- a/src/dragonflycove/measure/heavy_load.py
+++ b/src/dragonflycove/measure/heavy_load.py
@@ -155,7 +155,10 @@
     """Refused twice."""
 
     given_up: int
-    """Gave up, or left before they were served."""
+    """Gave up before they were served whole."""
+
+    given_up_in_line: int
+    """Those of them that no engine had been given."""
 
     worth: float
     """Share of the kind's worth that was earned."""
@@ -300,6 +303,7 @@
         if caller.returned:
             caller.job = self._job(caller.kind, caller.job.prompt_tokens, caller.events)
         caller.offered_at = caller.last_event_at = self._now
+        caller.engine, caller.helpers = "", ()
         self._caller_by_key[caller.job.key] = caller
         decision = self._policy.offer(caller.job, self._now)
         if not isinstance(decision, work.Wait):
@@ -402,6 +406,9 @@
             late=count("late"),
             refused=count("refused"),
             given_up=count("given_up"),
+            given_up_in_line=sum(
+                1 for caller in owed if caller.outcome == "given_up" and not caller.engine
+            ),
             worth=earned / owed_worth if owed_worth else 0.0,
             owed_worth=owed_worth,
             longest_refusal=self._longest_refusal_by_kind.get(kind.name, 0.0),
