--- a/tests/telemetry/test_pages.py
+++ b/tests/telemetry/test_pages.py
@@ -17,7 +17,8 @@
 
 def _logged() -> set[str]:
     names = {"log_dropped", "exception"}
-    for path in (ROOT / "src/dragonflycove/gateway").glob("*.py"):
+    source = ROOT / "src/dragonflycove"
+    for path in [*(source / "gateway").glob("*.py"), *(source / "platform").glob("*.py")]:
         for match in _CALL.finditer(path.read_text()):
             names.update(name for name in match.groups() if name)
     return names
