--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -19,6 +19,12 @@
 FIRST_EVENT_MARGIN_SECONDS = 0.7
 """Silence before the first event that is allowed beside that; covers an engine's stall of a pass."""
 
+LEAST_FIRST_EVENT_SHARE = 0.5
+"""Share of the time after which callers give up for which a first event is awaited at least.
+
+A long prompt that is moved is read again from its start, by several engines.
+"""
+
 PATIENCE_SHARE = 0.7
 """Share of the time after which callers give a silent stream up at which it is moved at the latest."""
 
@@ -172,7 +178,8 @@
         predicted_seconds: Predicted time to the first event.
     """
     wanted = FIRST_EVENT_FACTOR * predicted_seconds + FIRST_EVENT_MARGIN_SECONDS
-    return min(wanted, PATIENCE_SHARE * caller_patience(route))
+    patience = caller_patience(route)
+    return min(max(wanted, LEAST_FIRST_EVENT_SHARE * patience), PATIENCE_SHARE * patience)
 
 
 def placing_patience(route: catalog.Route) -> float:
