--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -178,6 +178,15 @@
         assert gap < forwarding.silence_between_events(route) < patience
 
 
+def test_a_long_prompt_is_not_moved_before_its_engines_can_have_read_it() -> None:
+    # Seen on scale-2 of tsm-ub-grown: 13 long prompts were moved after 2.5 times a prediction that
+    # other prompts outdated, and read anew by up to 16 engines.
+    long = builders.route(goal=2.5, gap=1.0)
+    assert forwarding.silence_before_first_event(long, 0.5) >= 2 * long.goal_seconds
+    short = builders.route(goal=0.3, gap=0.25)
+    assert forwarding.silence_before_first_event(short, 0.1) <= 1.0
+
+
 def test_the_longest_prefix_decides() -> None:
     routes = [builders.route(prefix=prefix) for prefix in ("/a/", "/a/b/", "/c/")]
     configuration = builders.configuration(*routes)
