--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -40,6 +40,10 @@
 """Events that end a request without its whole answer."""
 
 
+PROCESS_EVENTS = frozenset({"started", "stopping", "stopped", "bind_failed", "log_dropped"})
+"""Events that tell why a request may have left no line."""
+
+
 class Line(NamedTuple):
     """One line of a log."""
 
@@ -62,10 +66,14 @@
     if len(argv) != 1 or argv[0].startswith("-"):
         print("usage: dragonflycove explain ID < logs", file=sys.stderr)
         return exit_codes.ExitCode.USAGE
-    lines = collect(sys.stdin, argv[0])
+    source = sys.stdin.readlines()
+    lines = collect(source, argv[0])
     for line in lines:
         print(line.text)
     print(cause(lines))
+    if not lines:
+        for line in collect_processes(source):
+            print(line.text)
     return exit_codes.ExitCode.OK if lines else exit_codes.ExitCode.REFUSED
 
 
@@ -89,6 +97,23 @@
     return sorted(found, key=lambda line: line.fields.get("time", ""))
 
 
+def collect_processes(source: Iterable[str]) -> list[Line]:
+    """Pick the lines that tell when processes ran and which lines were dropped.
+
+    Args:
+        source: The lines.
+
+    Returns:
+        Those lines, by time.
+    """
+    found = []
+    for text in source:
+        fields = log_lines.fields(text)
+        if fields.get("event") in PROCESS_EVENTS:
+            found.append(Line(fields, text.rstrip("\n")))
+    return sorted(found, key=lambda line: line.fields.get("time", ""))
+
+
 def cause(lines: Sequence[Line]) -> str:
     """Name the cause of a request's end.
 
@@ -99,7 +124,10 @@
         The cause, and which lines are missing.
     """
     if not lines:
-        return "cause: unknown; no line names this request (dropped, or another deployment's)"
+        return (
+            "cause: unknown; no line names this request. It reached no running process, its lines"
+            " were dropped, or it is another deployment's. Processes ran as follows:"
+        )
     own = [line.fields for line in lines if "request" in line.fields]
     ends = [fields for fields in own if fields.get("event") == "send_ended"]
     last = next((f for f in reversed(own) if f.get("event") in LAST_EVENTS), None)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -74,3 +74,15 @@
     assert main.dispatch(["explain", "r1"]) == 0
     assert "cause: the caller left" in capsys.readouterr().out
     assert main.dispatch(["explain"]) == 2
+
+
+def test_an_id_without_lines_comes_with_when_processes_ran(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = lines("event=started host=h1", RECEIVED, "event=stopped host=h1")
+    monkeypatch.setattr("sys.stdin", io.StringIO("\n".join(text)))
+    assert main.dispatch(["explain", "r9"]) != 0
+    shown = capsys.readouterr().out
+    assert "no line names this request" in shown
+    assert shown.index("event=started host=h1") < shown.index("event=stopped host=h1")
+    assert "event=received" not in shown
