--- /dev/null
+++ b/src/dragonflycove/measure/heavy_kinds.py
@@ -0,0 +1,88 @@
+"""The kinds of prompts and the loads that `heavy_load` plays."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+GIVE_UP_SECONDS = 2.0
+"""Shortest silence after which callers give up, as the platform's pages state."""
+
+
+class Kind(NamedTuple):
+    """A kind of prompts, as on the users' sheets."""
+
+    name: str
+    """Name."""
+
+    mean_tokens: int
+    """Mean length."""
+
+    spread: float
+    """Standard deviation of the length's logarithm."""
+
+    rate: float
+    """Prompts a second at the usual load."""
+
+    worth: float
+    """Worth of a prompt of mean length."""
+
+    goal_seconds: float
+    """Time to the first event that earns full worth."""
+
+    gap_seconds: float
+    """Longest pause that earns full worth."""
+
+    deadline_seconds: float
+    """Time that callers have."""
+
+    events: int
+    """Mean number of events."""
+
+    @property
+    def give_up_seconds(self) -> float:
+        """Silence after which callers give up."""
+        return max(GIVE_UP_SECONDS, 4 * self.goal_seconds, 8 * self.gap_seconds)
+
+
+KINDS = (
+    Kind("short", 5_000, 0.7, 14.9, 1.3, 0.3, 0.25, 10.0, 32),
+    Kind("medium", 45_000, 0.3, 0.81, 3.9, 1.5, 0.6, 10.0, 19),
+    Kind("long", 133_000, 0.5, 0.68, 15.0, 3.0, 1.0, 15.0, 16),
+)
+"""The kinds of prompts of the users' smaller site."""
+
+
+class Load(NamedTuple):
+    """One load."""
+
+    name: str
+    """Name."""
+
+    engines: int
+    """Engines that are left of the users' 14."""
+
+    short_factor: float
+    """Multiple of the usual rate of short prompts in the first half."""
+
+    long_factor: float
+    """The same for all others in the second half."""
+
+    seconds: float = 20.0
+    """Time in which requests arrive."""
+
+    impatient_share: float = 0.0
+    """Share of the callers that come back at once after a refusal."""
+
+    leaving_share: float = 0.0
+    """Share of the callers that leave within a second."""
+
+
+LOADS = (
+    Load("usual", 14, 1.0, 1.0),
+    Load("bursts", 14, 2.5, 2.8),
+    Load("bursts, half the engines", 7, 2.5, 2.8),
+    Load("usual, three engines", 3, 1.0, 1.0),
+    Load("bursts, impatient callers", 7, 2.5, 2.8, impatient_share=0.5),
+    Load("bursts, callers leave", 7, 2.5, 2.8, leaving_share=0.5),
+)
+"""The loads that are played."""
--- a/src/dragonflycove/measure/heavy_load.py
+++ b/src/dragonflycove/measure/heavy_load.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from dragonflycove.fleet import server_health, work
-from dragonflycove.measure import heavy_engines
+from dragonflycove.measure import heavy_engines, heavy_kinds
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog
@@ -22,9 +22,6 @@
 SETTLE_SECONDS = 12.0
 """Time after the last arrival in which the rest is served; the longest patience."""
 
-GIVE_UP_SECONDS = 2.0
-"""Shortest silence after which callers give up, as the platform's pages state."""
-
 LATE_CREDIT = 0.25
 """Share of its worth that a late answer earns; the users' sheets pay a quarter."""
 
@@ -35,86 +32,6 @@
 """Time after which callers that don't wait as told come back."""
 
 
-class Kind(NamedTuple):
-    """A kind of prompts, as on the users' sheets."""
-
-    name: str
-    """Name."""
-
-    mean_tokens: int
-    """Mean length."""
-
-    spread: float
-    """Standard deviation of the length's logarithm."""
-
-    rate: float
-    """Prompts a second at the usual load."""
-
-    worth: float
-    """Worth of a prompt of mean length."""
-
-    goal_seconds: float
-    """Time to the first event that earns full worth."""
-
-    gap_seconds: float
-    """Longest pause that earns full worth."""
-
-    deadline_seconds: float
-    """Time that callers have."""
-
-    events: int
-    """Mean number of events."""
-
-    @property
-    def give_up_seconds(self) -> float:
-        """Silence after which callers give up."""
-        return max(GIVE_UP_SECONDS, 4 * self.goal_seconds, 8 * self.gap_seconds)
-
-
-KINDS = (
-    Kind("short", 5_000, 0.7, 14.9, 1.3, 0.3, 0.25, 10.0, 32),
-    Kind("medium", 45_000, 0.3, 0.81, 3.9, 1.5, 0.6, 10.0, 19),
-    Kind("long", 133_000, 0.5, 0.68, 15.0, 3.0, 1.0, 15.0, 16),
-)
-"""The kinds of prompts of the users' smaller site."""
-
-
-class Load(NamedTuple):
-    """One load."""
-
-    name: str
-    """Name."""
-
-    engines: int
-    """Engines that are left of the users' 14."""
-
-    short_factor: float
-    """Multiple of the usual rate of short prompts in the first half."""
-
-    long_factor: float
-    """The same for all others in the second half."""
-
-    seconds: float = 20.0
-    """Time in which requests arrive."""
-
-    impatient_share: float = 0.0
-    """Share of the callers that come back at once after a refusal."""
-
-    leaving_share: float = 0.0
-    """Share of the callers that leave within a second."""
-
-
-LOADS = (
-    Load("usual", 14, 1.0, 1.0),
-    Load("bursts", 14, 2.5, 2.8),
-    Load("bursts, half the engines", 7, 2.5, 2.8),
-    Load("usual, three engines", 3, 1.0, 1.0),
-    Load("bursts, impatient callers", 7, 2.5, 2.8, impatient_share=0.5),
-    Load("bursts, callers leave", 7, 2.5, 2.8, leaving_share=0.5),
-)
-"""The loads that are played."""
-
-
 class Policy(Protocol):
     """Places requests."""
 
@@ -190,7 +107,7 @@
         "worth",
     )
 
-    def __init__(self, kind: Kind, job: work.Job, events: int, now: float) -> None:
+    def __init__(self, kind: heavy_kinds.Kind, job: work.Job, events: int, now: float) -> None:
         self.kind = kind
         self.job = job
         self.events = events
@@ -210,7 +127,9 @@
 class HeavyLoad:
     """One load against one policy."""
 
-    def __init__(self, load: Load, policy: Policy, spec: catalog.EngineSpec, seed: int) -> None:
+    def __init__(
+        self, load: heavy_kinds.Load, policy: Policy, spec: catalog.EngineSpec, seed: int
+    ) -> None:
         """Prepare a run.
 
         Args:
@@ -251,24 +170,24 @@
                 self._settle(self._caller_by_key[key], decision)
             self._work()
             self._leave()
-        return {kind.name: self._figures(kind) for kind in KINDS}
+        return {kind.name: self._figures(kind) for kind in heavy_kinds.KINDS}
 
-    def _arrivals(self) -> list[tuple[float, Kind]]:
+    def _arrivals(self) -> list[tuple[float, heavy_kinds.Kind]]:
         arrivals = []
-        for kind in KINDS:
+        for kind in heavy_kinds.KINDS:
             at = 0.0
             while at < self._load.seconds:
                 first_half = at < self._load.seconds / 2
                 factor = 1.0
-                if kind is KINDS[0] and first_half:
+                if kind is heavy_kinds.KINDS[0] and first_half:
                     factor = self._load.short_factor
-                if kind is not KINDS[0] and not first_half:
+                if kind is not heavy_kinds.KINDS[0] and not first_half:
                     factor = self._load.long_factor
                 at += self._rng.expovariate(kind.rate * factor)
                 arrivals.append((at, kind))
         return sorted(arrivals, key=lambda arrival: arrival[0])
 
-    def _arrive(self, kind: Kind) -> None:
+    def _arrive(self, kind: heavy_kinds.Kind) -> None:
         mean = kind.mean_tokens
         draw = self._rng.lognormvariate(-kind.spread**2 / 2, kind.spread)
         tokens = max(40, int(mean * draw))
@@ -280,7 +199,7 @@
         self._callers.append(caller)
         self._offer(caller)
 
-    def _job(self, kind: Kind, tokens: int, events: int) -> work.Job:
+    def _job(self, kind: heavy_kinds.Kind, tokens: int, events: int) -> work.Job:
         self._numbers += 1
         return work.Job(
             key=work.JobKey("n0", 1, self._numbers),
@@ -390,7 +309,7 @@
         self._policy.on_end(key, judged, self._now)
         del self._caller_by_key[key]
 
-    def _figures(self, kind: Kind) -> KindFigures:
+    def _figures(self, kind: heavy_kinds.Kind) -> KindFigures:
         callers = [caller for caller in self._callers if caller.kind is kind]
         owed = [caller for caller in callers if caller.leaves_at == float("inf")]
 
--- a/src/dragonflycove/measure/heavy_report.py
+++ b/src/dragonflycove/measure/heavy_report.py
@@ -10,7 +10,7 @@
 
 from matplotlib import pyplot as plt  # noqa: E402
 
-from dragonflycove.measure import heavy_load, heavy_policies  # noqa: E402
+from dragonflycove.measure import heavy_kinds, heavy_load, heavy_policies  # noqa: E402
 
 if TYPE_CHECKING:
     import pathlib
@@ -59,7 +59,7 @@
     runs: list[HeavyRun]
 
 
-def play(load: heavy_load.Load, policy: str, seed: int) -> HeavyRun:
+def play(load: heavy_kinds.Load, policy: str, seed: int) -> HeavyRun:
     """Play one load with one policy.
 
     Args:
@@ -76,7 +76,7 @@
         results.append(heavy_load.HeavyLoad(load, made, heavy_policies.SPEC, number).run())
     rows: list[KindRow] = []
     earned = owed = 0.0
-    for kind in heavy_load.KINDS:
+    for kind in heavy_kinds.KINDS:
         of_kind = [result[kind.name] for result in results]
         kind_owed = sum(one.owed_worth for one in of_kind)
         kind_earned = sum(one.worth * one.owed_worth for one in of_kind)
@@ -105,7 +105,7 @@
     Returns:
         The figures.
     """
-    runs = [play(load, name, seed) for load in heavy_load.LOADS for name in MAKE_POLICY_BY_NAME]
+    runs = [play(load, name, seed) for load in heavy_kinds.LOADS for name in MAKE_POLICY_BY_NAME]
     return HeavyFigures(seed=seed, runs=runs)
 
 
--- a/tests/gateway/test_log_cost.py
+++ b/tests/gateway/test_log_cost.py
@@ -52,9 +52,9 @@
                 logged.append(await _round(system, f"l{number}"))
     finally:
         logs.configure()
+        size = os.fstat(descriptor).st_size / (ROUNDS * CALLS)
         os.close(descriptor)
     ratio = statistics.median(logged) / statistics.median(quiet)
-    size = os.path.getsize(path) / (ROUNDS * CALLS)
     record_property("ratio", ratio)
     record_property("bytes", size)
     print(f"with logs {ratio:.2f} times the processor time, {size:.0f} bytes a call")
--- a/tests/measure/test_heavy_load.py
+++ b/tests/measure/test_heavy_load.py
@@ -7,12 +7,18 @@
 
 import pytest
 
-from dragonflycove.measure import experiment_command, heavy_load, heavy_policies, heavy_report
+from dragonflycove.measure import (
+    experiment_command,
+    heavy_kinds,
+    heavy_load,
+    heavy_policies,
+    heavy_report,
+)
 
 if TYPE_CHECKING:
     import pathlib
 
-LOAD_BY_NAME = {load.name: load for load in heavy_load.LOADS}
+LOAD_BY_NAME = {load.name: load for load in heavy_kinds.LOADS}
 
 
 def played(
@@ -38,7 +44,7 @@
     assert all(one.refused == 0 and one.given_up == 0 for one in figures.values())
 
 
-@pytest.mark.parametrize("load", [load.name for load in heavy_load.LOADS])
+@pytest.mark.parametrize("load", [load.name for load in heavy_kinds.LOADS])
 def test_callers_get_more_than_by_simple_policies(load: str) -> None:
     product = share(played(load, heavy_policies.ProductPolicy, 1))
     assert product > share(played(load, heavy_policies.LeastInFlight, 1))
@@ -48,7 +54,7 @@
 @pytest.mark.parametrize("seed", range(2))
 def test_nobody_is_held_until_the_end_when_engines_are_few(seed: int) -> None:
     figures = played("bursts, half the engines", heavy_policies.ProductPolicy, seed)
-    for kind in heavy_load.KINDS:
+    for kind in heavy_kinds.KINDS:
         of_kind = figures[kind.name]
         assert of_kind.longest_refusal < kind.give_up_seconds
         assert of_kind.given_up_in_line == 0
