Don't take a quiet time before a jam for a slow line

Found by reading; the heavy loads look at the line at every step and did not show it. The test fails before. Clocks of kinds of which nobody waits are now set when a request is offered. `Placement` moved to `work`, unchanged.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import engine_forecast, prompt_choice, server_health, work
 
@@ -31,28 +31,6 @@
 """Time after which a placement that its node does not report is dropped; answers can be lost."""
 
 
-class Placement(NamedTuple):
-    """A request that is counted on servers."""
-
-    job: work.Job
-    """The request."""
-
-    grant: work.Grant
-    """Where it was placed."""
-
-    placed_at: float
-    """Loop time at which that was."""
-
-    is_prompt: bool
-    """Whether its servers are engines."""
-
-    @property
-    def instances(self) -> tuple[catalog.Instance, ...]:
-        """All servers that take part, the first one first."""
-        helpers = (part.server.instance for part in self.grant.helpers)
-        return (self.grant.lead.instance, *helpers)
-
-
 class Placer:
     """Places requests on the servers that a belief names."""
 
@@ -68,7 +46,7 @@
         self.health = server_health.ServerHealth()
         self._forecast_by_instance: dict[catalog.Instance, engine_forecast.EngineForecast] = {}
         self._plain_by_instance: collections.Counter[catalog.Instance] = collections.Counter()
-        self._placement_by_job: dict[work.JobKey, Placement] = {}
+        self._placement_by_job: dict[work.JobKey, work.Placement] = {}
         self._sends_by_cold: dict[catalog.Instance, collections.deque[float]] = {}
 
     def place(self, job: work.Job, now: float) -> work.Grant | work.Wait | work.Refusal:
@@ -154,7 +132,7 @@
             return work.Wait(PLAIN_SERVICE_SECONDS, is_full=not job.excluded)
         grant = work.Grant(best, (), wait + seconds)
         self._plain_by_instance[best.instance] += 1
-        self._count(Placement(job, grant, now, is_prompt=False), now)
+        self._count(work.Placement(job, grant, now, is_prompt=False), now)
         return grant
 
     # Prompts
@@ -244,7 +222,7 @@
                 memory_tokens=tokens,
             )
             forecasts[instance].add(read)
-        self._count(Placement(job, grant, now, is_prompt=True), now)
+        self._count(work.Placement(job, grant, now, is_prompt=True), now)
 
     def _forecast(
         self, server: catalog.BackendServer, spec: catalog.EngineSpec
@@ -257,7 +235,7 @@
 
     # Reports on placed requests
 
-    def _count(self, placement: Placement, now: float) -> None:
+    def _count(self, placement: work.Placement, now: float) -> None:
         self._placement_by_job[placement.job.key] = placement
         for instance in placement.instances:
             if self.is_cold(instance, now):
@@ -282,7 +260,7 @@
             return
         if service.engine is None:
             self._plain_by_instance[grant.lead.instance] += 1
-            self._count(Placement(job, grant, placed_at, is_prompt=False), placed_at)
+            self._count(work.Placement(job, grant, placed_at, is_prompt=False), placed_at)
             return
         servers = (grant.lead, *(part.server for part in grant.helpers))
         forecasts = {server.instance: self._forecast(server, service.engine) for server in servers}
@@ -340,7 +318,7 @@
         if self._plain_by_instance[instance] <= 0:
             del self._plain_by_instance[instance]
 
-    def placement(self, key: work.JobKey) -> Placement | None:
+    def placement(self, key: work.JobKey) -> work.Placement | None:
         """Return where a request was placed.
 
         Args:
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -166,6 +166,8 @@
         decision = self._placer.place(job, now)
         if not isinstance(decision, work.Wait):
             return decision
+        # Nobody looks at an empty line, so its clocks may stand where it was last left.
+        self._forget_paces(now)
         patience = min(job.deadline_seconds, job.patience_seconds)
         waiting = Waiting(job, now, now + patience, decision.service_seconds)
         expected = self._expected_wait(waiting, now)
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -120,6 +120,28 @@
     """Predicted time to the first event or the answer."""
 
 
+class Placement(NamedTuple):
+    """A request that is counted on servers."""
+
+    job: Job
+    """The request."""
+
+    grant: Grant
+    """Where it was placed."""
+
+    placed_at: float
+    """Loop time at which that was."""
+
+    is_prompt: bool
+    """Whether its servers are engines."""
+
+    @property
+    def instances(self) -> tuple[catalog.Instance, ...]:
+        """All servers that take part, the first one first."""
+        helpers = (part.server.instance for part in self.grant.helpers)
+        return (self.grant.lead.instance, *helpers)
+
+
 class Refusal(NamedTuple):
     """Why a request is not placed, and when to come back."""
 
--- a/tests/fleet/test_waiting_line.py
+++ b/tests/fleet/test_waiting_line.py
@@ -95,6 +95,18 @@
     assert placed.key.number == 21
 
 
+def test_a_quiet_time_before_a_jam_does_not_count_as_a_slow_line() -> None:
+    # The line is looked at only while somebody waits, so its pace may be a minute old.
+    deciding, line = full_line()
+    assert isinstance(line.offer(builders.job(20, patience=PATIENCE_SECONDS), 0.0), work.Wait)
+    free_slots(deciding, 1, 0.1)
+    (placed,) = line.advance(0.1)
+    assert isinstance(placed.decision, work.Grant)
+    newcomer = builders.job(21, patience=PATIENCE_SECONDS)
+    assert isinstance(line.offer(newcomer, 60.0), work.Wait)
+    assert line.advance(60.05) == []
+
+
 def test_nobody_waits_until_the_caller_gives_up() -> None:
     _, line = full_line()
     job = builders.job(20, patience=PATIENCE_SECONDS)
