Serve twins by one piece, and drop what nothing reads

One reading of whole answers for the store and for orders (`Connection.read_whole`); one formula for a step's time and one for callers' patience, used by the product and by the heavy loads, which take the product's shares in place of copies; one judgement of idle connections; one way to make and save plots. The line reckons once whether a request is late. Gone: an engine's pace that was always 1, a part's seconds, two functions that nothing called.

--- a/src/dragonflycove/fleet/engine_forecast.py
+++ b/src/dragonflycove/fleet/engine_forecast.py
@@ -86,10 +86,18 @@
     return whole / parts
 
 
-def _pause_patience(job: work.Job) -> float:
-    """Return the pause of a running stream at which its caller gives up."""
-    return max(
-        forwarding.CALLER_PATIENCE_SECONDS, forwarding.CALLER_PATIENCE_GAPS * job.gap_goal_seconds
+def step_seconds(spec: catalog.EngineSpec, writers: int, context_tokens: int) -> float:
+    """Return the time of a step in which nothing is read.
+
+    Args:
+        spec: The engine.
+        writers: Requests that write.
+        context_tokens: Tokens of their contexts.
+    """
+    return (
+        spec.step_seconds
+        + max(1, writers) * spec.step_seconds_per_writer
+        + context_tokens * spec.step_seconds_per_context_token
     )
 
 
@@ -112,7 +120,6 @@
         "left_seconds",
         "memory_tokens",
         "placed_at",
-        "seconds",
         "writes",
     )
 
@@ -138,7 +145,6 @@
         """
         self.job = job
         self.placed_at = placed_at
-        self.seconds = seconds
         self.is_lead = is_lead
         self.memory_tokens = memory_tokens
         self.is_split = is_split
@@ -160,8 +166,6 @@
             spec: Its speed and size.
         """
         self.spec = spec
-        self.pace = 1.0
-        """How many times slower than stated the engine works."""
         self.reads_by_job: dict[work.JobKey, PlacedRead] = {}
         self._unread: list[PlacedRead] = []
         self._advanced_at = 0.0
@@ -196,11 +200,11 @@
         if is_split:
             return 0.0
         self._advance(now)
-        return sum(read.left_seconds for read in self._unread) * self.pace
+        return sum(read.left_seconds for read in self._unread)
 
     def _advance(self, now: float) -> None:
         """Count as read what the engine has read since the last look."""
-        worked = max(0.0, now - self._advanced_at) / self.pace
+        worked = max(0.0, now - self._advanced_at)
         self._advanced_at = max(now, self._advanced_at)
         for read in self._unread:
             step = min(worked, read.left_seconds)
@@ -218,13 +222,7 @@
             if read.is_lead:
                 writers += 1
                 context += read.job.memory_tokens
-        spec = self.spec
-        step = (
-            spec.step_seconds
-            + max(1, writers) * spec.step_seconds_per_writer
-            + context * spec.step_seconds_per_context_token
-        )
-        return step * spec.steps_per_pass * self.pace
+        return step_seconds(self.spec, writers, context) * self.spec.steps_per_pass
 
     def first_event_seconds(self, now: float, seconds: float, *, is_split: bool = False) -> float:
         """Predict the first event of a prompt that would be placed now.
@@ -237,7 +235,7 @@
         base = self.pass_seconds()
         # A newcomer joins at the end of the pass in progress, half a pass away on average.
         wait = base / 2 if self.reads_by_job else 0.0
-        return self.backlog_seconds(now, is_split=is_split) + seconds * self.pace + wait + base
+        return self.backlog_seconds(now, is_split=is_split) + seconds + wait + base
 
     def harm(self, now: float, seconds: float, *, is_split: bool = False) -> float:
         """Return the worth that others lose if a prompt is read here as well.
@@ -249,22 +247,22 @@
         """
         if not self.reads_by_job:
             return 0.0
-        added = seconds * self.pace
         base = self.pass_seconds()
         pause = base + self.backlog_seconds(now)
         loss = 0.0
         unread_until = 0.0
         for read in self._unread:
-            unread_until += read.left_seconds * self.pace
+            unread_until += read.left_seconds
             # A whole prompt goes behind all others, a part before them.
             if is_split:
                 due = now - read.placed_at + unread_until + base
                 goal = work.LEAST_GOAL_SECONDS if read.is_late else read.job.goal_seconds
-                loss += _risk(read.job, due, added, goal, read.job.patience_seconds)
+                loss += _risk(read.job, due, seconds, goal, read.job.patience_seconds)
         for read in self.reads_by_job.values():
             if read.is_lead and read.left_seconds <= 0:
                 goal = work.LEAST_GOAL_SECONDS if read.is_late else read.job.gap_goal_seconds
-                loss += _risk(read.job, pause, added, goal, _pause_patience(read.job))
+                patience = forwarding.patience(0.0, read.job.gap_goal_seconds)
+                loss += _risk(read.job, pause, seconds, goal, patience)
         return loss
 
     def add(self, read: PlacedRead) -> None:
--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -188,11 +188,11 @@
             soon if its first engine has died.
     """
     wanted = FIRST_EVENT_FACTOR * predicted_seconds + FIRST_EVENT_MARGIN_SECONDS
-    patience = caller_patience(route)
-    silence = min(max(wanted, LEAST_FIRST_EVENT_SHARE * patience), PATIENCE_SHARE * patience)
+    longest = caller_patience(route)
+    silence = min(max(wanted, LEAST_FIRST_EVENT_SHARE * longest), PATIENCE_SHARE * longest)
     if holds_memory:
-        longest = max(HOLDING_SILENCE_SECONDS, predicted_seconds + FIRST_EVENT_MARGIN_SECONDS)
-        silence = min(silence, longest)
+        held = max(HOLDING_SILENCE_SECONDS, predicted_seconds + FIRST_EVENT_MARGIN_SECONDS)
+        silence = min(silence, held)
     return silence
 
 
@@ -224,19 +224,29 @@
     return min(wanted, PATIENCE_SHARE * caller_patience(route))
 
 
-def caller_patience(route: catalog.Route) -> float:
+def patience(goal_seconds: float, gap_goal_seconds: float) -> float:
     """Return the silence after which callers give a stream up.
 
     Args:
-        route: The route.
+        goal_seconds: Goal for the first event.
+        gap_goal_seconds: Longest pause that is in time.
     """
     return max(
         CALLER_PATIENCE_SECONDS,
-        CALLER_PATIENCE_GOALS * route.goal_seconds,
-        CALLER_PATIENCE_GAPS * route.gap_goal_seconds,
+        CALLER_PATIENCE_GOALS * goal_seconds,
+        CALLER_PATIENCE_GAPS * gap_goal_seconds,
     )
 
 
+def caller_patience(route: catalog.Route) -> float:
+    """Return the silence after which callers give a route's streams up.
+
+    Args:
+        route: The route.
+    """
+    return patience(route.goal_seconds, route.gap_goal_seconds)
+
+
 def repeat_after(route: catalog.Route) -> float | None:
     """Return when an unanswered call is sent to another server.
 
--- a/src/dragonflycove/fleet/knowledge.py
+++ b/src/dragonflycove/fleet/knowledge.py
@@ -227,11 +227,6 @@
         """
         return self._evacuation_by_zone.get(zone, (0, False))[1]
 
-    @property
-    def evacuated_zones(self) -> list[str]:
-        """Zones that operators have taken out."""
-        return [zone for zone, (_, is_out) in self._evacuation_by_zone.items() if is_out]
-
     def usable_servers(self, service: str, now: float) -> list[catalog.BackendServer]:
         """Return the servers of a service that may get new requests.
 
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -59,8 +59,7 @@
         Returns:
             The servers, or that there is no room for now, or that there will be none in time.
         """
-        configuration = self._belief.configuration
-        service = configuration.service_by_name.get(job.service) if configuration else None
+        service = self._service(job.service)
         if service is None:
             return work.Refusal("no_configuration", 1.0)
         servers = self._eligible(job, service, now)
@@ -70,6 +69,10 @@
             return self._place_plain(job, servers, now)
         return self._place_prompt(job, servers, service.engine, now)
 
+    def _service(self, name: str) -> catalog.Service | None:
+        configuration = self._belief.configuration
+        return configuration.service_by_name.get(name) if configuration else None
+
     def _eligible(
         self, job: work.Job, service: catalog.Service, now: float
     ) -> list[catalog.BackendServer]:
@@ -129,7 +132,7 @@
             return work.Refusal("no_room_in_time", wait)
         # A call that would queue at every server waits here, where it can still be moved.
         if queued > 0:
-            return work.Wait(PLAIN_SERVICE_SECONDS, is_full=not job.excluded)
+            return work.Wait(seconds, is_full=not job.excluded)
         grant = work.Grant(best, (), wait + seconds)
         self._plain_by_instance[best.instance] += 1
         self._count(work.Placement(job, grant, now, is_prompt=False), now)
@@ -254,8 +257,7 @@
             if writes:
                 self.on_first_event(job.key, placed_at)
             return
-        configuration = self._belief.configuration
-        service = configuration.service_by_name.get(job.service) if configuration else None
+        service = self._service(job.service)
         if service is None:
             return
         if service.engine is None:
--- a/src/dragonflycove/fleet/server_health.py
+++ b/src/dragonflycove/fleet/server_health.py
@@ -152,11 +152,3 @@
         if record is None:
             return 0.0
         return float(record.ratio * 0.5 ** ((now - record.changed_at) / RATIO_HALF_LIFE_SECONDS))
-
-    def forget(self, instance: catalog.Instance) -> None:
-        """Drop what is known of a server that is gone.
-
-        Args:
-            instance: The server.
-        """
-        self._record_by_instance.pop(instance, None)
--- a/src/dragonflycove/fleet/waiting_line.py
+++ b/src/dragonflycove/fleet/waiting_line.py
@@ -240,7 +240,7 @@
         late_pace = self._late_pace_by_service.setdefault(service, _Pace(now))
         if left < LEAST_SERVICE_SECONDS:
             return work.Refusal("no_room_in_time", self._return_seconds(service, now))
-        choice = self._try(waiting, full, now)
+        choice = self._try(waiting, _Group(service, waiting.is_short, is_late), full, now)
         if isinstance(choice, work.Refusal):
             return choice
         if isinstance(choice, work.Grant):
@@ -257,26 +257,23 @@
         return None
 
     def _try(
-        self, waiting: Waiting, full: set[_Group], now: float
+        self, waiting: Waiting, group: _Group, full: set[_Group], now: float
     ) -> work.Grant | work.Refusal | None:
         """Ask for a place, unless there is none for requests like this one."""
-        group = _Group(waiting.job.service, waiting.is_short, waiting.is_late(now))
         key = waiting.job.key
         if group in full or now < self._next_try_by_key.get(key, now):
             return None
-        aged = waiting.job._replace(
-            deadline_seconds=waiting.job.deadline_seconds - (now - waiting.since),
-            patience_seconds=waiting.job.patience_seconds - (now - waiting.since),
-            goal_seconds=max(
-                work.LEAST_GOAL_SECONDS, waiting.job.goal_seconds - (now - waiting.since)
-            ),
+        job, waited = waiting.job, now - waiting.since
+        aged = job._replace(
+            deadline_seconds=job.deadline_seconds - waited,
+            patience_seconds=job.patience_seconds - waited,
+            goal_seconds=max(work.LEAST_GOAL_SECONDS, job.goal_seconds - waited),
         )
         choice = self._placer.place(aged, now)
         if not isinstance(choice, work.Wait):
             return choice
-        service = waiting.job.service
         if choice.is_full:
-            full.update(_Group(service, short, late) for short in _EITHER for late in _EITHER)
+            full.update(_Group(job.service, short, late) for short in _EITHER for late in _EITHER)
         elif waiting.is_short:
             full.add(group)
         else:
--- a/src/dragonflycove/gateway/reservations.py
+++ b/src/dragonflycove/gateway/reservations.py
@@ -154,15 +154,13 @@
                     return 0
                 connection = taken.ok_value
                 connection.send(order)
-                head = await connection.read_head()
-                if isinstance(head, result.Err):
+                answer = await connection.read_whole()
+                if isinstance(answer, result.Err):
                     return 0
-                while (piece := await connection.read_body()) is not None:
-                    if isinstance(piece, result.Err):
-                        return 0
-                self._pool.put(address, connection, requests.decode_answer(head.ok_value))
+                head, _ = answer.ok_value
+                self._pool.put(address, connection, requests.decode_answer(head))
                 connection = None
-                return head.ok_value.status
+                return head.status
         except TimeoutError:
             return 0
         finally:
--- a/src/dragonflycove/gateway/server_pool.py
+++ b/src/dragonflycove/gateway/server_pool.py
@@ -54,7 +54,7 @@
         idle = self._idle_by_address.get(address, [])
         while idle and not fresh:
             connection = idle.pop()
-            if connection.is_quiet() and now - connection.idle_since < _idle_limit(connection):
+            if _is_usable(connection, now):
                 return result.Ok(connection)
             connection.close()
         self.opened += 1
@@ -98,7 +98,7 @@
         for address, idle in list(self._idle_by_address.items()):
             kept = []
             for connection in idle:
-                if connection.is_quiet() and now - connection.idle_since < _idle_limit(connection):
+                if _is_usable(connection, now):
                     kept.append(connection)
                 else:
                     connection.close()
@@ -115,7 +115,9 @@
         self._idle_by_address.clear()
 
 
-def _idle_limit(connection: http1.Connection) -> float:
-    if connection.idle_limit is None:
-        return IDLE_SECONDS
-    return min(IDLE_SECONDS, connection.idle_limit - IDLE_MARGIN_SECONDS)
+def _is_usable(connection: http1.Connection, now: float) -> bool:
+    """Whether an idle connection can still carry a request."""
+    limit = IDLE_SECONDS
+    if connection.idle_limit is not None:
+        limit = min(limit, connection.idle_limit - IDLE_MARGIN_SECONDS)
+    return connection.is_quiet() and now - connection.idle_since < limit
--- a/src/dragonflycove/measure/heavy_engines.py
+++ b/src/dragonflycove/measure/heavy_engines.py
@@ -120,12 +120,7 @@
         spec = self._spec
         steps = spec.steps_per_pass if self.writer_by_key else 1
         context = sum(writer.context_tokens for writer in self.writer_by_key.values())
-        step = (
-            spec.step_seconds
-            + max(1, len(self.writer_by_key)) * spec.step_seconds_per_writer
-            + context * spec.step_seconds_per_context_token
-        )
-        seconds = steps * step
+        seconds = steps * engine_forecast.step_seconds(spec, len(self.writer_by_key), context)
         read = []
         chunks = float(steps)
         while self._unread and chunks > 0:
--- a/src/dragonflycove/measure/heavy_kinds.py
+++ b/src/dragonflycove/measure/heavy_kinds.py
@@ -4,8 +4,7 @@
 
 from typing import NamedTuple
 
-GIVE_UP_SECONDS = 2.0
-"""Shortest silence after which callers give up, as the platform's pages state."""
+from dragonflycove.fleet import forwarding
 
 
 class Kind(NamedTuple):
@@ -41,7 +40,7 @@
     @property
     def give_up_seconds(self) -> float:
         """Silence after which callers give up."""
-        return max(GIVE_UP_SECONDS, 4 * self.goal_seconds, 8 * self.gap_seconds)
+        return forwarding.patience(self.goal_seconds, self.gap_seconds)
 
 
 KINDS = (
--- a/src/dragonflycove/measure/heavy_load.py
+++ b/src/dragonflycove/measure/heavy_load.py
@@ -10,7 +10,7 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from dragonflycove.fleet import server_health, work
+from dragonflycove.fleet import engine_forecast, forwarding, server_health, work
 from dragonflycove.measure import heavy_engines, heavy_kinds
 
 if TYPE_CHECKING:
@@ -22,9 +22,6 @@
 SETTLE_SECONDS = 12.0
 """Time after the last arrival in which the rest is served; the longest patience."""
 
-LATE_CREDIT = 0.25
-"""Share of its worth that a late answer earns; the users' sheets pay a quarter."""
-
 HONOURED_SHARE = 1 / 3
 """Share of their time up to which callers wait as told."""
 
@@ -214,7 +211,7 @@
             zone="z1",
             excluded=(),
             fingerprint=self._numbers,
-            patience_seconds=0.85 * kind.give_up_seconds,
+            patience_seconds=forwarding.PLACING_PATIENCE_SHARE * kind.give_up_seconds,
             is_begun=False,
         )
 
@@ -316,7 +313,7 @@
         def count(outcome: str) -> int:
             return sum(1 for caller in owed if caller.outcome == outcome)
 
-        credit_by_outcome = {"in_time": 1.0, "late": LATE_CREDIT}
+        credit_by_outcome = {"in_time": 1.0, "late": 1 - engine_forecast.LATE_SHARE}
         owed_worth = sum(one.worth for one in owed)
         earned = sum(one.worth * credit_by_outcome.get(one.outcome, 0.0) for one in owed)
         return KindFigures(
--- a/src/dragonflycove/measure/heavy_report.py
+++ b/src/dragonflycove/measure/heavy_report.py
@@ -4,13 +4,7 @@
 
 from typing import TYPE_CHECKING, TypedDict
 
-import matplotlib as mpl
-
-mpl.use("Agg")
-
-from matplotlib import pyplot as plt  # noqa: E402
-
-from dragonflycove.measure import heavy_kinds, heavy_load, heavy_policies  # noqa: E402
+from dragonflycove.measure import heavy_kinds, heavy_load, heavy_policies, plots
 
 if TYPE_CHECKING:
     import pathlib
@@ -135,7 +129,7 @@
         found: The figures.
         path: PNG file to write.
     """
-    figure, axes = plt.subplots(figsize=(11, 5))
+    figure, axes = plots.make(11, 5)
     loads = list(dict.fromkeys(run["load"] for run in found["runs"]))
     width = 0.8 / len(MAKE_POLICY_BY_NAME)
     for offset, policy in enumerate(MAKE_POLICY_BY_NAME):
@@ -147,6 +141,4 @@
     axes.set_ylabel("share of the worth earned")
     axes.set_title(f"heavy loads, {SEEDS} runs each from seed {found['seed']}")
     axes.legend(fontsize=8)
-    figure.tight_layout()
-    figure.savefig(path, dpi=100, metadata={"Software": None})
-    plt.close(figure)
+    plots.save(figure, path)
--- a/src/dragonflycove/measure/plots.py
+++ b/src/dragonflycove/measure/plots.py
@@ -13,9 +13,34 @@
 if TYPE_CHECKING:
     import pathlib
 
+    from matplotlib import axes as axes_module
+    from matplotlib import figure as figure_module
+
     from dragonflycove.measure import experiments
 
 
+def make(width: float, height: float) -> tuple[figure_module.Figure, axes_module.Axes]:
+    """Return an empty figure with one pair of axes.
+
+    Args:
+        width: Width in inches.
+        height: Height in inches.
+    """
+    return plt.subplots(figsize=(width, height))
+
+
+def save(figure: figure_module.Figure, path: pathlib.Path) -> None:
+    """Write a figure, the same bytes each time, and close it.
+
+    Args:
+        figure: The figure.
+        path: PNG file to write.
+    """
+    figure.tight_layout()
+    figure.savefig(path, dpi=100, metadata={"Software": None})
+    plt.close(figure)
+
+
 def _bars(run: experiments.PolicyFigures) -> dict[str, float]:
     """Return the bars that tell most about a run."""
     if "lengths" in run:
@@ -37,7 +62,7 @@
         found: The figures.
         path: PNG file to write.
     """
-    figure, axes = plt.subplots(figsize=(10, 5))
+    figure, axes = make(10, 5)
     runs = found["runs"]
     names = list(_bars(runs[0]))
     width = 0.8 / len(names)
@@ -52,6 +77,4 @@
         axes.set_yscale("log")
     axes.set_title(f"{found['experiment']}, {found['size']}, seed {found['seed']}")
     axes.legend(fontsize=7)
-    figure.tight_layout()
-    figure.savefig(path, dpi=100, metadata={"Software": None})
-    plt.close(figure)
+    save(figure, path)
--- a/src/dragonflycove/measure/predictions.py
+++ b/src/dragonflycove/measure/predictions.py
@@ -4,14 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple, TypedDict
 
-import matplotlib as mpl
-
-mpl.use("Agg")
-
-from matplotlib import pyplot as plt  # noqa: E402
-
-from dragonflycove.measure import figures  # noqa: E402
-from dragonflycove.telemetry import log_lines  # noqa: E402
+from dragonflycove.measure import figures, plots
+from dragonflycove.telemetry import log_lines
 
 if TYPE_CHECKING:
     import pathlib
@@ -110,7 +104,7 @@
         pairs: The sends.
         path: PNG file to write.
     """
-    figure, axes = plt.subplots(figsize=(7, 6))
+    figure, axes = plots.make(7, 6)
     for low, high in zip(LENGTHS, LENGTHS[1:], strict=False):
         chosen = [pair for pair in pairs if low <= pair.tokens < high]
         if chosen:
@@ -123,6 +117,4 @@
     axes.set_xlabel("predicted first event (s)")
     axes.set_ylabel("seen first event (s)")
     axes.legend(fontsize=7)
-    figure.tight_layout()
-    figure.savefig(path, dpi=100, metadata={"Software": None})
-    plt.close(figure)
+    plots.save(figure, path)
--- a/src/dragonflycove/platform/store.py
+++ b/src/dragonflycove/platform/store.py
@@ -200,24 +200,13 @@
         if method == "POST":
             headers.append((b"Content-Length", str(len(body)).encode()))
         connection.send(http1.Request(method.encode(), target.encode(), tuple(headers), body))
-        answer = await _read_answer(connection)
+        answer = await connection.read_whole()
         if isinstance(answer, result.Err) or not connection.finish():
             self.close()
-        return answer.and_then(lambda whole: _check_status(*whole))
-
-
-async def _read_answer(
-    connection: http1.Connection,
-) -> result.Result[tuple[int, bytes], Failure]:
-    head = await connection.read_head()
-    if isinstance(head, result.Err):
-        return result.Err(Failure.UNREACHABLE)
-    pieces = []
-    while (piece := await connection.read_body()) is not None:
-        if isinstance(piece, result.Err):
+        if isinstance(answer, result.Err):
             return result.Err(Failure.UNREACHABLE)
-        pieces.append(piece.ok_value)
-    return result.Ok((head.ok_value.status, b"".join(pieces)))
+        head, content = answer.ok_value
+        return _check_status(head.status, content)
 
 
 def _check_status(status: int, body: bytes) -> result.Result[bytes, Failure]:
--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -209,6 +209,22 @@
             return None
         return result.Err(Broken.CLOSED)
 
+    async def read_whole(self) -> result.Result[tuple[Head, bytes], Broken]:
+        """Read an answer to its end.
+
+        Returns:
+            Its head and body, or how the connection ended.
+        """
+        head = await self.read_head()
+        if isinstance(head, result.Err):
+            return head
+        pieces = []
+        while (piece := await self.read_body()) is not None:
+            if isinstance(piece, result.Err):
+                return piece
+            pieces.append(piece.ok_value)
+        return result.Ok((head.ok_value, b"".join(pieces)))
+
     def skip_answer(self) -> bool:
         """Wait for another answer to the same request, after one of an earlier request.
 
