--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -17,6 +17,8 @@
 import h11
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dragonflycove.fleet import catalog
 
 STAMP = "3e1b.07.5a2"
@@ -72,6 +74,19 @@
     """Executes and stops sending in the middle of a stream, without closing it."""
 
 
+class CrashMode(enum.Enum):
+    """How callers perceive the crash of a server."""
+
+    RESET = "reset"
+    """All connections are reset and new ones are refused."""
+
+    CLOSE = "close"
+    """All connections are closed in an orderly way and new ones are refused."""
+
+    SILENT = "silent"
+    """Connections stay open without a byte, and new ones are not accepted."""
+
+
 class ExecutedRequest(NamedTuple):
     """A request that the server began to execute."""
 
@@ -120,12 +135,21 @@
         """Number of connections accepted."""
         self.reserved_tokens_by_id: dict[str, int] = {}
         """KV cache tokens reserved, by reservation id."""
+        self.crashing_paths: set[str] = set()
+        """Paths of requests that crash the server as soon as it begins to execute them."""
+        self.crash_mode = CrashMode.RESET
+        """How the server crashes."""
+        self.on_crash: Callable[[], None] | None = None
+        """Called after the server has crashed."""
+        self.is_crashed = False
+        """Whether a request has crashed the server."""
         self.refusing_helper_addresses: set[str] = set()
         """Addresses of helper engines that refuse to help, as a draining engine does."""
         self._expiry_timers: dict[str, asyncio.TimerHandle] = {}
         self._deferred_response = b""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._unaccepted: list[socket.socket] = []
 
     async def listen(self, address: catalog.Address) -> None:
         """Start to accept connections.
@@ -141,6 +165,38 @@
             self._server.close()
         for writer in self._writers:
             _reset(writer)
+        for unaccepted in self._unaccepted:
+            unaccepted.close()
+
+    def _crash(self) -> None:
+        """End the server, with all its requests, in the way of `crash_mode`."""
+        self.is_crashed = True
+        assert self._server is not None
+        address = self._server.sockets[0].getsockname()
+        self._server.close()
+        for writer in list(self._writers):
+            if self.crash_mode is CrashMode.RESET:
+                _reset(writer)
+            elif self.crash_mode is CrashMode.CLOSE:
+                writer.close()
+        if self.crash_mode is CrashMode.SILENT:
+            self._block_connections(address)
+        if self.on_crash is not None:
+            self.on_crash()
+
+    def _block_connections(self, address: tuple[str, int]) -> None:
+        """Let connection attempts at an address hang, as at a host without power."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(0)
+        self._unaccepted.append(listener)
+        # The kernel drops opening packets while the queue of unaccepted connections is full.
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self._unaccepted.append(filler)
 
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -240,7 +296,12 @@
                 header_lines = ["X-Not-Executed: 1", f"At-Server: {address}"]
                 writer.write(self._encode_response(run.headers, 503, b"no help", header_lines))
                 return True
+        if self.is_crashed:
+            return await self._stay_silent(reader)
         self.runs.append(run)
+        if run.target.partition("?")[0] in self.crashing_paths:
+            self._crash()
+            return await self._stay_silent(reader)
         if fault in (Fault.RESET, Fault.NO_RESPONSE, Fault.INVALID_RESPONSE, Fault.UNSIGNED):
             return await self._respond_faultily(run, fault, reader, writer)
         if fault in (Fault.ERROR, Fault.EXECUTED_503):
@@ -251,6 +312,12 @@
             return await self._respond_stream(run, fault, reader, writer)
         return self._respond_plain(run, fault, writer)
 
+    async def _stay_silent(self, reader: asyncio.StreamReader) -> bool:
+        """Leave a connection of a crashed server without a response until it is closed."""
+        await reader.read(1)
+        self.disconnected_runs += 1
+        return False
+
     async def _respond_faultily(
         self,
         run: ExecutedRequest,
@@ -259,9 +326,7 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         if fault is Fault.NO_RESPONSE:
-            await reader.read(1)
-            self.disconnected_runs += 1
-            return False
+            return await self._stay_silent(reader)
         if fault is Fault.INVALID_RESPONSE:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             await writer.drain()
@@ -319,6 +384,8 @@
                     self.disconnected_runs += 1
                 _reset(writer)
                 return False
+            if self.is_crashed:
+                return await self._stay_silent(reader)
             writer.write(_chunk(event))
             await writer.drain()
             await asyncio.sleep(self.event_seconds)
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -23,6 +23,10 @@
 """Timeout of a node's start, until it reports to be ready."""
 
 
+SERVER_RETURN_SECONDS = 1.0
+"""Time from a server's crash to its return."""
+
+
 class CallerResult(NamedTuple):
     """The response that a caller received, complete or not."""
 
@@ -147,6 +151,9 @@
         """Settings of the nodes, in the order of `nodes`."""
         self.faults: list[platform_store.StoreFaults] = []
         """Faults of the store towards each node, in the order of `nodes`."""
+        self.crash_count_by_path: collections.Counter[str] = collections.Counter()
+        """Number of servers that requests with each path have crashed."""
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def add_server(
         self, server_id: str, service: str = "svc", **options: float
@@ -160,6 +167,35 @@
         self.register(server_id, service)
         return server
 
+    async def add_crashing_server(
+        self,
+        server_id: str,
+        path: str,
+        mode: platform_server.CrashMode = platform_server.CrashMode.RESET,
+        service: str = "svc",
+    ) -> platform_server.PlatformServer:
+        """Start a server that a request with the given path crashes, and that returns afterwards.
+
+        It returns under another id, and the store drops the record of the crashed one.
+        """
+        server = await self.add_server(server_id, service)
+        server.crashing_paths.add(path)
+        server.crash_mode = mode
+
+        def return_later() -> None:
+            self.crash_count_by_path[path] += 1
+            self._tasks.append(asyncio.ensure_future(self._replace(server_id, path, mode, service)))
+
+        server.on_crash = return_later
+        return server
+
+    async def _replace(
+        self, server_id: str, path: str, mode: platform_server.CrashMode, service: str
+    ) -> None:
+        await asyncio.sleep(SERVER_RETURN_SECONDS)
+        self.store.put("keyed.servers", server_id, None)
+        await self.add_crashing_server(f"{server_id}r", path, mode, service)
+
     def register(self, server_id: str, service: str = "svc", **changes: object) -> None:
         """Write a server's record to the store."""
         record: dict[str, object] = {
@@ -253,6 +289,8 @@
 
     def close(self) -> None:
         """Stop nodes, servers and store without draining."""
+        for task in self._tasks:
+            task.cancel()
         for node in self.nodes:
             node.close()
         for server in self.server_by_id.values():
