--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -44,6 +44,10 @@
 """Log events that can explain why a request has no log lines."""
 
 
+SUSPICION_EVENTS = frozenset({"server_lost", "server_loss_told", "crasher_refused"})
+"""Log events about all requests of one fingerprint; together they tell why it is refused."""
+
+
 class LogLine(NamedTuple):
     """One parsed line of a log."""
 
@@ -82,6 +86,8 @@
 def collect_request_lines(source: Iterable[str], request_id: str) -> list[LogLine]:
     """Select the lines of one request from the logs of several hosts.
 
+    They include the lines about servers lost by requests of the same fingerprint.
+
     Args:
         source: Log lines, in any order.
         request_id: Id of the request.
@@ -89,16 +95,34 @@
     Returns:
         The lines of the request, ordered by time.
     """
+    texts = list(source)
     found = []
-    for text in source:
+    for text in texts:
         if request_id not in text:
             continue
         fields = log_lines.parse_fields(text)
         if request_id in (fields.get("request"), fields.get("other")):
             found.append(LogLine(fields, text.rstrip("\n")))
+    found += _collect_suspicion_lines(texts, found)
     return sorted(found, key=lambda line: line.fields.get("time", ""))
 
 
+def _collect_suspicion_lines(texts: list[str], found: list[LogLine]) -> list[LogLine]:
+    """Return the lines about lost servers that have the request's fingerprint and another id."""
+    fingerprint = next((f for line in found if (f := line.fields.get("fingerprint"))), None)
+    if fingerprint is None:
+        return []
+    known = {line.text for line in found}
+    lines = []
+    for text in texts:
+        if fingerprint not in text or text.rstrip("\n") in known:
+            continue
+        fields = log_lines.parse_fields(text)
+        if fields.get("fingerprint") == fingerprint and fields.get("event") in SUSPICION_EVENTS:
+            lines.append(LogLine(fields, text.rstrip("\n")))
+    return lines
+
+
 def collect_process_lines(source: Iterable[str]) -> list[LogLine]:
     """Select the lines that record when processes ran and which log lines were dropped.
 
@@ -130,7 +154,12 @@
             "cause: unknown; no line has this request id. It reached no running process, its lines"
             " were dropped, or it belongs to another deployment. Processes ran as follows:"
         )
-    request_fields = [line.fields for line in lines if "request" in line.fields]
+    all_fields = [line.fields for line in lines]
+    request_fields = [
+        fields
+        for fields in all_fields
+        if "request" in fields and fields.get("event") not in SUSPICION_EVENTS
+    ]
     attempt_ends = [fields for fields in request_fields if fields.get("event") == "send_ended"]
     failure = next((f for f in reversed(request_fields) if f.get("event") in FAILURE_EVENTS), None)
     parts = []
@@ -138,6 +167,9 @@
         parts.append(_describe_failure(failure))
     if attempt_ends and (failure is None or failure.get("event") != "caller_gone"):
         parts.append(_describe_attempt(attempt_ends[-1], len(attempt_ends)))
+    lost_servers = [f["server"] for f in all_fields if f.get("event") == "server_lost"]
+    if lost_servers:
+        parts.append(f"requests of this fingerprint lost the servers {', '.join(lost_servers)}")
     if any(fields.get("event") == "retry_refused" for fields in request_fields):
         parts.append("the node's share of the retry budget was spent")
     if not parts:
--- a/src/dragonflycove/fleet/crash_suspects.py
+++ b/src/dragonflycove/fleet/crash_suspects.py
@@ -22,6 +22,10 @@
         """Create without lost servers."""
         self._losses_by_fingerprint: dict[int, tuple[int, float]] = {}
 
+    def __len__(self) -> int:
+        """Return the number of fingerprints with a lost server."""
+        return len(self._losses_by_fingerprint)
+
     def on_lost_server(self, fingerprint: int, now: float) -> int:
         """Count a server that closed or reset the connection while it ran the request.
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -133,7 +133,7 @@
         self._store_follower = store_follower.StoreFollower(
             settings.store.address, self._store_view, self._read_age
         )
-        suspect_requests = crash_suspects.CrashSuspects()
+        self._suspect_requests = crash_suspects.CrashSuspects()
         self._peer_socket = peer_socket.PeerSocket()
         self._reports = peer_reports.PeerReports(
             self._own,
@@ -148,7 +148,7 @@
             self._nodes,
             self._placer,
             self._local_placer,
-            suspect_requests,
+            self._suspect_requests,
             self._peer_socket,
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
@@ -169,7 +169,7 @@
             hub_placer,
             self._pool,
             retry_budget,
-            suspect_requests,
+            self._suspect_requests,
             self._reservation_manager,
             self._metrics,
             self._servers_age,
@@ -228,6 +228,7 @@
             "dragonflycove_hub_rank": self._nodes.hub_rank(now),
             "dragonflycove_active_requests": self._callers.active,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
+            "dragonflycove_suspect_requests": len(self._suspect_requests),
             "dragonflycove_store_calls": self._store_follower.calls + self._members.calls,
             "dragonflycove_peer_bytes": self._peer_socket.bytes_sent,
             "dragonflycove_server_connections": self._pool.opened,
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -152,6 +152,7 @@
             resumes_after=request.last_event_number,
             deadline=seconds,
             version=configuration.version,
+            fingerprint=context.fingerprint_text,
         )
         return result.Ok(context)
 
@@ -202,7 +203,12 @@
         if now + MIN_ATTEMPT_SECONDS > context.deadline_at:
             return forwarding.final_response(attempt_ends, deadline_passed=True)
         if self._suspect_requests.is_refused(context.fingerprint, now):
-            logs.event("crasher_refused", request=context.request.attempt_id)
+            logs.event(
+                "crasher_refused",
+                request=context.request.attempt_id,
+                fingerprint=context.fingerprint_text,
+                lost=self._suspect_requests.lost_server_count(context.fingerprint, now),
+            )
             if all(end in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
                 return forwarding.FinalResponse(503, "crashes_servers", 5.0)
             return forwarding.FinalResponse(502, "crashes_servers", None)
@@ -358,21 +364,30 @@
                 seconds=now - context.received_at,
                 suspect=is_suspect,
             )
-        self._update_suspect_requests(context, outcome, progress, now)
+        self._update_suspect_requests(context, grant.lead.instance, outcome, now)
         return outcome
 
     def _update_suspect_requests(
         self,
         context: request_context.RequestContext,
+        instance: catalog.Instance,
         outcome: send_values.AttemptResult,
-        progress: send_values.StreamProgress,
         now: float,
     ) -> None:
         """Count a lost server for the request that it ran; a complete response resets the count."""
         if outcome.end is forwarding.AttemptEnd.DELIVERED:
             self._suspect_requests.clear(context.fingerprint)
         elif outcome.server_outcome is server_health.Outcome.BROKEN:
-            self._suspect_requests.on_lost_server(context.fingerprint, now)
+            lost = self._suspect_requests.on_lost_server(context.fingerprint, now)
+            logs.event(
+                "server_lost",
+                request=context.request.attempt_id,
+                fingerprint=context.fingerprint_text,
+                server=instance.server_id,
+                born=instance.started_at_ms,
+                end=outcome.end.value,
+                lost=lost,
+            )
 
     def _respond_to_refusal(
         self,
--- a/src/dragonflycove/gateway/peer_placing.py
+++ b/src/dragonflycove/gateway/peer_placing.py
@@ -253,6 +253,14 @@
         now = asyncio.get_running_loop().time()
         if message.lost_servers:
             self._suspect_requests.merge(message.fingerprint, message.lost_servers, now)
+            logs.event(
+                "server_loss_told",
+                node=message.key.host,
+                fingerprint=f"{message.fingerprint:016x}",
+                server=message.instance.server_id,
+                told=message.lost_servers,
+                lost=self._suspect_requests.lost_server_count(message.fingerprint, now),
+            )
         if self._placer.placement(message.key) is not None:
             self._local_placer.on_end(message.key, message.outcome, message.refusing_helper_id)
         else:
--- a/src/dragonflycove/gateway/request_context.py
+++ b/src/dragonflycove/gateway/request_context.py
@@ -63,6 +63,11 @@
     fingerprint: int
     """Hash of content and organisation; equal when the caller resends."""
 
+    @property
+    def fingerprint_text(self) -> str:
+        """The fingerprint as logged, 16 hexadecimal digits."""
+        return f"{self.fingerprint:016x}"
+
     @property
     def organisation_name(self) -> str:
         """Name of the organisation; empty on a public route without a key."""
--- a/src/dragonflycove/telemetry/fleet_metrics.py
+++ b/src/dragonflycove/telemetry/fleet_metrics.py
@@ -43,6 +43,7 @@
     "dragonflycove_hub_rank": "Rank of this node among the hubs; -1 if it is none",
     "dragonflycove_active_requests": "Requests that are being read or served",
     "dragonflycove_waiting_requests": "Requests that wait for room at this node",
+    "dragonflycove_suspect_requests": "Requests, by fingerprint, that lost a server at this node",
     "dragonflycove_store_calls": "Calls made to the platform's store",
     "dragonflycove_peer_bytes": "Bytes of datagrams sent to other nodes",
     "dragonflycove_server_connections": "Connections opened to backend servers",
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -86,3 +86,20 @@
     assert "no line has this request id" in shown
     assert shown.index("event=started host=h1") < shown.index("event=stopped host=h1")
     assert "event=received" not in shown
+
+
+def test_servers_lost_by_earlier_resends_are_listed_with_a_refused_request() -> None:
+    found = explain_command.collect_request_lines(
+        lines(
+            "event=server_lost request=r0 fingerprint=00ab server=s1 end=server_gone lost=1",
+            "event=server_lost request=q9 fingerprint=00cd server=s9 end=server_gone lost=1",
+            "event=received request=r1 route=ask fingerprint=00ab",
+            "event=crasher_refused request=r1 fingerprint=00ab lost=3",
+            "event=refused request=r1 status=503 reason=crashes_servers retry_after=5",
+        ),
+        "r1",
+    )
+    assert [line.fields["event"] for line in found][:2] == ["server_lost", "received"]
+    cause = explain_command.describe_cause(found)
+    assert "requests of this fingerprint lost the servers s1" in cause
+    assert "s9" not in cause
