--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -168,7 +168,7 @@
         for unaccepted in self._unaccepted:
             unaccepted.close()
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
         """End the server, with all its requests, in the way of `crash_mode`."""
         self.is_crashed = True
         assert self._server is not None
@@ -300,7 +300,7 @@
             return await self._stay_silent(reader)
         self.runs.append(run)
         if run.target.partition("?")[0] in self.crashing_paths:
-            self._crash()
+            self.crash()
             return await self._stay_silent(reader)
         if fault in (Fault.RESET, Fault.NO_RESPONSE, Fault.INVALID_RESPONSE, Fault.UNSIGNED):
             return await self._respond_faultily(run, fault, reader, writer)
@@ -419,7 +419,7 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset instead of an orderly shutdown."""
     raw_socket = writer.get_extra_info("socket")
-    if raw_socket is not None:
+    if raw_socket is not None and raw_socket.fileno() >= 0:
         raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import enum
 import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -17,7 +18,9 @@
 from tests import ports
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
+
+    from dragonflycove.fleet import peer_messages
 
 READY_TIMEOUT_SECONDS = 5.0
 """Timeout of a node's start, until it reports to be ready."""
@@ -26,6 +29,25 @@
 SERVER_RETURN_SECONDS = 1.0
 """Time from a server's crash to its return."""
 
+NODE_RESTART_SECONDS = 0.1
+"""Time from a node's end to its next start."""
+
+HEARTBEAT_SECONDS = 0.5
+"""Time between two heartbeats of a server."""
+
+
+class Comeback(enum.Enum):
+    """How a crashed server returns."""
+
+    NEW_ID = "new_id"
+    """Under another id; the record of the old one is deleted."""
+
+    SAME_ID = "same_id"
+    """Under the same id, as another start of it."""
+
+    SAME_START = "same_start"
+    """It had only been cut off: its heartbeats go on, and the next requests run."""
+
 
 class CallerResult(NamedTuple):
     """The response that a caller received, complete or not."""
@@ -151,8 +173,11 @@
         """Settings of the nodes, in the order of `nodes`."""
         self.faults: list[platform_store.StoreFaults] = []
         """Faults of the store towards each node, in the order of `nodes`."""
-        self.crash_count_by_path: collections.Counter[str] = collections.Counter()
-        """Number of servers that requests with each path have crashed."""
+        self.crash_times_by_path: dict[str, list[float]] = collections.defaultdict(list)
+        """Loop times at which requests with each path have crashed servers."""
+        self._born_by_id: dict[str, int] = collections.defaultdict(lambda: 1)
+        self._record_by_id: dict[str, dict[str, object]] = {}
+        self._beating_ids: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def add_server(
@@ -173,28 +198,102 @@
         path: str,
         mode: platform_server.CrashMode = platform_server.CrashMode.RESET,
         service: str = "svc",
+        *,
+        comeback: Comeback = Comeback.NEW_ID,
     ) -> platform_server.PlatformServer:
-        """Start a server that a request with the given path crashes, and that returns afterwards.
-
-        It returns under another id, and the store drops the record of the crashed one.
-        """
+        """Start a server that a request with the given path crashes, and that returns afterwards."""
         server = await self.add_server(server_id, service)
+        self._crash_on(server, path, mode, service, comeback)
+        return server
+
+    def _crash_on(
+        self,
+        server: platform_server.PlatformServer,
+        path: str,
+        mode: platform_server.CrashMode,
+        service: str,
+        comeback: Comeback,
+    ) -> None:
         server.crashing_paths.add(path)
         server.crash_mode = mode
 
         def return_later() -> None:
-            self.crash_count_by_path[path] += 1
-            self._tasks.append(asyncio.ensure_future(self._replace(server_id, path, mode, service)))
+            self.crash_times_by_path[path].append(asyncio.get_running_loop().time())
+            self._beating_ids.discard(server.server_id)
+            if comeback is Comeback.SAME_START:
+                self._beating_ids.add(server.server_id)
+            self._tasks.append(
+                asyncio.ensure_future(self._return(server, path, mode, service, comeback))
+            )
 
         server.on_crash = return_later
-        return server
 
-    async def _replace(
-        self, server_id: str, path: str, mode: platform_server.CrashMode, service: str
+    async def _return(
+        self,
+        server: platform_server.PlatformServer,
+        path: str,
+        mode: platform_server.CrashMode,
+        service: str,
+        comeback: Comeback,
     ) -> None:
         await asyncio.sleep(SERVER_RETURN_SECONDS)
+        server_id = server.server_id
+        if comeback is Comeback.NEW_ID:
+            self.store.put("keyed.servers", server_id, None)
+            await self.add_crashing_server(f"{server_id}r", path, mode, service)
+            return
+        server.close()
+        successor = platform_server.PlatformServer(server_id)
+        await successor.listen(self.address_by_id[server_id])
+        self.server_by_id[server_id] = successor
+        if comeback is Comeback.SAME_ID:
+            self._crash_on(successor, path, mode, service, comeback)
+            self._born_by_id[server_id] += 1
+            self.register(server_id, service)
+
+    def beat(self) -> None:
+        """Write the records of all running servers again at intervals, as their heartbeats."""
+        self._tasks.append(asyncio.ensure_future(self._beat()))
+
+    async def _beat(self) -> None:
+        while True:
+            for server_id in self._beating_ids:
+                self.store.put("keyed.servers", server_id, self._record_by_id[server_id])
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def remove_server(self, server_id: str) -> None:
+        """Stop a server and delete its record."""
+        self.server_by_id.pop(server_id).close()
+        self._beating_ids.discard(server_id)
         self.store.put("keyed.servers", server_id, None)
-        await self.add_crashing_server(f"{server_id}r", path, mode, service)
+
+    def cut_off(self, number: int) -> None:
+        """Drop all datagrams between a node and the others."""
+        address = self.settings[number].peer_address
+        for node, own in zip(self.nodes, self.settings, strict=True):
+            _drop_datagrams(node, lambda one, own=own: address in (one, own.peer_address))
+
+    def reconnect(self, number: int) -> None:
+        """End the cut of a node."""
+        for node in self.nodes:
+            _drop_datagrams(node, lambda _: False)
+
+    async def restart_node(self, number: int) -> None:
+        """End a node at once, as a kill does, and start it again on its host."""
+        self.nodes[number].close()
+        await asyncio.sleep(NODE_RESTART_SECONDS)
+        node = daemon.Daemon(self.settings[number], "/nonexistent", metrics_port=ports.free_port())
+        self.nodes[number] = node
+        await node.start()
+        await self.wait_ready(number)
+
+    async def wait_ready(self, number: int) -> None:
+        """Wait until a node reports to be ready."""
+        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+            for pause in itertools.repeat(0.02):
+                if await self.readiness(number) == 200:
+                    return
+                await asyncio.sleep(pause)
 
     def register(self, server_id: str, service: str = "svc", **changes: object) -> None:
         """Write a server's record to the store."""
@@ -206,9 +305,11 @@
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
-            "born": 1,
+            "born": self._born_by_id[server_id],
         }
         record.update(changes)
+        self._record_by_id[server_id] = record
+        self._beating_ids.add(server_id)
         self.store.put("keyed.servers", server_id, record)
 
     async def add_node(self, zone: str = "z1") -> daemon.Daemon:
@@ -220,11 +321,7 @@
         self.settings.append(own)
         self.nodes.append(node)
         await node.start()
-        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
-            for pause in itertools.repeat(0.02):
-                if await self.readiness(len(self.nodes) - 1) == 200:
-                    break
-                await asyncio.sleep(pause)
+        await self.wait_ready(len(self.nodes) - 1)
         return node
 
     async def readiness(self, node: int = 0) -> int:
@@ -298,6 +395,18 @@
         self.store.close()
 
 
+def _drop_datagrams(node: daemon.Daemon, is_dropped: Callable[[catalog.Address], bool]) -> None:
+    """Let a node's peer socket drop the datagrams to some receivers."""
+    peer_socket = node._peer_socket  # noqa: SLF001
+    send = type(peer_socket).send
+
+    def send_unless_dropped(address: catalog.Address, message: peer_messages.Message) -> None:
+        if not is_dropped(address):
+            send(peer_socket, address, message)
+
+    peer_socket.send = send_unless_dropped  # type: ignore[method-assign]
+
+
 @contextlib.asynccontextmanager
 async def deployed(nodes: int = 1) -> AsyncIterator[Deployment]:
     """Run two engines, two plain servers and as many nodes as given."""
