Count the servers that a request crashes over all nodes, not at each node for itself

Callers saw: a request that crashes servers was sent on by each node until it had lost three servers itself; 14 of 14 engines crashed with six nodes on loopback (18 plain servers by a non-idempotent call).

Cause: a limit for the whole fleet was kept as a number at each node. Only the hubs were told, with the end of an attempt and before the loss was counted, so one too few; the numbers of different nodes were merged by their maximum, so losses at different nodes never added up; a complete response reset the number at one node only, so that hubs went on refusing a request that many send. A restarted node knew nothing.

Fix: nodes exchange the single crashes, by fingerprint, server and start, and keep their union; a crash is sent to all nodes at once, and digests are compared with the hubs every 0.9 s, so that lost datagrams, cuts and restarts are made up for. A complete response is such a fact too, and clears crashes up to 10 s after it. A loss counts only if the server then accepts no connection. The table and the refusal time of quarantine/ are used; fleet/crash_suspects.py goes. Retry-After is the time that the refusal lasts.

--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -196,12 +196,55 @@
     """Fingerprint of the request; equal for all its resends."""
 
     lost_servers: int
-    """Servers that the request has lost so far, as known to the node."""
+    """Servers that the request has crashed; read by releases that have no `CrashReport`."""
 
     refusing_helper_id: str
     """Id of the helper that refused to help; empty if none refused."""
 
 
+class CrashRecord(NamedTuple):
+    """A server that ended while it ran a request."""
+
+    fingerprint: int
+    """Fingerprint of the request; equal for all its resends."""
+
+    instance: catalog.Instance
+    """The server."""
+
+    age_seconds: float
+    """Time since the loss was noticed."""
+
+
+class AnswerRecord(NamedTuple):
+    """A complete response to a request, which shows that it doesn't crash every server."""
+
+    fingerprint: int
+    """Fingerprint of the request; equal for all its resends."""
+
+    age_seconds: float
+    """Time since the last complete response."""
+
+
+class CrashReport(NamedTuple):
+    """What the sender knows of crashes: something new, or a part of all."""
+
+    crashes: tuple[CrashRecord, ...]
+    """Servers that ended while they ran requests."""
+
+    answers: tuple[AnswerRecord, ...]
+    """Answers to requests that were running when a server ended."""
+
+    wants_all: bool
+    """Whether the sender requests all crashes that the receiver knows."""
+
+
+class CrashDigest(NamedTuple):
+    """Hash of all crashes that the sender counts, to find nodes that lack some."""
+
+    digest: int
+    """The hash; 0 for none."""
+
+
 Message = (
     Report
     | Pulse
@@ -213,5 +256,7 @@
     | Withdrawn
     | FirstEvent
     | Ended
+    | CrashReport
+    | CrashDigest
 )
 """Any message between nodes."""
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -15,7 +15,6 @@
 
 from dragonflycove.fleet import (
     catalog,
-    crash_suspects,
     entry_points,
     placer,
     retry_budget_share,
@@ -26,6 +25,8 @@
     callers,
     connection_pool,
     control_endpoints,
+    crash_exchange,
+    crash_watch,
     forwarder,
     peer_placing,
     peer_reports,
@@ -39,6 +40,7 @@
 )
 from dragonflycove.platform import members
 from dragonflycove.platform import settings as platform_settings
+from dragonflycove.quarantine import crash_counts
 from dragonflycove.telemetry import fleet_metrics, logs
 
 if TYPE_CHECKING:
@@ -133,8 +135,11 @@
         self._store_follower = store_follower.StoreFollower(
             settings.store.address, self._store_view, self._read_age
         )
-        self._suspect_requests = crash_suspects.CrashSuspects()
+        self._crash_counts = crash_counts.CrashCounts()
         self._peer_socket = peer_socket.PeerSocket()
+        self._crash_exchange = crash_exchange.CrashExchange(
+            self._own, self._nodes, self._crash_counts, self._peer_socket
+        )
         self._reports = peer_reports.PeerReports(
             self._own,
             self._nodes,
@@ -148,7 +153,7 @@
             self._nodes,
             self._placer,
             self._local_placer,
-            self._suspect_requests,
+            self._crash_counts,
             self._peer_socket,
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
@@ -169,7 +174,7 @@
             hub_placer,
             self._pool,
             retry_budget,
-            self._suspect_requests,
+            crash_watch.CrashWatch(self._crash_counts, self._crash_exchange, self._pool),
             self._reservation_manager,
             self._metrics,
             self._servers_age,
@@ -228,7 +233,7 @@
             "dragonflycove_hub_rank": self._nodes.hub_rank(now),
             "dragonflycove_active_requests": self._callers.active,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
-            "dragonflycove_suspect_requests": len(self._suspect_requests),
+            "dragonflycove_suspect_requests": self._crash_counts.suspect_count(now),
             "dragonflycove_store_calls": self._store_follower.calls + self._members.calls,
             "dragonflycove_peer_bytes": self._peer_socket.bytes_sent,
             "dragonflycove_server_connections": self._pool.opened,
@@ -264,6 +269,7 @@
             self._local_placer.run(),
             self._clean_up(),
             self._reports.run(),
+            self._crash_exchange.run(),
             self._announce(),
             self._find_nodes(),
             self._follow_settings(),
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -17,8 +17,8 @@
     import random
     from collections.abc import Callable
 
-    from dragonflycove.fleet import crash_suspects, retry_budget_share, store_view
-    from dragonflycove.gateway import callers, connection_pool, reservations
+    from dragonflycove.fleet import retry_budget_share, store_view
+    from dragonflycove.gateway import callers, connection_pool, crash_watch, reservations
     from dragonflycove.telemetry import fleet_metrics
 
 MIN_ATTEMPT_SECONDS = 0.03
@@ -50,7 +50,7 @@
         request_placer: request_context.RequestPlacer,
         pool: connection_pool.ConnectionPool,
         retry_budget: retry_budget_share.RetryBudgetShare,
-        suspect_requests: crash_suspects.CrashSuspects,
+        crashes: crash_watch.CrashWatch,
         reservation_manager: reservations.ReservationManager,
         metrics: fleet_metrics.FleetMetrics,
         servers_age: Callable[[], float],
@@ -64,7 +64,7 @@
             request_placer: Places requests on servers.
             pool: Connections to servers.
             retry_budget: This node's share of the retry budget.
-            suspect_requests: Counts of servers lost while they ran a request, by fingerprint.
+            crashes: Notices servers that end while they run a request, and refuses such requests.
             reservation_manager: Reserves KV cache at engines.
             metrics: Records response times.
             servers_age: Returns the age of the server state, seconds.
@@ -73,9 +73,8 @@
         self._local_node = local_node
         self._store_view = view
         self._request_placer = request_placer
-        self._pool = pool
         self._retry_budget = retry_budget
-        self._suspect_requests = suspect_requests
+        self._crashes = crashes
         self._reservation_manager = reservation_manager
         self._rng = rng
         self._metrics = metrics
@@ -178,8 +177,10 @@
             outcome = await self._run_attempt(
                 context, job, decision, response, progress, attempt_ends
             )
-            attempt_ends.append(await self._classify_end(outcome, decision))
+            attempt_ends.append(await self._classify_end(context, outcome, decision))
             excluded.append(outcome.refusing_helper_id or decision.lead.instance.server_id)
+            if outcome.is_success:
+                self._crashes.on_answered(context)
             if outcome.end is forwarding.AttemptEnd.DELIVERED:
                 return
             fallback = outcome.fallback or fallback
@@ -202,15 +203,10 @@
         """
         if now + MIN_ATTEMPT_SECONDS > context.deadline_at:
             return forwarding.final_response(attempt_ends, deadline_passed=True)
-        if self._suspect_requests.is_refused(context.fingerprint, now):
-            logs.event(
-                "crasher_refused",
-                request=context.request.attempt_id,
-                fingerprint=context.fingerprint_text,
-                lost=self._suspect_requests.lost_server_count(context.fingerprint, now),
-            )
+        refusal_seconds = self._crashes.refusal_seconds(context)
+        if refusal_seconds is not None:
             if all(end in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
-                return forwarding.FinalResponse(503, "crashes_servers", 5.0)
+                return forwarding.FinalResponse(503, "crashes_servers", refusal_seconds)
             return forwarding.FinalResponse(502, "crashes_servers", None)
         if not attempt_ends:
             self._retry_budget.on_request(context.service, now)
@@ -241,17 +237,21 @@
         return None
 
     async def _classify_end(
-        self, outcome: send_values.AttemptResult, grant: work.Grant
+        self,
+        context: request_context.RequestContext,
+        outcome: send_values.AttemptResult,
+        grant: work.Grant,
     ) -> forwarding.AttemptEnd:
         """Return the end of an attempt; probes a server that closed the connection.
 
-        The attempt doesn't count towards the route's limit if the server accepts no connection.
+        If the server accepts no connection, the attempt doesn't count towards the route's limit,
+        and the server counts as crashed by the request.
         """
         if outcome.end is not forwarding.AttemptEnd.BROKEN:
             return outcome.end
         if outcome.server_outcome is not server_health.Outcome.BROKEN:
             return outcome.end
-        if await self._pool.is_reachable(grant.lead.address):
+        if await self._crashes.is_reachable(grant.lead, context, outcome.end):
             return outcome.end
         return forwarding.AttemptEnd.SERVER_UNREACHABLE
 
@@ -364,31 +364,8 @@
                 seconds=now - context.received_at,
                 suspect=is_suspect,
             )
-        self._update_suspect_requests(context, grant.lead.instance, outcome, now)
         return outcome
 
-    def _update_suspect_requests(
-        self,
-        context: request_context.RequestContext,
-        instance: catalog.Instance,
-        outcome: send_values.AttemptResult,
-        now: float,
-    ) -> None:
-        """Count a lost server for the request that it ran; a complete response resets the count."""
-        if outcome.end is forwarding.AttemptEnd.DELIVERED:
-            self._suspect_requests.clear(context.fingerprint)
-        elif outcome.server_outcome is server_health.Outcome.BROKEN:
-            lost = self._suspect_requests.on_lost_server(context.fingerprint, now)
-            logs.event(
-                "server_lost",
-                request=context.request.attempt_id,
-                fingerprint=context.fingerprint_text,
-                server=instance.server_id,
-                born=instance.started_at_ms,
-                end=outcome.end.value,
-                lost=lost,
-            )
-
     def _respond_to_refusal(
         self,
         context: request_context.RequestContext,
--- a/src/dragonflycove/gateway/peer_placing.py
+++ b/src/dragonflycove/gateway/peer_placing.py
@@ -9,8 +9,9 @@
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
-    from dragonflycove.fleet import catalog, crash_suspects, placer, roster
+    from dragonflycove.fleet import catalog, placer, roster
     from dragonflycove.gateway import peer_socket, placing
+    from dragonflycove.quarantine import crash_counts
 
 REQUEST_RETRY_SECONDS = 0.05
 """Time without a response after which a placement request is resent; hubs take a few ms."""
@@ -41,7 +42,7 @@
         nodes: roster.Roster,
         server_placer: placer.Placer,
         local_placer: placing.LocalRequestPlacer,
-        suspect_requests: crash_suspects.CrashSuspects,
+        counts: crash_counts.CrashCounts,
         datagram_socket: peer_socket.PeerSocket,
     ) -> None:
         """Create the placer and register its message handlers at the socket.
@@ -51,14 +52,14 @@
             nodes: The other nodes.
             server_placer: Counts placed requests on servers.
             local_placer: Queues and places requests where this node is the hub or no hub responds.
-            suspect_requests: Counts of servers lost while they ran a request, by fingerprint.
+            counts: Servers that requests have crashed.
             datagram_socket: Socket to the other nodes.
         """
         self._own = own
         self._nodes = nodes
         self._placer = server_placer
         self._local_placer = local_placer
-        self._suspect_requests = suspect_requests
+        self._crash_counts = counts
         self._peer_socket = datagram_socket
         self._response_by_key: dict[work.JobKey, asyncio.Future[_HubResponse]] = {}
         self._placing_task_by_key: dict[work.JobKey, asyncio.Task[None]] = {}
@@ -235,7 +236,7 @@
         is_suspect = self._local_placer.on_end(key, outcome, refusing_helper_id)
         if placement is not None:
             fingerprint = placement.job.fingerprint
-            lost_servers = self._suspect_requests.lost_server_count(fingerprint, now)
+            lost_servers = self._crash_counts.crash_count(fingerprint, now)
             instance = placement.grant.lead.instance
             message = peer_messages.Ended(
                 key, outcome, instance, fingerprint, lost_servers, refusing_helper_id
@@ -250,18 +251,8 @@
         self._local_placer.on_first_event(message.key)
 
     def _on_ended(self, message: peer_messages.Ended, sender: catalog.Address) -> None:
-        now = asyncio.get_running_loop().time()
-        if message.lost_servers:
-            self._suspect_requests.merge(message.fingerprint, message.lost_servers, now)
-            logs.event(
-                "server_loss_told",
-                node=message.key.host,
-                fingerprint=f"{message.fingerprint:016x}",
-                server=message.instance.server_id,
-                told=message.lost_servers,
-                lost=self._suspect_requests.lost_server_count(message.fingerprint, now),
-            )
         if self._placer.placement(message.key) is not None:
             self._local_placer.on_end(message.key, message.outcome, message.refusing_helper_id)
         else:
+            now = asyncio.get_running_loop().time()
             self._placer.health.on_outcome(message.instance, message.outcome, now)
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -37,6 +37,9 @@
     refusing_helper_id: str = ""
     """Id of the helper engine that refused; empty if none refused."""
 
+    is_success: bool = False
+    """Whether the caller received a complete response that reports success."""
+
     first_event_seconds: float = 0.0
     """Time from the attempt's start to the first event or complete response; 0 before."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -292,6 +292,7 @@
         return send_values.AttemptResult(
             forwarding.AttemptEnd.DELIVERED,
             server_health.Outcome.ANSWERED,
+            is_success=200 <= head.status < 300,
             first_event_seconds=seconds,
         )
 
@@ -358,6 +359,7 @@
         return send_values.AttemptResult(
             forwarding.AttemptEnd.DELIVERED,
             server_health.Outcome.ANSWERED,
+            is_success=True,
             first_event_seconds=self._first_event_seconds,
         )
 
--- a/src/dragonflycove/quarantine/_suspicion.py
+++ b/src/dragonflycove/quarantine/_suspicion.py
@@ -34,12 +34,17 @@
     """Whether the node that runs the request died or was replaced."""
 
 
-class _RecordedCrash(NamedTuple):
+class RecordedCrash(NamedTuple):
     """A server crash and the loop time at which it was observed, seconds."""
 
     server_id: str
+    """Identifier of the backend server."""
+
     start_id: str
+    """Identifier of the server process that crashed; empty if unknown."""
+
     at: float
+    """Loop time of the crash, seconds."""
 
     def is_same(self, server_id: str, start_id: str, now: float) -> bool:
         """Return whether a report is about this crash."""
@@ -67,8 +72,8 @@
         """Permission given to a request of this node that has not started yet."""
         self.trial: RunningTrial | None = None
         """The running trial, of this node or of a peer."""
-        self._counted: list[_RecordedCrash] = []
-        self._cleared: list[_RecordedCrash] = []
+        self._counted: list[RecordedCrash] = []
+        self._cleared: list[RecordedCrash] = []
 
     @property
     def crash_count(self) -> int:
@@ -76,12 +81,23 @@
         return len(self._counted)
 
     def add_crash(self, server_id: str, start_id: str, at: float) -> bool:
-        """Count a crash; return false if it was recorded before."""
+        """Count a crash; return false if it was recorded before.
+
+        Nodes notice a crash at different times; the earliest is kept, whatever the order of reports.
+        """
         if self.has_crash(server_id, start_id, at):
+            self._counted = [
+                (
+                    crash._replace(at=min(at, crash.at))
+                    if crash.is_same(server_id, start_id, at)
+                    else crash
+                )
+                for crash in self._counted
+            ]
             return False
         if not self._counted:
             self.first_crash_at = at
-        self._counted.append(_RecordedCrash(server_id, start_id, at))
+        self._counted.append(RecordedCrash(server_id, start_id, at))
         self.last_crash_at = max(self.last_crash_at, at)
         if self.trial is not None and self.trial.server_id == server_id:
             self.trial = None
@@ -92,6 +108,11 @@
         recorded = self._counted + self._cleared
         return any(crash.is_same(server_id, start_id, at) for crash in recorded)
 
+    @property
+    def crashes(self) -> tuple[RecordedCrash, ...]:
+        """Crashes of which the fingerprint has not been cleared."""
+        return tuple(self._counted)
+
     def crash_keys(self) -> list[tuple[str, str]]:
         """Return `(server_id, start_id)` of each crash of which the fingerprint is not cleared."""
         return [(crash.server_id, crash.start_id) for crash in self._counted]
--- a/src/dragonflycove/quarantine/_suspicion_table.py
+++ b/src/dragonflycove/quarantine/_suspicion_table.py
@@ -9,19 +9,24 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+REFUSAL_SECONDS = 600.0
+"""Time after the last crash for which a fingerprint stays suspect or refused."""
+
 MAX_SUSPICIONS = 20_000
-"""Fingerprints in the table; when it is full, the one with the oldest last crash is evicted."""
+"""Fingerprints in the table; when it is full, one with the fewest crashes is evicted."""
 
 
 class SuspicionTable:
     """Suspicions of one node by fingerprint, and its position in the log stream `quarantine`."""
 
-    def __init__(self, retention_seconds: float) -> None:
+    def __init__(self, retention_seconds: float, max_suspicions: int = MAX_SUSPICIONS) -> None:
         """Create an empty table.
 
         Args:
             retention_seconds: Time after the last crash for which a suspicion is kept.
+            max_suspicions: Fingerprints that it holds at most.
         """
+        self._max_suspicions = max_suspicions
         self._retention_seconds = retention_seconds
         self._suspicion_by_fingerprint: dict[str, _suspicion.Suspicion] = {}
         self._last_offset = -1
@@ -53,6 +58,12 @@
             self._suspicion_by_fingerprint[fingerprint] = suspicion
         return suspicion
 
+    def all(self, now: float) -> dict[str, _suspicion.Suspicion]:
+        """Return the suspicions that have not expired, by fingerprint."""
+        for fingerprint in list(self._suspicion_by_fingerprint):
+            self.find(fingerprint, now)
+        return dict(self._suspicion_by_fingerprint)
+
     def fingerprints_on_trial(self, server_id: str, now: float) -> Iterator[str]:
         """Return the fingerprints whose trial runs on a backend server."""
         for fingerprint, suspicion in self._suspicion_by_fingerprint.items():
@@ -102,14 +113,15 @@
                 yield records.Trial(fingerprint, trial.server_id, trial.node, True)
 
     def _evict_if_full(self, now: float) -> None:
-        """Drop expired suspicions, then those with the oldest last crash, until one more fits."""
-        if len(self._suspicion_by_fingerprint) < MAX_SUSPICIONS:
+        """Drop expired suspicions, then those with the fewest crashes, until one more fits."""
+        if len(self._suspicion_by_fingerprint) < self._max_suspicions:
             return
         for fingerprint in list(self._suspicion_by_fingerprint):
             self.find(fingerprint, now)
-        while len(self._suspicion_by_fingerprint) >= MAX_SUSPICIONS:
-            oldest = min(
-                self._suspicion_by_fingerprint,
-                key=lambda name: self._suspicion_by_fingerprint[name].last_crash_at,
-            )
-            del self._suspicion_by_fingerprint[oldest]
+        while len(self._suspicion_by_fingerprint) >= self._max_suspicions:
+            del self._suspicion_by_fingerprint[min(self._suspicion_by_fingerprint, key=self._rank)]
+
+    def _rank(self, fingerprint: str) -> tuple[int, float]:
+        """Return the sort key by which suspicions are evicted, the lowest first."""
+        suspicion = self._suspicion_by_fingerprint[fingerprint]
+        return suspicion.crash_count, suspicion.last_crash_at
--- /dev/null
+++ b/src/dragonflycove/quarantine/crash_counts.py
@@ -0,0 +1,211 @@
+"""Counts the backend servers that each request has crashed, over all nodes of a fleet.
+
+Nodes exchange single crashes instead of counts and each keeps their union, so that losses seen by
+different nodes add up, and reports that arrive twice, late or in another order change nothing.
+Unlike `quarantine`, it needs no host list and lets a suspect request run until it is refused.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import xxhash
+
+from dragonflycove.fleet import catalog
+from dragonflycove.quarantine import _suspicion_table
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dragonflycove.quarantine import _suspicion
+
+MAX_CRASHED_SERVERS = 3
+"""Crashed servers after which a fingerprint is refused; the platform tolerates three."""
+
+MAX_FINGERPRINTS = 2_000
+"""Fingerprints kept at once; bounds the process's memory when many servers crash."""
+
+ANSWER_VALIDITY_SECONDS = 10.0
+"""Time after a complete response for which crashes aren't counted against its request.
+
+Covers the copies that run beside it when many servers end at once, of a request that many send.
+"""
+
+MAX_ANSWERS = 2_000
+"""Recently answered fingerprints kept at once."""
+
+
+class Crash(NamedTuple):
+    """A backend server that ended while it ran a request."""
+
+    fingerprint: int
+    """Fingerprint of the request."""
+
+    instance: catalog.Instance
+    """The server."""
+
+    at: float
+    """Loop time at which the loss was noticed, seconds."""
+
+
+class Answer(NamedTuple):
+    """A complete response to a request, which shows that it doesn't crash every server."""
+
+    fingerprint: int
+    """Fingerprint of the request."""
+
+    at: float
+    """Loop time of the last complete response."""
+
+
+class CrashCounts:
+    """The crashes and answers that one node knows, its own and those reported by others."""
+
+    def __init__(self) -> None:
+        """Create without crashes."""
+        self._suspicions = _suspicion_table.SuspicionTable(
+            _suspicion_table.REFUSAL_SECONDS, MAX_FINGERPRINTS
+        )
+        self._answered_at_by_fingerprint: dict[int, float] = {}
+
+    def add(self, crash: Crash, now: float) -> bool:
+        """Add a crash.
+
+        Args:
+            crash: The crash, seen by this node or reported by another.
+            now: Loop time.
+
+        Returns:
+            Whether it is new; crashes older than the retention time are not.
+        """
+        if now - crash.at >= _suspicion_table.REFUSAL_SECONDS:
+            return False
+        suspicion = self._suspicions.get_or_create(_name(crash.fingerprint), crash.at)
+        return suspicion.add_crash(crash.instance.server_id, _start_id(crash.instance), crash.at)
+
+    def add_answer(self, answer: Answer, now: float) -> bool:
+        """Record a complete response; crashes before it and shortly after it don't count.
+
+        Args:
+            answer: The answer, relayed by this node or reported by another.
+            now: Loop time.
+
+        Returns:
+            Whether fewer crashes count than before.
+        """
+        before = self.crash_count(answer.fingerprint, now)
+        answered_at = self._answered_at_by_fingerprint.pop(answer.fingerprint, answer.at)
+        self._answered_at_by_fingerprint[answer.fingerprint] = max(answered_at, answer.at)
+        while len(self._answered_at_by_fingerprint) > MAX_ANSWERS:
+            self._answered_at_by_fingerprint.pop(next(iter(self._answered_at_by_fingerprint)))
+        return self.crash_count(answer.fingerprint, now) < before
+
+    def answer(self, fingerprint: int) -> Answer | None:
+        """Return the last known answer to a request; None if there is none.
+
+        Args:
+            fingerprint: The request's fingerprint.
+        """
+        answered_at = self._answered_at_by_fingerprint.get(fingerprint)
+        return None if answered_at is None else Answer(fingerprint, answered_at)
+
+    def crash_count(self, fingerprint: int, now: float) -> int:
+        """Return how many servers a request has crashed.
+
+        Args:
+            fingerprint: The request's fingerprint.
+            now: Loop time.
+        """
+        return len(self._counted(fingerprint, now))
+
+    def refusal_seconds(self, fingerprint: int, now: float) -> float | None:
+        """Return for how long a request is refused; None if it may run.
+
+        Args:
+            fingerprint: The request's fingerprint.
+            now: Loop time.
+        """
+        counted = self._counted(fingerprint, now)
+        if len(counted) < MAX_CRASHED_SERVERS:
+            return None
+        return max(crash.at for crash in counted) + _suspicion_table.REFUSAL_SECONDS - now
+
+    def crashes(self, now: float) -> list[Crash]:
+        """Return all known crashes, for a node that lacks some.
+
+        Args:
+            now: Loop time.
+        """
+        return [
+            crash
+            for name, suspicion in self._suspicions.all(now).items()
+            for crash in _crashes_of(name, suspicion)
+        ]
+
+    def answers(self, now: float) -> list[Answer]:
+        """Return the answers to requests with a known crash, for a node that lacks some.
+
+        Args:
+            now: Loop time.
+        """
+        known = [self.answer(int(name, 16)) for name in self._suspicions.all(now)]
+        return [answer for answer in known if answer is not None]
+
+    def suspect_count(self, now: float) -> int:
+        """Return how many fingerprints have a crash that counts.
+
+        Args:
+            now: Loop time.
+        """
+        names = self._suspicions.all(now)
+        return sum(1 for name in names if self._counted(int(name, 16), now))
+
+    def digest(self, now: float) -> int:
+        """Return a hash that is equal at nodes that count the same crashes; 0 for none.
+
+        Args:
+            now: Loop time.
+        """
+        return _combine(
+            f"{crash.fingerprint} {crash.instance.server_id} {crash.instance.started_at_ms}"
+            for name in self._suspicions.all(now)
+            for crash in self._counted(int(name, 16), now)
+        )
+
+    def _counted(self, fingerprint: int, now: float) -> list[Crash]:
+        """Return the crashes that count against a request."""
+        name = _name(fingerprint)
+        suspicion = self._suspicions.find(name, now)
+        if suspicion is None:
+            return []
+        answered_at = self._answered_at_by_fingerprint.get(fingerprint, float("-inf"))
+        return [
+            crash
+            for crash in _crashes_of(name, suspicion)
+            if crash.at > answered_at + ANSWER_VALIDITY_SECONDS
+        ]
+
+
+def _name(fingerprint: int) -> str:
+    """Return a fingerprint as the text by which suspicions are kept."""
+    return f"{fingerprint:016x}"
+
+
+def _start_id(instance: catalog.Instance) -> str:
+    """Return the identifier of a server's process; empty if its record states no start."""
+    return str(instance.started_at_ms) if instance.started_at_ms else ""
+
+
+def _crashes_of(name: str, suspicion: _suspicion.Suspicion) -> list[Crash]:
+    return [
+        Crash(int(name, 16), catalog.Instance(crash.server_id, int(crash.start_id or 0)), crash.at)
+        for crash in suspicion.crashes
+    ]
+
+
+def _combine(texts: Iterable[str]) -> int:
+    """Return a hash of texts that doesn't depend on their order."""
+    combined = 0
+    for text in texts:
+        combined ^= xxhash.xxh3_64_intdigest(text.encode())
+    return combined
--- a/src/dragonflycove/quarantine/quarantine.py
+++ b/src/dragonflycove/quarantine/quarantine.py
@@ -23,7 +23,7 @@
 MAX_CRASHES = 2
 """Crashes of backend servers after which a fingerprint is refused."""
 
-REFUSAL_SECONDS = 600.0
+REFUSAL_SECONDS = _suspicion_table.REFUSAL_SECONDS
 """Time after the last crash for which a fingerprint stays suspect or refused."""
 
 PROPAGATION_SECONDS = 1.0
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -1,4 +1,4 @@
-"""Retry budget shares, crashing requests, server health, event streams, and rules of retries."""
+"""Retry budget shares, server health, event streams, and rules of retries."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
 
 from dragonflycove.fleet import (
     catalog,
-    crash_suspects,
     event_stream,
     forwarding,
     retry_budget_share,
@@ -62,32 +61,6 @@
     assert share.spend("svc", 7, WINDOW + 0.1)
 
 
-def test_a_request_is_refused_after_it_lost_three_servers() -> None:
-    suspects = crash_suspects.CrashSuspects()
-    for count in range(1, 4):
-        assert not suspects.is_refused(7, 1.0)
-        assert suspects.on_lost_server(7, 1.0) == count
-    assert suspects.is_refused(7, 1.0)
-    assert not suspects.is_refused(8, 1.0)
-    assert not suspects.is_refused(7, 1.0 + crash_suspects.RETENTION_SECONDS)
-
-
-def test_losses_reported_by_other_nodes_count_and_a_response_clears_them() -> None:
-    suspects = crash_suspects.CrashSuspects()
-    suspects.merge(7, 3, 1.0)
-    assert suspects.is_refused(7, 1.0)
-    suspects.clear(7)
-    assert not suspects.is_refused(7, 1.0)
-
-
-def test_the_number_of_kept_fingerprints_is_bounded() -> None:
-    suspects = crash_suspects.CrashSuspects()
-    for fingerprint in range(crash_suspects.MAX_FINGERPRINTS + 50):
-        suspects.on_lost_server(fingerprint, 1.0)
-    assert suspects.lost_server_count(0, 1.0) == 0
-    assert suspects.lost_server_count(crash_suspects.MAX_FINGERPRINTS, 1.0) == 1
-
-
 def test_suspicion_grows_with_failures_and_ends_with_a_response() -> None:
     health = server_health.ServerHealth()
     server = catalog.Instance("a", 1)
--- a/tests/gateway/test_rules.py
+++ b/tests/gateway/test_rules.py
@@ -362,12 +362,17 @@
 
 async def test_a_request_that_crashes_servers_is_refused_after_the_third() -> None:
     async with deployment.deployed() as system:
+        for number in range(6):
+            await system.add_crashing_server(f"c{number}", "/ask/bad")
         for name in ("e1", "e2"):
-            system.server_by_id[name].faults.extend([Fault.RESET] * 20)
+            await system.remove_server(name)
+        await asyncio.sleep(1.5)
         for number in range(4):
-            await system.call("/ask/bad", attempt=f"f{number}")
+            last = await system.call("/ask/bad", attempt=f"f{number}")
         arrivals = sum(server.arrivals for server in system.server_by_id.values())
-    assert arrivals <= 4
+    assert arrivals == len(system.crash_times_by_path["/ask/bad"]) == 3
+    assert last.status == 503
+    assert float(last.headers["retry-after"]) > 500
 
 
 async def test_reservations_are_released_after_the_response() -> None:
