Count a server that a request crashed over a kept connection

Cause: a kept connection that ends before a response counts as stale, which is no evidence against the server or the request. A crash looks the same as a connection that the server closed while it was idle.

Fix: the server is probed then too, as after any other broken connection. If it accepts no connection it has ended, and the request was the last that it was sent.

--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -247,9 +247,11 @@
         If the server accepts no connection, the attempt doesn't count towards the route's limit,
         and the server counts as crashed by the request.
         """
-        if outcome.end is not forwarding.AttemptEnd.BROKEN:
-            return outcome.end
-        if outcome.server_outcome is not server_health.Outcome.BROKEN:
+        is_closed = outcome.end is forwarding.AttemptEnd.STALE or (
+            outcome.end is forwarding.AttemptEnd.BROKEN
+            and outcome.server_outcome is server_health.Outcome.BROKEN
+        )
+        if not is_closed:
             return outcome.end
         if await self._crashes.is_reachable(grant.lead, context, outcome.end):
             return outcome.end
