Count servers that fall silent while they run a request, also if its caller leaves first

Callers saw: a request that silences each server that runs it was sent on without any limit, by one node too: 8 servers in 12 s, 20 more than 3 s after the third in the longer test.

Cause: an attempt that ends by a timeout, or because its caller left, was no evidence against the request.

Fix: a server that was silent is probed beside the next attempt; if it accepts no connection it has ended. An attempt whose server still accepts connections, or that was silent for under half a second when its caller left, is kept in mind for 8 s, and counts if the server's record lapses without draining first. Kept connections to a server that has ended are closed.

--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -266,6 +266,26 @@
             and not self.is_evacuated(record.server.zone)
         )
 
+    def has_crashed(self, instance: catalog.Instance, now: float) -> bool:
+        """Whether an instance has ended without having announced it.
+
+        Its record has lapsed, or states a later start.
+
+        Args:
+            instance: The server's instance.
+            now: Loop time.
+        """
+        record = self._record_by_id.get(instance.server_id)
+        if record is None or record.server is None:
+            return False
+        if record.server.instance != instance:
+            return record.server.instance.started_at_ms > instance.started_at_ms
+        return (
+            record.usable_until is not None
+            and now >= record.usable_until
+            and record.server.state is catalog.ServerState.READY
+        )
+
     def cold_until(self, instance: catalog.Instance) -> float:
         """Return the loop time until which a server is cold according to its record.
 
--- a/src/dragonflycove/gateway/connection_pool.py
+++ b/src/dragonflycove/gateway/connection_pool.py
@@ -96,6 +96,15 @@
             return
         idle.append(connection)
 
+    def discard(self, address: catalog.Address) -> None:
+        """Close the idle connections to a server that has ended.
+
+        Args:
+            address: The server.
+        """
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
     def close_expired(self) -> None:
         """Close idle connections that can't be reused any more; called at intervals."""
         now = asyncio.get_running_loop().time()
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -1,26 +1,80 @@
-"""Notices backend servers that end while they run a request, and refuses what crashes servers."""
+"""Notices backend servers that end while they run a request, and refuses what crashes servers.
+
+A server that closes its connections is probed at once. One that falls silent, or whose caller left
+first, is probed beside the request's next attempt. An attempt without a complete response at a
+server that accepts connections is kept in mind for a while: if the server's record then lapses or
+states another start, the server had ended.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.quarantine import crash_counts
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
-    from dragonflycove.fleet import catalog, forwarding
+    from dragonflycove.fleet import catalog, store_view
     from dragonflycove.gateway import connection_pool, crash_exchange, request_context
 
+SILENCE_SECONDS = 0.5
+"""Time without a byte from a server after which it is probed when the caller leaves."""
+
+SUSPICION_SECONDS = 8.0
+"""Time for which an attempt without a complete response is kept in mind.
+
+A record lapses after three heartbeats of silence, some 3.6 s, and is read up to 1.5 s later.
+"""
+
+CHECK_INTERVAL_SECONDS = 0.5
+"""Interval at which the servers of such attempts are looked up in the store's records."""
+
+MAX_UNANSWERED = 2_000
+"""Attempts kept in mind at once; the oldest are forgotten."""
+
+
+class WatchedAttempt:
+    """One attempt at a server, as far as it matters if the server ends."""
+
+    def __init__(
+        self, server: catalog.BackendServer, context: request_context.RequestContext
+    ) -> None:
+        """Create an attempt that has sent nothing yet.
+
+        Args:
+            server: The server.
+            context: The request.
+        """
+        self.server = server
+        """The server."""
+        self.context = context
+        """The request."""
+        self.sent_at: float | None = None
+        """Loop time at which the request was sent; None before."""
+
+    def mark_sent(self) -> None:
+        """Record that the request was sent."""
+        self.sent_at = asyncio.get_running_loop().time()
+
+
+class _Unanswered(NamedTuple):
+    """An attempt that ended without a complete response at a server that may have ended."""
+
+    attempt: WatchedAttempt
+    end: str
+    until: float
+
 
 class CrashWatch:
-    """Probes servers after attempts without a complete response."""
+    """Finds out whether servers have ended that gave no complete response."""
 
     def __init__(
         self,
         counts: crash_counts.CrashCounts,
         exchange: crash_exchange.CrashExchange,
         pool: connection_pool.ConnectionPool,
+        view: store_view.StoreView,
     ) -> None:
         """Create a watch.
 
@@ -28,10 +82,20 @@
             counts: Servers that requests have crashed.
             exchange: Reports crashes to the other nodes.
             pool: Connections to servers.
+            view: Servers as this node knows them.
         """
         self._counts = counts
         self._exchange = exchange
         self._pool = pool
+        self._store_view = view
+        self._unanswered: list[_Unanswered] = []
+        self._probe_tasks: set[asyncio.Task[bool]] = set()
+
+    async def run(self) -> None:
+        """Look up the servers of unanswered attempts at intervals; runs until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            self._check_records()
 
     def refusal_seconds(self, context: request_context.RequestContext) -> float | None:
         """Return for how long a request is refused because it crashes servers; None if it isn't.
@@ -62,31 +126,66 @@
             logs.event("suspect_cleared", fingerprint=context.fingerprint_text)
             self._exchange.report_answer(answer)
 
-    async def is_reachable(
-        self,
-        server: catalog.BackendServer,
-        context: request_context.RequestContext,
-        end: forwarding.AttemptEnd,
-    ) -> bool:
+    async def is_reachable(self, attempt: WatchedAttempt, end: str) -> bool:
         """Whether a server accepts connections after an attempt; if not, it counts as crashed.
 
         Args:
-            server: The server.
-            context: The request that it ran.
-            end: How the attempt ended.
+            attempt: The attempt, which had no complete response.
+            end: How it ended, for the log.
         """
-        if await self._pool.is_reachable(server.address):
+        if await self._pool.is_reachable(attempt.server.address):
+            self._keep_in_mind(attempt, end)
             return True
-        self._on_crash(server.instance, context, end)
+        self._pool.discard(attempt.server.address)
+        self._on_crash(attempt, end)
         return False
 
-    def _on_crash(
-        self,
-        instance: catalog.Instance,
-        context: request_context.RequestContext,
-        end: forwarding.AttemptEnd,
-    ) -> None:
+    def probe(self, attempt: WatchedAttempt, end: str) -> None:
+        """Find out in the background whether a server that fell silent accepts connections.
+
+        Args:
+            attempt: The attempt, which had no complete response.
+            end: How it ended, for the log.
+        """
+        task = asyncio.ensure_future(self.is_reachable(attempt, end))
+        self._probe_tasks.add(task)
+        task.add_done_callback(self._probe_tasks.discard)
+
+    def on_caller_gone(self, attempt: WatchedAttempt, last_event_at: float) -> None:
+        """Watch a server whose response the caller did not wait for.
+
+        Args:
+            attempt: The attempt.
+            last_event_at: Loop time of the last event from the server; -inf if there was none.
+        """
+        if attempt.sent_at is None:
+            return
+        silent_since = max(attempt.sent_at, last_event_at)
+        if asyncio.get_running_loop().time() - silent_since >= SILENCE_SECONDS:
+            self.probe(attempt, "caller_gone")
+        else:
+            self._keep_in_mind(attempt, "caller_gone")
+
+    def _keep_in_mind(self, attempt: WatchedAttempt, end: str) -> None:
+        until = asyncio.get_running_loop().time() + SUSPICION_SECONDS
+        self._unanswered.append(_Unanswered(attempt, end, until))
+        del self._unanswered[:-MAX_UNANSWERED]
+
+    def _check_records(self) -> None:
+        """Count the crashes of servers whose record has lapsed or states another start."""
+        now = asyncio.get_running_loop().time()
+        undecided = []
+        for unanswered in self._unanswered:
+            if self._store_view.has_crashed(unanswered.attempt.server.instance, now):
+                self._on_crash(unanswered.attempt, unanswered.end)
+            elif now < unanswered.until:
+                undecided.append(unanswered)
+        self._unanswered = undecided
+
+    def _on_crash(self, attempt: WatchedAttempt, end: str) -> None:
         now = asyncio.get_running_loop().time()
+        context = attempt.context
+        instance = attempt.server.instance
         crash = crash_counts.Crash(context.fingerprint, instance, now)
         if not self._counts.add(crash, now):
             return
@@ -96,7 +195,7 @@
             fingerprint=context.fingerprint_text,
             server=instance.server_id,
             born=instance.started_at_ms,
-            end=end.value,
+            end=end,
             lost=self._counts.crash_count(context.fingerprint, now),
         )
         self._exchange.report_crash(crash)
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -158,6 +158,9 @@
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
         self._pool = connection_pool.ConnectionPool()
+        self._crash_watch = crash_watch.CrashWatch(
+            self._crash_counts, self._crash_exchange, self._pool, self._store_view
+        )
         self._reservation_manager = reservations.ReservationManager(self._pool)
         bounds = settings.bounds
         retry_budget = retry_budget_share.RetryBudgetShare(
@@ -174,7 +177,7 @@
             hub_placer,
             self._pool,
             retry_budget,
-            crash_watch.CrashWatch(self._crash_counts, self._crash_exchange, self._pool),
+            self._crash_watch,
             self._reservation_manager,
             self._metrics,
             self._servers_age,
@@ -270,6 +273,7 @@
             self._clean_up(),
             self._reports.run(),
             self._crash_exchange.run(),
+            self._crash_watch.run(),
             self._announce(),
             self._find_nodes(),
             self._follow_settings(),
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from dragonflycove.fleet import catalog, forwarding, server_health, work
-from dragonflycove.gateway import request_context, send_values, sends
+from dragonflycove.gateway import crash_watch, request_context, send_values, sends
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from dragonflycove.fleet import retry_budget_share, store_view
-    from dragonflycove.gateway import callers, connection_pool, crash_watch, reservations
+    from dragonflycove.gateway import callers, connection_pool, reservations
     from dragonflycove.telemetry import fleet_metrics
 
 MIN_ATTEMPT_SECONDS = 0.03
@@ -174,10 +174,11 @@
             if isinstance(decision, work.Refusal):
                 final = self._respond_to_refusal(context, attempt_ends, decision)
                 break
+            attempt = crash_watch.WatchedAttempt(decision.lead, context)
             outcome = await self._run_attempt(
-                context, job, decision, response, progress, attempt_ends
+                attempt, job, decision, response, progress, attempt_ends
             )
-            attempt_ends.append(await self._classify_end(context, outcome, decision))
+            attempt_ends.append(await self._classify_end(outcome, attempt))
             excluded.append(outcome.refusing_helper_id or decision.lead.instance.server_id)
             if outcome.is_success:
                 self._crashes.on_answered(context)
@@ -237,23 +238,24 @@
         return None
 
     async def _classify_end(
-        self,
-        context: request_context.RequestContext,
-        outcome: send_values.AttemptResult,
-        grant: work.Grant,
+        self, outcome: send_values.AttemptResult, attempt: crash_watch.WatchedAttempt
     ) -> forwarding.AttemptEnd:
-        """Return the end of an attempt; probes a server that closed the connection.
+        """Return the end of an attempt; probes a server without a complete response.
 
         If the server accepts no connection, the attempt doesn't count towards the route's limit,
         and the server counts as crashed by the request.
         """
+        if outcome.end is forwarding.AttemptEnd.TIMEOUT:
+            # The probe of a silent server takes its timeout, for which the request need not wait.
+            self._crashes.probe(attempt, outcome.end.value)
+            return outcome.end
         is_closed = outcome.end is forwarding.AttemptEnd.STALE or (
             outcome.end is forwarding.AttemptEnd.BROKEN
             and outcome.server_outcome is server_health.Outcome.BROKEN
         )
         if not is_closed:
             return outcome.end
-        if await self._crashes.is_reachable(grant.lead, context, outcome.end):
+        if await self._crashes.is_reachable(attempt, outcome.end.value):
             return outcome.end
         return forwarding.AttemptEnd.SERVER_UNREACHABLE
 
@@ -309,7 +311,7 @@
 
     async def _run_attempt(
         self,
-        context: request_context.RequestContext,
+        attempt: crash_watch.WatchedAttempt,
         job: work.Job,
         grant: work.Grant,
         response: callers.CallerResponse,
@@ -317,6 +319,7 @@
         attempt_ends: list[forwarding.AttemptEnd],
     ) -> send_values.AttemptResult:
         """Reserve KV cache and run one attempt at the servers that the request was placed on."""
+        context = attempt.context
         logs.event(
             "sent",
             request=context.request.attempt_id,
@@ -343,11 +346,15 @@
                 grant=grant,
                 helpers=reservation_set.helpers,
                 predicted_seconds=grant.first_event_seconds,
+                on_sent=attempt.mark_sent,
                 on_first_event=lambda: self._request_placer.on_first_event(job.key),
                 can_move=lambda: self._can_move(context, attempt_ends),
             )
             outcome = await self._sender.send(context, plan, response, progress)
             server_outcome = outcome.server_outcome
+        except asyncio.CancelledError:
+            self._crashes.on_caller_gone(attempt, progress.last_event_at)
+            raise
         finally:
             if reservation_set is not None:
                 self._reservation_manager.release(reservation_set)
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -56,6 +56,9 @@
     predicted_seconds: float
     """Predicted time to the first event."""
 
+    on_sent: Callable[[], None]
+    """Called when the request has been sent."""
+
     on_first_event: Callable[[], None]
     """Called when the first event of a stream arrives."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -147,6 +147,7 @@
             last_event_number=self._progress.position.last_number,
         )
         self._connection.send(requests.encode_for_server(context.request, send))
+        self._plan.on_sent()
         head = await self._read_with_timeout(self._first_event_timeout(), self._read_own_head())
         if isinstance(head, result.Err):
             return self._classify_loss(head.err_value, response_started=False)
