Count a server again that crashes after a new start under the same id

Callers saw: of the servers that start again under their id, four and more crashed by one request.

Cause: a crash is identified by the server's id and start. Right after a restart the node still knows the earlier start, so that the crash of the new one looked like another report of the first.

Fix: if a request is sent to a server after the loss that is known of that start, and the server ends again, it is a later start. Reports of one crash by several nodes still count once, since their requests were sent before.

--- a/src/dragonflycove/quarantine/crash_counts.py
+++ b/src/dragonflycove/quarantine/crash_counts.py
@@ -109,6 +109,24 @@
         answered_at = self._answered_at_by_fingerprint.get(fingerprint)
         return None if answered_at is None else Answer(fingerprint, answered_at)
 
+    def has_crashed_before(
+        self, fingerprint: int, instance: catalog.Instance, sent_at: float, now: float
+    ) -> bool:
+        """Whether a server had ended before a request was sent to it.
+
+        Args:
+            fingerprint: The request's fingerprint.
+            instance: The server as known to the sender.
+            sent_at: Loop time at which the request was sent.
+            now: Loop time.
+        """
+        suspicion = self._suspicions.find(_name(fingerprint), now)
+        key = (instance.server_id, _start_id(instance))
+        return suspicion is not None and any(
+            (crash.server_id, crash.start_id) == key and crash.at < sent_at
+            for crash in suspicion.crashes
+        )
+
     def crash_count(self, fingerprint: int, now: float) -> int:
         """Return how many servers a request has crashed.
 
