Save which servers a request crashed, so that it stays refused after all nodes lost power

Callers saw: after all nodes had ended at the same moment, a request that had crashed three servers crashed three more (6 with six nodes on loopback).

Cause: what a crashing request had done was in the memory of nodes only. No node has a disk.

Fix: the hubs write the crashes of a fingerprint to a keyed topic of the platform's store once it has two, with the fingerprint, server and start as the key, so that writers can't replace each other's records. Every node reads the topic when it starts, until the store responds; records that don't count any more are deleted. A single crash is not written: nearly all of these are of innocent requests, and one crash less known stays within the bound.

--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -26,6 +26,7 @@
     connection_pool,
     control_endpoints,
     crash_exchange,
+    crash_store,
     crash_watch,
     forwarder,
     peer_placing,
@@ -38,7 +39,7 @@
     reservations,
     store_follower,
 )
-from dragonflycove.platform import members
+from dragonflycove.platform import crash_records, members
 from dragonflycove.platform import settings as platform_settings
 from dragonflycove.quarantine import crash_counts
 from dragonflycove.telemetry import fleet_metrics, logs
@@ -158,6 +159,9 @@
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
         self._pool = connection_pool.ConnectionPool()
+        self._crash_store = crash_store.CrashStore(
+            crash_records.CrashRecords(settings.store.address), self._crash_counts, self._nodes
+        )
         self._crash_watch = crash_watch.CrashWatch(
             self._crash_counts, self._crash_exchange, self._pool, self._store_view
         )
@@ -237,7 +241,9 @@
             "dragonflycove_active_requests": self._callers.active,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
             "dragonflycove_suspect_requests": self._crash_counts.suspect_count(now),
-            "dragonflycove_store_calls": self._store_follower.calls + self._members.calls,
+            "dragonflycove_store_calls": self._store_follower.calls
+            + self._members.calls
+            + self._crash_store.calls,
             "dragonflycove_peer_bytes": self._peer_socket.bytes_sent,
             "dragonflycove_server_connections": self._pool.opened,
         }
@@ -274,6 +280,7 @@
             self._reports.run(),
             self._crash_exchange.run(),
             self._crash_watch.run(),
+            self._crash_store.run(),
             self._announce(),
             self._find_nodes(),
             self._follow_settings(),
--- a/src/dragonflycove/platform/store.py
+++ b/src/dragonflycove/platform/store.py
@@ -15,6 +15,8 @@
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from dragonflycove.fleet import catalog
 
 CALL_TIMEOUT_SECONDS = 0.6
@@ -161,9 +163,25 @@
         Returns:
             Offset of the record, or why it is not known to be stored.
         """
-        name = key.encode()
-        content = bytes([len(name)]) + name + value
-        body = _RECORD_LENGTH.pack(len(content)) + content
+        return await self.append_all(topic, [(key, value)])
+
+    async def append_all(
+        self, topic: str, entries: Sequence[tuple[str, bytes]]
+    ) -> result.Result[int, Failure]:
+        """Append records to a keyed topic in one call, all or none.
+
+        Args:
+            topic: The topic.
+            entries: Key and value of each record; an empty value deletes the key.
+
+        Returns:
+            Offset of the first record, or why they are not known to be stored.
+        """
+        body = b""
+        for key, value in entries:
+            name = key.encode()
+            content = bytes([len(name)]) + name + value
+            body += _RECORD_LENGTH.pack(len(content)) + content
         target = f"/log-append?topic={topic}&part=0"
         response = await self._call("POST", target, body, CALL_TIMEOUT_SECONDS)
         return response.and_then(_decode_offset)
--- a/src/dragonflycove/quarantine/crash_counts.py
+++ b/src/dragonflycove/quarantine/crash_counts.py
@@ -35,6 +35,10 @@
 """Recently answered fingerprints kept at once."""
 
 
+DIGEST_VALIDITY_SECONDS = 2.0
+"""Time after which a digest is computed again though nothing was added; crashes expire."""
+
+
 class Crash(NamedTuple):
     """A backend server that ended while it ran a request."""
 
@@ -67,6 +71,9 @@
             _suspicion_table.REFUSAL_SECONDS, MAX_FINGERPRINTS
         )
         self._answered_at_by_fingerprint: dict[int, float] = {}
+        self._digest = (-1, 0.0, 0)
+        self.revision = 0
+        """Increases with each crash or answer that may change what counts."""
 
     def add(self, crash: Crash, now: float) -> bool:
         """Add a crash.
@@ -81,6 +88,7 @@
         if now - crash.at >= _suspicion_table.REFUSAL_SECONDS:
             return False
         suspicion = self._suspicions.get_or_create(_name(crash.fingerprint), crash.at)
+        self.revision += 1
         return suspicion.add_crash(crash.instance.server_id, _start_id(crash.instance), crash.at)
 
     def add_answer(self, answer: Answer, now: float) -> bool:
@@ -94,6 +102,7 @@
             Whether fewer crashes count than before.
         """
         before = self.crash_count(answer.fingerprint, now)
+        self.revision += before > 0
         answered_at = self._answered_at_by_fingerprint.pop(answer.fingerprint, answer.at)
         self._answered_at_by_fingerprint[answer.fingerprint] = max(answered_at, answer.at)
         while len(self._answered_at_by_fingerprint) > MAX_ANSWERS:
@@ -160,6 +169,18 @@
             for crash in _crashes_of(name, suspicion)
         ]
 
+    def counted_crashes(self, min_count: int, now: float) -> list[Crash]:
+        """Return the crashes of fingerprints that have crashed several servers.
+
+        Args:
+            min_count: Crashes that count from which on a fingerprint is included.
+            now: Loop time.
+        """
+        by_fingerprint = [self._counted(int(name, 16), now) for name in self._suspicions.all(now)]
+        return [
+            crash for counted in by_fingerprint if len(counted) >= min_count for crash in counted
+        ]
+
     def answers(self, now: float) -> list[Answer]:
         """Return the answers to requests with a known crash, for a node that lacks some.
 
@@ -184,11 +205,16 @@
         Args:
             now: Loop time.
         """
-        return _combine(
+        revision, computed_at, digest = self._digest
+        if revision == self.revision and now - computed_at < DIGEST_VALIDITY_SECONDS:
+            return digest
+        digest = _combine(
             f"{crash.fingerprint} {crash.instance.server_id} {crash.instance.started_at_ms}"
             for name in self._suspicions.all(now)
             for crash in self._counted(int(name, 16), now)
         )
+        self._digest = (self.revision, now, digest)
+        return digest
 
     def _counted(self, fingerprint: int, now: float) -> list[Crash]:
         """Return the crashes that count against a request."""
--- a/src/dragonflycove/standins/platform/store.py
+++ b/src/dragonflycove/standins/platform/store.py
@@ -163,15 +163,22 @@
         if topic in ("keyed.op", "keyed.servers"):
             await response.write_complete(403, _JSON, b"{}")
             return
-        (length,) = _LENGTH.unpack_from(body)
-        content = body[_LENGTH.size : _LENGTH.size + length]
-        key_end = 1 + content[0]
-        offset = self._store.append(topic, Record(content[1:key_end].decode(), content[key_end:]))
+        offset = len(self._store.records_by_topic.get(topic, []))
+        end = offset
+        position = 0
+        while position < len(body):
+            (length,) = _LENGTH.unpack_from(body, position)
+            position += _LENGTH.size
+            content = body[position : position + length]
+            position += length
+            key_end = 1 + content[0]
+            record = Record(content[1:key_end].decode(), content[key_end:])
+            end = self._store.append(topic, record) + 1
         if self._faults.drops_append_responses:
             response.abort()
             return
         await response.write_complete(
-            200, _JSON, json.dumps({"offset": offset, "end": offset + 1}).encode()
+            200, _JSON, json.dumps({"offset": offset, "end": end}).encode()
         )
 
     async def _read(
