Don't blame a request for servers that live behind a cut link

Callers saw: a request whose connections to three servers broke while the links were down was refused, at every node, though the servers had never ended.

Cause: a server that can't be reached looks like one that has ended. The store knows better, since a living server goes on writing its record.

Fix: a heartbeat that was certainly written after the loss was noticed proves that the server lives; the node that reads it tells all others, and crashes of that start noticed before don't count. A record counts as written after the read before the one that returned it, less the 3.5 s by which reads may be stale, so that records which wait out an outage of the store prove nothing; those relayed by other nodes prove nothing either. Servers start anew with another start, which clears nothing.

--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -225,6 +225,16 @@
     """Time since the last complete response."""
 
 
+class SurvivalRecord(NamedTuple):
+    """A server that was alive after it had been noticed as lost."""
+
+    instance: catalog.Instance
+    """The server."""
+
+    age_seconds: float
+    """Time since it was certainly running."""
+
+
 class CrashReport(NamedTuple):
     """What the sender knows of crashes: something new, or a part of all."""
 
@@ -234,6 +244,9 @@
     answers: tuple[AnswerRecord, ...]
     """Answers to requests that were running when a server ended."""
 
+    survivals: tuple[SurvivalRecord, ...]
+    """Servers that turned out to be alive."""
+
     wants_all: bool
     """Whether the sender requests all crashes that the receiver knows."""
 
--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -81,6 +81,7 @@
         """Highest offset of a server's record that changed the view."""
         self.operator_revision = -1
         """Highest offset of an operators' record that changed the view."""
+        self._alive_at_by_instance: dict[catalog.Instance, float] = {}
         self.synced_at = float("-inf")
         """Loop time up to which the servers' records are known; -inf before the first read."""
         self._outage_ended_at = float("-inf")
@@ -266,6 +267,25 @@
             and not self.is_evacuated(record.server.zone)
         )
 
+    def on_heartbeat(self, server_id: str, written_after: float) -> None:
+        """Record that a server was alive, since it has written its record.
+
+        Args:
+            server_id: Key of the record, which has been applied.
+            written_after: Loop time after which the record was written.
+        """
+        record = self._record_by_id.get(server_id)
+        if record is not None and record.server is not None and record.usable_until is None:
+            self._alive_at_by_instance[record.server.instance] = written_after
+
+    def alive_at(self, instance: catalog.Instance) -> float:
+        """Return a loop time at which an instance was certainly running; -inf if none is known.
+
+        Args:
+            instance: The server's instance.
+        """
+        return self._alive_at_by_instance.get(instance, float("-inf"))
+
     def has_crashed(self, instance: catalog.Instance, now: float) -> bool:
         """Whether an instance has ended without having announced it.
 
@@ -311,3 +331,6 @@
         for server_id, record in list(self._record_by_id.items()):
             if record.usable_until is not None and now > record.usable_until + TOMBSTONE_SECONDS:
                 del self._record_by_id[server_id]
+        for instance in list(self._alive_at_by_instance):
+            if instance.server_id not in self._record_by_id:
+                del self._alive_at_by_instance[instance]
--- a/src/dragonflycove/gateway/crash_exchange.py
+++ b/src/dragonflycove/gateway/crash_exchange.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.fleet import peer_messages
 from dragonflycove.quarantine import crash_counts
@@ -26,8 +26,16 @@
 FULL_REPORT_INTERVAL_SECONDS = 0.5
 """Minimum time between two reports of all crashes to one node."""
 
-RECORDS_PER_DATAGRAM = 15
-"""Crashes and answers in one datagram; keeps it under 1,400 bytes, as any network path carries."""
+RECORDS_PER_DATAGRAM = 12
+"""Records of each kind in one datagram; keeps it under 1,400 bytes, as any network path carries."""
+
+
+class _Facts(NamedTuple):
+    """What one node tells another."""
+
+    crashes: list[crash_counts.Crash] = []
+    answers: list[crash_counts.Answer] = []
+    survivals: list[crash_counts.Survival] = []
 
 
 class CrashExchange:
@@ -63,7 +71,7 @@
             crash: The crash.
         """
         answer = self._counts.answer(crash.fingerprint)
-        self._broadcast([crash], [answer] if answer else [])
+        self._broadcast(_Facts([crash], [answer] if answer else []))
 
     def report_answer(self, answer: crash_counts.Answer) -> None:
         """Report an answer that clears a request of crashes to all nodes.
@@ -71,13 +79,19 @@
         Args:
             answer: The answer.
         """
-        self._broadcast([], [answer])
+        self._broadcast(_Facts(answers=[answer]))
 
-    def _broadcast(
-        self, crashes: list[crash_counts.Crash], answers: list[crash_counts.Answer]
-    ) -> None:
+    def report_survival(self, survival: crash_counts.Survival) -> None:
+        """Report to all nodes that a server has not ended.
+
+        Args:
+            survival: The server, and when it was alive.
+        """
+        self._broadcast(_Facts(survivals=[survival]))
+
+    def _broadcast(self, facts: _Facts) -> None:
         now = asyncio.get_running_loop().time()
-        for message in _encode(crashes, answers, now, wants_all=False):
+        for message in _encode(facts, now, wants_all=False):
             for address in self._other_addresses(now):
                 self._peer_socket.send(address, message)
 
@@ -114,6 +128,9 @@
             answer = crash_counts.Answer(answered.fingerprint, now - answered.age_seconds)
             if self._counts.add_answer(answer, now):
                 logs.event("suspect_cleared", fingerprint=f"{answer.fingerprint:016x}")
+        for survived in message.survivals:
+            survival = crash_counts.Survival(survived.instance, now - survived.age_seconds)
+            self._counts.add_survival(survival)
         for record in message.crashes:
             crash = crash_counts.Crash(
                 record.fingerprint, record.instance, now - record.age_seconds
@@ -135,7 +152,7 @@
         )
         answer = self._counts.answer(crash.fingerprint)
         if answer is not None:
-            for message in _encode([], [answer], now, wants_all=False):
+            for message in _encode(_Facts(answers=[answer]), now, wants_all=False):
                 self._peer_socket.send(sender, message)
 
     def _report_all(self, address: catalog.Address, now: float, *, wants_all: bool) -> None:
@@ -149,31 +166,27 @@
             if now - at < FULL_REPORT_INTERVAL_SECONDS
         }
         self._reported_all_at_by_address[address] = now
-        known = _encode(
-            self._counts.crashes(now), self._counts.answers(now), now, wants_all=wants_all
+        facts = _Facts(
+            self._counts.crashes(now), self._counts.answers(now), self._counts.survivals()
         )
-        for message in known:
+        for message in _encode(facts, now, wants_all=wants_all):
             self._peer_socket.send(address, message)
 
 
-def _encode(
-    crashes: list[crash_counts.Crash],
-    answers: list[crash_counts.Answer],
-    now: float,
-    *,
-    wants_all: bool,
-) -> Iterable[peer_messages.CrashReport]:
-    """Divide crashes and answers among messages; one message if there are none."""
-    crash_records = tuple(
+def _encode(facts: _Facts, now: float, *, wants_all: bool) -> Iterable[peer_messages.CrashReport]:
+    """Divide facts among messages; one message if there are none."""
+    crashes = tuple(
         peer_messages.CrashRecord(one.fingerprint, one.instance, round(now - one.at, 3))
-        for one in crashes
+        for one in facts.crashes
     )
-    answer_records = tuple(
-        peer_messages.AnswerRecord(one.fingerprint, round(now - one.at, 3)) for one in answers
+    answers = tuple(
+        peer_messages.AnswerRecord(one.fingerprint, round(now - one.at, 3)) for one in facts.answers
     )
-    longest = max(1, len(crash_records), len(answer_records))
+    survivals = tuple(
+        peer_messages.SurvivalRecord(one.instance, round(now - one.at, 3))
+        for one in facts.survivals
+    )
+    longest = max(1, len(crashes), len(answers), len(survivals))
     for start in range(0, longest, RECORDS_PER_DATAGRAM):
-        end = start + RECORDS_PER_DATAGRAM
-        yield peer_messages.CrashReport(
-            crash_records[start:end], answer_records[start:end], wants_all
-        )
+        part = slice(start, start + RECORDS_PER_DATAGRAM)
+        yield peer_messages.CrashReport(crashes[part], answers[part], survivals[part], wants_all)
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -96,6 +96,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self._check_records()
+            self._check_survivals()
 
     def refusal_seconds(self, context: request_context.RequestContext) -> float | None:
         """Return for how long a request is refused because it crashes servers; None if it isn't.
@@ -182,6 +183,19 @@
                 undecided.append(unanswered)
         self._unanswered = undecided
 
+    def _check_survivals(self) -> None:
+        """Report servers that have written their record after they were noticed as lost."""
+        now = asyncio.get_running_loop().time()
+        for crash in self._counts.counted_crashes(1, now):
+            alive_at = self._store_view.alive_at(crash.instance)
+            # A server whose record states no start may have started again.
+            if alive_at < crash.at or not crash.instance.started_at_ms:
+                continue
+            survival = crash_counts.Survival(crash.instance, alive_at)
+            if self._counts.add_survival(survival):
+                logs.event("server_survived", server=crash.instance.server_id)
+                self._exchange.report_survival(survival)
+
     def _on_crash(self, attempt: WatchedAttempt, end: str) -> None:
         now = asyncio.get_running_loop().time()
         context = attempt.context
--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -26,6 +26,10 @@
 """Age added to state fetched from another node, for the time in transit."""
 
 
+STALE_READ_SECONDS = 3.5
+"""Time by which a response of the store may lag behind; the specification has stale reads of 3 s."""
+
+
 class TopicPosition:
     """Read position in one topic of the store, and its newest records."""
 
@@ -43,6 +47,8 @@
         """Loop time up to which all records of the topic are known; -inf before the first read."""
         self.record_by_key: dict[str, store.Record] = {}
         """Newest record of each key, for transfer to other nodes."""
+        self.read_at = float("-inf")
+        """Loop time of this node's last read; records at `next_offset` were written after it."""
 
     def keep_newest(self, record: store.Record) -> bool:
         """Keep a record unless one of the same key with an offset at least as high is kept.
@@ -131,6 +137,10 @@
         if batch.end >= position.next_offset:
             self._mark_topic_fresh(position, started_at)
             self.apply(position, batch.records)
+            if position is self.servers:
+                for record in batch.records:
+                    self.view.on_heartbeat(record.key, position.read_at - STALE_READ_SECONDS)
+            position.read_at = started_at
             position.next_offset = max(position.next_offset, batch.next_offset)
         return True
 
@@ -145,6 +155,7 @@
         self.apply(position, listing.records)
         self._drop_missing(position, listing)
         position.next_offset = listing.end
+        position.read_at = started_at
         logs.event(
             "listed",
             topic=position.topic,
--- a/src/dragonflycove/quarantine/crash_counts.py
+++ b/src/dragonflycove/quarantine/crash_counts.py
@@ -35,6 +35,9 @@
 """Recently answered fingerprints kept at once."""
 
 
+MAX_SURVIVALS = 1_000
+"""Servers kept at once that turned out to be alive."""
+
 DIGEST_VALIDITY_SECONDS = 2.0
 """Time after which a digest is computed again though nothing was added; crashes expire."""
 
@@ -62,8 +65,18 @@
     """Loop time of the last complete response."""
 
 
+class Survival(NamedTuple):
+    """A server that was alive at some time, so that it had not ended before."""
+
+    instance: catalog.Instance
+    """The server."""
+
+    at: float
+    """Loop time at which it was certainly running."""
+
+
 class CrashCounts:
-    """The crashes and answers that one node knows, its own and those reported by others."""
+    """The crashes, answers and survivals that one node knows, its own and those reported by others."""
 
     def __init__(self) -> None:
         """Create without crashes."""
@@ -71,6 +84,7 @@
             _suspicion_table.REFUSAL_SECONDS, MAX_FINGERPRINTS
         )
         self._answered_at_by_fingerprint: dict[int, float] = {}
+        self._survived_at_by_instance: dict[catalog.Instance, float] = {}
         self._digest = (-1, 0.0, 0)
         self.revision = 0
         """Increases with each crash or answer that may change what counts."""
@@ -109,6 +123,28 @@
             self._answered_at_by_fingerprint.pop(next(iter(self._answered_at_by_fingerprint)))
         return self.crash_count(answer.fingerprint, now) < before
 
+    def add_survival(self, survival: Survival) -> bool:
+        """Record that a server was alive; crashes of it that were noticed before don't count.
+
+        Args:
+            survival: The server and the time, seen by this node or reported by another.
+
+        Returns:
+            Whether it is new that the server was alive at that time.
+        """
+        known_at = self._survived_at_by_instance.pop(survival.instance, float("-inf"))
+        self._survived_at_by_instance[survival.instance] = max(known_at, survival.at)
+        while len(self._survived_at_by_instance) > MAX_SURVIVALS:
+            self._survived_at_by_instance.pop(next(iter(self._survived_at_by_instance)))
+        if survival.at <= known_at:
+            return False
+        self.revision += 1
+        return True
+
+    def survivals(self) -> list[Survival]:
+        """Return the servers that turned out to be alive, for a node that lacks some."""
+        return [Survival(*entry) for entry in self._survived_at_by_instance.items()]
+
     def answer(self, fingerprint: int) -> Answer | None:
         """Return the last known answer to a request; None if there is none.
 
@@ -227,6 +263,7 @@
             crash
             for crash in _crashes_of(name, suspicion)
             if crash.at > answered_at + ANSWER_VALIDITY_SECONDS
+            and crash.at > self._survived_at_by_instance.get(crash.instance, float("-inf"))
         ]
 
 
--- a/tests/fleet/test_store_view.py
+++ b/tests/fleet/test_store_view.py
@@ -132,3 +132,30 @@
     shuffled = written + rng.sample(written, 5)
     rng.shuffle(shuffled)
     assert apply_records(shuffled) == apply_records(written)
+
+
+def test_a_server_is_alive_as_of_its_heartbeats_and_not_as_of_those_of_another_start() -> None:
+    view = store_view.StoreView()
+    first, second = builders.server("a"), builders.server("a", started_at_ms=2)
+    view.apply_server("a", first, 1, 10.0)
+    assert view.alive_at(first.instance) == float("-inf")
+    view.on_heartbeat("a", 9.0)
+    view.apply_server("a", second, 2, 12.0)
+    view.on_heartbeat("a", 11.0)
+    assert view.alive_at(first.instance) == 9.0
+    assert view.alive_at(second.instance) == 11.0
+    assert view.has_crashed(first.instance, 12.0)
+    assert not view.has_crashed(second.instance, 12.0)
+
+
+def test_a_server_whose_record_lapses_has_crashed_unless_it_drained() -> None:
+    view = store_view.StoreView()
+    draining = catalog.ServerState.DRAINING
+    running = builders.server("a")
+    leaving = builders.server("b")._replace(state=draining)
+    for name, server in (("a", running), ("b", leaving)):
+        view.apply_server(name, server, 1, 10.0)
+        assert not view.has_crashed(server.instance, 10.0)
+        view.apply_server(name, None, 2, 11.0)
+    assert view.has_crashed(running.instance, 11.0)
+    assert not view.has_crashed(leaving.instance, 11.0)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -281,3 +281,18 @@
             for number in range(NODES)
         ]
     assert statuses == [200] * NODES
+
+
+async def test_heartbeats_read_late_after_a_store_outage_do_not_clear_a_crash() -> None:
+    async with deployment.deployed() as system:
+        await _fleet(system)
+        system.faults[0].refusal_status = 503
+        await asyncio.sleep(2 * deployment.HEARTBEAT_SECONDS)
+        await _resend(system, rounds=2)
+        assert len(system.crash_times_by_path[BAD]) == MAX_CRASHES
+        await asyncio.sleep(4.0)
+        system.faults[0].clear()
+        await asyncio.sleep(4.0)
+        await _resend(system, rounds=2)
+        times = system.crash_times_by_path[BAD]
+    assert len(times) == MAX_CRASHES
--- a/tests/quarantine/test_crash_counts.py
+++ b/tests/quarantine/test_crash_counts.py
@@ -109,3 +109,13 @@
     assert len({node.digest(now) for node in nodes}) == 1
     for fingerprint in range(3):
         assert len({node.crash_count(fingerprint, now) for node in nodes}) == 1
+
+
+def test_a_server_that_was_alive_later_was_not_crashed() -> None:
+    node = counts(crash("s1"), crash("s2"), crash("s3"))
+    alive = catalog.Instance("s2", 1)
+    assert not counts().add_survival(crash_counts.Survival(alive, float("-inf")))
+    assert node.add_survival(crash_counts.Survival(alive, 100.0))
+    assert node.refusal_seconds(7, 101.0) is None
+    node.add(crash("s2", 102.0, born=2), 102.0)
+    assert node.refusal_seconds(7, 102.0) is not None
