Refuse a waiting request at once that is known by now to crash servers

Callers saw: a request that waited for an engine, at the hub or at its own node, or for a reservation of KV cache was sent although its third server had crashed meanwhile, or waited for a slot before it was refused.

Cause: the count was only read before a placement was asked for; the placement can take seconds.

Fix: the placer, which at a hub places the requests of all nodes, refuses such requests when they arrive and, once a crash is known, those in its queue; the sender looks again right before it sends. The retry-after of this refusal has no jitter, since it isn't about capacity.

--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -24,6 +24,10 @@
 """Output length if not given; the mean over the request kinds of the platform's specification."""
 
 
+CRASHES_SERVERS = "crashes_servers"
+"""Reason of the refusal of a request that has crashed too many servers."""
+
+
 class JobKey(NamedTuple):
     """Identifies one placement attempt of a request in the fleet."""
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -132,11 +132,11 @@
         self._members = members.MemberList(settings.store.address)
         self._store_view = store_view.StoreView()
         self._placer = placer.Placer(self._store_view, settings.zone)
-        self._local_placer = placing.LocalRequestPlacer(self._placer)
+        self._crash_counts = crash_counts.CrashCounts()
+        self._local_placer = placing.LocalRequestPlacer(self._placer, self._crash_counts)
         self._store_follower = store_follower.StoreFollower(
             settings.store.address, self._store_view, self._read_age
         )
-        self._crash_counts = crash_counts.CrashCounts()
         self._peer_socket = peer_socket.PeerSocket()
         self._crash_exchange = crash_exchange.CrashExchange(
             self._own, self._nodes, self._crash_counts, self._peer_socket
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -207,8 +207,8 @@
         refusal_seconds = self._crashes.refusal_seconds(context)
         if refusal_seconds is not None:
             if all(end in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
-                return forwarding.FinalResponse(503, "crashes_servers", refusal_seconds)
-            return forwarding.FinalResponse(502, "crashes_servers", None)
+                return forwarding.FinalResponse(503, work.CRASHES_SERVERS, refusal_seconds)
+            return forwarding.FinalResponse(502, work.CRASHES_SERVERS, None)
         if not attempt_ends:
             self._retry_budget.on_request(context.service, now)
             return None
@@ -346,6 +346,7 @@
                 grant=grant,
                 helpers=reservation_set.helpers,
                 predicted_seconds=grant.first_event_seconds,
+                may_send=lambda: self._crashes.refusal_seconds(context) is None,
                 on_sent=attempt.mark_sent,
                 on_first_event=lambda: self._request_placer.on_first_event(job.key),
                 can_move=lambda: self._can_move(context, attempt_ends),
@@ -384,6 +385,8 @@
         """Return the final response to a request that could not be placed."""
         if any(end not in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
             return forwarding.final_response(attempt_ends, deadline_passed=False)
+        if refusal.reason == work.CRASHES_SERVERS:
+            return forwarding.FinalResponse(503, refusal.reason, refusal.retry_after_seconds)
         base = max(MIN_RETRY_AFTER_SECONDS, refusal.retry_after_seconds)
         retry_after_seconds = base * (1 + RETRY_AFTER_JITTER_RATIO * self._rng.random())
         return forwarding.FinalResponse(503, refusal.reason, retry_after_seconds)
--- a/src/dragonflycove/gateway/placing.py
+++ b/src/dragonflycove/gateway/placing.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import placer
+    from dragonflycove.quarantine import crash_counts
 
 QUEUE_INTERVAL_SECONDS = 0.02
 """Time between two passes over the queue; the end of an attempt triggers one at once."""
@@ -17,16 +18,20 @@
 class LocalRequestPlacer:
     """Places requests by this node's own view of the servers; queues those without capacity."""
 
-    def __init__(self, server_placer: placer.Placer) -> None:
+    def __init__(self, server_placer: placer.Placer, counts: crash_counts.CrashCounts) -> None:
         """Create an empty queue.
 
         Args:
             server_placer: Chooses servers and counts requests on them.
+            counts: Servers that requests have crashed.
         """
         self._placer = server_placer
+        self._crash_counts = counts
+        self._checked_revision = -1
         self._queue = placement_queue.PlacementQueue(server_placer)
         self._has_queued = asyncio.Event()
         self._future_by_key: dict[work.JobKey, asyncio.Future[work.Grant | work.Refusal]] = {}
+        self._fingerprint_by_key: dict[work.JobKey, int] = {}
 
     @property
     def queue_length(self) -> int:
@@ -43,16 +48,21 @@
             The placement, or the refusal with its reason.
         """
         loop = asyncio.get_running_loop()
+        refusal = self._crash_refusal(job.fingerprint, loop.time())
+        if refusal is not None:
+            return refusal
         decision = self._queue.offer(job, loop.time())
         if not isinstance(decision, work.Wait):
             return decision
         self._has_queued.set()
         future: asyncio.Future[work.Grant | work.Refusal] = loop.create_future()
         self._future_by_key[job.key] = future
+        self._fingerprint_by_key[job.key] = job.fingerprint
         try:
             return await future
         finally:
             self._future_by_key.pop(job.key, None)
+            self._fingerprint_by_key.pop(job.key, None)
             self._queue.withdraw(job.key)
             if future.cancelled():
                 self._schedule_advance()
@@ -100,9 +110,25 @@
     def advance(self) -> None:
         """Place the queued requests for which there is capacity now."""
         now = asyncio.get_running_loop().time()
+        self._refuse_crashing(now)
         for placed in self._queue.place_queued(now):
             future = self._future_by_key.get(placed.key)
             if future is not None and not future.done():
                 future.set_result(placed.decision)
             elif isinstance(placed.decision, work.Grant):
                 self._placer.on_end(placed.key, server_health.Outcome.ABANDONED, now)
+
+    def _refuse_crashing(self, now: float) -> None:
+        """Refuse the queued requests that are known by now to crash servers."""
+        if self._checked_revision == self._crash_counts.revision:
+            return
+        self._checked_revision = self._crash_counts.revision
+        for key, fingerprint in list(self._fingerprint_by_key.items()):
+            refusal = self._crash_refusal(fingerprint, now)
+            if refusal is not None and not self._future_by_key[key].done():
+                self._queue.withdraw(key)
+                self._future_by_key[key].set_result(refusal)
+
+    def _crash_refusal(self, fingerprint: int, now: float) -> work.Refusal | None:
+        seconds = self._crash_counts.refusal_seconds(fingerprint, now)
+        return None if seconds is None else work.Refusal(work.CRASHES_SERVERS, seconds)
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -56,6 +56,9 @@
     predicted_seconds: float
     """Predicted time to the first event."""
 
+    may_send: Callable[[], bool]
+    """Returns whether the request may still be sent, right before it is."""
+
     on_sent: Callable[[], None]
     """Called when the request has been sent."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -93,7 +93,8 @@
             )
         connection = taken.ok_value
         seconds_left = context.deadline_at - loop.time()
-        if seconds_left <= 0 or not self._store_view.is_usable(server.instance, loop.time()):
+        is_usable = self._store_view.is_usable(server.instance, loop.time())
+        if seconds_left <= 0 or not is_usable or not plan.may_send():
             connection.close()
             return send_values.AttemptResult(
                 forwarding.AttemptEnd.NOT_SENT, server_health.Outcome.ABANDONED
--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -143,6 +143,8 @@
         """Called after the server has crashed."""
         self.is_crashed = False
         """Whether a request has crashed the server."""
+        self.reservation_seconds = 0.0
+        """Time before the response to a reservation."""
         self.refusing_helper_addresses: set[str] = set()
         """Addresses of helper engines that refuse to help, as a draining engine does."""
         self._expiry_timers: dict[str, asyncio.TimerHandle] = {}
@@ -238,6 +240,7 @@
         if not isinstance(event, h11.EndOfMessage):
             return False
         if is_reservation:
+            await asyncio.sleep(self.reservation_seconds)
             self._serve_reservation(json.loads(body), writer)
         elif fault is not Fault.EARLY_REFUSAL:
             run = ExecutedRequest(
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -7,12 +7,14 @@
 import contextlib
 import enum
 import itertools
+import socket
 from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 
-from dragonflycove.fleet import catalog, host_settings
-from dragonflycove.gateway import daemon
+from dragonflycove.fleet import catalog, host_settings, peer_messages
+from dragonflycove.gateway import daemon, forwarder, peer_codec
+from dragonflycove.platform import requests
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import store as platform_store
 from tests import ports
@@ -20,8 +22,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from dragonflycove.fleet import peer_messages
-
 READY_TIMEOUT_SECONDS = 5.0
 """Timeout of a node's start, until it reports to be ready."""
 
@@ -267,6 +267,19 @@
         self._beating_ids.discard(server_id)
         self.store.put("keyed.servers", server_id, None)
 
+    def tell_crashes(self, path: str, server_ids: list[str], node: int = 0) -> None:
+        """Tell a node, as another one, that a request has crashed some servers."""
+        request = requests.decode_request(b"POST", path.encode(), (), b"")
+        fingerprint = request.content_hash ^ forwarder.hash_text("org")
+        records = tuple(
+            peer_messages.CrashRecord(fingerprint, catalog.Instance(one, 1), 0.0)
+            for one in server_ids
+        )
+        report = peer_messages.CrashReport(records, (), (), wants_all=False)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            address = self.settings[node].peer_address
+            sender.sendto(peer_codec.encode(report), (address.ip, address.port))
+
     def cut_off(self, number: int) -> None:
         """Drop all datagrams between a node and the others."""
         address = self.settings[number].peer_address
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -296,3 +296,36 @@
         await _resend(system, rounds=2)
         times = system.crash_times_by_path[BAD]
     assert len(times) == MAX_CRASHES
+
+
+async def test_a_request_that_waits_for_an_engine_is_refused_once_it_is_known_to_crash() -> None:
+    async with deployment.deployed() as system:
+        for server in system.server_by_id.values():
+            server.event_seconds = 0.4
+        running = [
+            asyncio.ensure_future(system.call("/ask/slow", attempt=f"s{n}", body=b"%d" % n))
+            for n in range(16)
+        ]
+        await asyncio.sleep(0.3)
+        waiting = asyncio.ensure_future(system.call(BAD, attempt="waiting"))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        system.tell_crashes(BAD, ["x1", "x2", "x3"])
+        response = await asyncio.wait_for(waiting, 0.2)
+        await asyncio.gather(*running)
+        assert system.runs("waiting") == []
+    assert response.status == 503
+    assert float(response.headers["retry-after"]) > 500
+
+
+async def test_a_request_is_not_sent_if_it_is_known_to_crash_by_the_time_it_could_be() -> None:
+    async with deployment.deployed() as system:
+        for server in system.server_by_id.values():
+            server.reservation_seconds = 0.3
+        headers = {"X-Token-Counts": "300000,100"}
+        call = asyncio.ensure_future(system.call("/review/bad", headers=headers, deadline_ms=9_000))
+        await asyncio.sleep(0.1)
+        system.tell_crashes("/review/bad", ["x1", "x2", "x3"])
+        response = await call
+        assert system.runs() == []
+    assert response.status == 503
