Place suspect requests on different servers

Callers saw: nothing reported. An innocent request that ran beside a crashing one was placed with it again, since both were placed at the same moment on the server with the least load, and shared the blame for the next crash.

Cause: the placer packs short requests and did not know which of them had lost a server.

Fix: a request that has lost a server is placed on one that runs no other such request, while there is one. Where servers are fewer than suspects they share, as before.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -14,7 +14,7 @@
 from dragonflycove.fleet import engine_forecast, engine_selection, server_health, work
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from dragonflycove.fleet import catalog, store_view
 
@@ -34,13 +34,20 @@
 class Placer:
     """Places requests on the servers of a store view."""
 
-    def __init__(self, view: store_view.StoreView, zone: str) -> None:
+    def __init__(
+        self,
+        view: store_view.StoreView,
+        zone: str,
+        is_suspect: Callable[[int], bool] = lambda _: False,
+    ) -> None:
         """Create a placer without requests.
 
         Args:
             view: This node's view of configuration and servers.
             zone: Availability zone of this node.
+            is_suspect: Returns whether a request, by its fingerprint, may have crashed a server.
         """
+        self._is_suspect = is_suspect
         self._store_view = view
         self._zone = zone
         self.health = server_health.ServerHealth()
@@ -88,7 +95,25 @@
             and self._can_take_cold_request(server, service, now)
         ]
         healthy = [server for server in usable if not self.health.is_suspect(server.instance, now)]
-        return healthy or usable
+        return self._without_other_suspects(job, healthy or usable)
+
+    def _without_other_suspects(
+        self, job: work.Job, servers: list[catalog.BackendServer]
+    ) -> list[catalog.BackendServer]:
+        """Return the servers that run no other suspect request, if the request is a suspect.
+
+        Two suspects on one server would share the blame for its crash. If all servers run
+        suspects, all are returned.
+        """
+        if not self._is_suspect(job.fingerprint):
+            return servers
+        taken = {
+            placement.grant.lead.instance
+            for placement in self._placement_by_job.values()
+            if placement.job.fingerprint != job.fingerprint
+            and self._is_suspect(placement.job.fingerprint)
+        }
+        return [server for server in servers if server.instance not in taken] or servers
 
     def _can_take_cold_request(
         self, server: catalog.BackendServer, service: catalog.Service, now: float
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -131,7 +131,7 @@
         self._nodes = roster.Roster(self._own)
         self._members = members.MemberList(settings.store.address)
         self._store_view = store_view.StoreView()
-        self._placer = placer.Placer(self._store_view, settings.zone)
+        self._placer = placer.Placer(self._store_view, settings.zone, self._is_suspect)
         self._crash_counts = crash_counts.CrashCounts()
         self._local_placer = placing.LocalRequestPlacer(self._placer, self._crash_counts)
         self._store_follower = store_follower.StoreFollower(
@@ -198,6 +198,10 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._control_listeners: list[callers.CallerListener] = []
 
+    def _is_suspect(self, fingerprint: int) -> bool:
+        """Whether a request has crashed a server."""
+        return self._crash_counts.crash_count(fingerprint, asyncio.get_running_loop().time()) > 0
+
     def _limits(self) -> catalog.CallerLimits:
         configuration = self._store_view.configuration
         return configuration.limits if configuration else catalog.CallerLimits()
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -362,3 +362,19 @@
         number += 1
     assert engines.missed_by_kind["short"] <= 0.05 * engines.asked_by_kind["short"]
     assert engines.missed_by_kind["long"] <= max(1, 0.1 * engines.asked_by_kind["long"])
+
+
+def test_suspect_requests_run_on_different_servers_while_there_are_others() -> None:
+    suspects = {1, 2, 3}
+    fleet_placer = placer.Placer(
+        builders.view(*builders.engines(2)), "z1", lambda fingerprint: fingerprint in suspects
+    )
+    jobs = [builders.job(n)._replace(fingerprint=n) for n in (1, 2, 3, 4)]
+    leads = [place_granted(fleet_placer, job).lead.instance for job in jobs]
+    assert leads[0] != leads[1]
+    # With all servers taken by suspects, a further one runs beside one of them.
+    assert leads[2] in leads[:2]
+    fleet_placer.on_end(jobs[0].key, server_health.Outcome.ANSWERED, 1.0)
+    fleet_placer.on_end(jobs[2].key, server_health.Outcome.ANSWERED, 1.0)
+    again = place_granted(fleet_placer, builders.job(5)._replace(fingerprint=3), 1.0)
+    assert again.lead.instance != leads[1]
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -329,3 +329,31 @@
         response = await call
         assert system.runs() == []
     assert response.status == 503
+
+
+async def test_requests_beside_a_crashing_one_are_served_and_not_refused() -> None:
+    async with deployment.deployed(NODES) as system:
+        await _fleet(system)
+        for server in system.server_by_id.values():
+            server.event_seconds = 0.15
+        statuses = []
+
+        async def ask(number: int) -> None:
+            for attempt in range(2):
+                response = await system.call(
+                    "/ask/fine",
+                    node=(number + attempt) % NODES,
+                    attempt=f"i{number}-{attempt}",
+                    body=b"%d" % number,
+                )
+                if response.is_complete and response.status == 200:
+                    break
+            statuses.append((response.status, response.is_complete))
+
+        asked = [asyncio.ensure_future(ask(number)) for number in range(40)]
+        await asyncio.sleep(0.2)
+        await _resend(system, rounds=1)
+        await asyncio.gather(*asked)
+        times = system.crash_times_by_path[BAD]
+    assert len(times) == MAX_CRASHES
+    assert statuses == [(200, True)] * 40
