Keep to the retry budget while nodes are cut off from each other or have just started

Cause: the allowance of retries is divided by the nodes that a node knows. It forgot others 30 s after their last sign of life, although a node that is cut off can't know whether they run: two groups of 2 and 5 nodes could send 120 retries in a window that allows 100, seven single ones 420. A node that had just started divided by one: seven could send 105 at once, beside what their predecessors had spent.

Fix: nodes that are not known to have left count for 600 s after their last sign of life, and a node that has learned of no other yet, neither from the store's list nor from a hub, spends nothing of the allowance. A replaced node lowers the share of the others by one part for that time.

Evidence: test_nodes_cut_off_from_each_other_keep_to_the_retry_budget (two groups, seven groups) and test_nodes_that_have_just_started_keep_to_the_retry_budget, with seven rosters and shares, failed before and pass.

--- a/src/dragonflycove/fleet/retry_budget_share.py
+++ b/src/dragonflycove/fleet/retry_budget_share.py
@@ -60,7 +60,7 @@
 
         Args:
             service: The service.
-            nodes: Number of nodes that may send to the service, this one included.
+            nodes: Number of nodes that may send to the service, this one included; 0 if unknown.
             now: Loop time.
 
         Returns:
@@ -76,7 +76,7 @@
 
         Args:
             service: The service.
-            nodes: Number of nodes that may send to the service, this one included.
+            nodes: Number of nodes that may send to the service, this one included; 0 if unknown.
             now: Loop time.
         """
         return self.spent(service, now) + 1 <= self.limit(service, nodes, now)
@@ -86,14 +86,14 @@
 
         Args:
             service: The service.
-            nodes: Number of nodes that may send to the service, this one included.
+            nodes: Number of nodes that may send to the service, this one included; 0 if unknown.
             now: Loop time.
         """
         requests = len(self._times_in_window(self._request_times_by_service, service, now))
         own = self._ratio * RATIO_SHARE * requests
         is_first = now - self._started_at < self._window_seconds
         share = FIRST_WINDOW_SHARE if is_first else ALLOWANCE_SHARE
-        return own + self._allowance * share / max(1, nodes)
+        return own + (self._allowance * share / nodes if nodes else 0.0)
 
     def spent(self, service: str, now: float) -> int:
         """Return how many retries this node has sent within the window.
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -45,6 +45,12 @@
 RETENTION_SECONDS = 30.0
 """Time after its last report for which an unresponsive node is kept and contacted."""
 
+SENDER_RETENTION_SECONDS = 600.0
+"""Time after its last sign of life for which a node counts as one that may send requests.
+
+Longer than any partition that the fleet has to bear without overstepping a common limit.
+"""
+
 LARGE_HOST_CORES = 0.9
 """Minimum CPU cores of a host that is preferred as a hub; a hub places all nodes' requests."""
 
@@ -127,6 +133,8 @@
         self._unconfirmed_by_host: dict[str, tuple[Member, float]] = {}
         self._hub_responded_at = float("-inf")
         self._suspected_until_by_host: dict[str, float] = {}
+        self._sender_until_by_host: dict[str, float] = {}
+        self._has_learned_of_others = False
 
     @property
     def report_seconds(self) -> float:
@@ -169,6 +177,8 @@
         if known is not None and member.incarnation < known.member.incarnation:
             return False
         self._status_by_host[member.host] = MemberStatus(member, now, is_ready, is_leaving)
+        self._has_learned_of_others = True
+        self._keep_as_sender(self._status_by_host[member.host], now)
         self._unconfirmed_by_host.pop(member.host, None)
         return (
             known is None
@@ -213,6 +223,12 @@
         """
         for status in self.alive(now):
             self._status_by_host[status.member.host] = status._replace(last_seen_at=now)
+            self._keep_as_sender(status, now)
+
+    def _keep_as_sender(self, status: MemberStatus, now: float) -> None:
+        """Count a node that runs as one that may send requests for some time to come."""
+        retention = RETENTION_SECONDS if status.is_leaving else SENDER_RETENTION_SECONDS
+        self._sender_until_by_host[status.member.host] = now + retention
 
     def on_store_record(self, member: Member, now: float) -> None:
         """Add a node that is only known from its record in the store.
@@ -225,6 +241,7 @@
             return
         if member.host not in self._unconfirmed_by_host:
             self._unconfirmed_by_host[member.host] = (member, now)
+            self._sender_until_by_host.setdefault(member.host, now + RETENTION_SECONDS)
 
     def on_hub_response(self, host: str, now: float) -> None:
         """Record that a hub responded, which ends a suspicion.
@@ -339,18 +356,25 @@
             if self.unresponsive_after_seconds < now - status.last_seen_at <= RETENTION_SECONDS
         ]
 
-    def node_count(self, now: float) -> int:
+    def on_member_list(self) -> None:
+        """Record that the store's list of all nodes has been read."""
+        self._has_learned_of_others = True
+
+    def sender_count(self, now: float) -> int:
         """Return how many nodes may send requests to servers, this one included.
 
+        A node that is cut off can't tell whether the others still run, so each of them counts for
+        `SENDER_RETENTION_SECONDS` after its last sign of life.
+
         Args:
             now: Loop time.
+
+        Returns:
+            The number of nodes; 0 while this node has not learned of any others.
         """
-        recent = sum(
-            1
-            for status in self._status_by_host.values()
-            if now - status.last_seen_at <= RETENTION_SECONDS
-        )
-        return 1 + recent + len(self._unconfirmed_by_host)
+        if not self._has_learned_of_others:
+            return 0
+        return 1 + sum(now < until for until in self._sender_until_by_host.values())
 
     def entry_points(self, now: float) -> list[entry_points.EntryPoint]:
         """Return the other nodes that accept callers, as entries for the directory.
@@ -378,6 +402,9 @@
         for host, status in list(self._status_by_host.items()):
             if now - status.last_seen_at > RETENTION_SECONDS:
                 del self._status_by_host[host]
+        for host, until in list(self._sender_until_by_host.items()):
+            if now >= until:
+                del self._sender_until_by_host[host]
         for host, (_, added_at) in list(self._unconfirmed_by_host.items()):
             if now - added_at > RETENTION_SECONDS:
                 del self._unconfirmed_by_host[host]
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -185,6 +185,7 @@
             self._reservation_manager,
             self._metrics,
             self._servers_age,
+            self._nodes.sender_count,
             rng,
         )
         self._callers = callers.CallerListener(self._forwarder, self._limits)
@@ -353,6 +354,7 @@
             if self._nodes.hub_rank(loop.time()) >= 0:
                 read = await self._members.read()
                 if isinstance(read, result.Ok):
+                    self._nodes.on_member_list()
                     for member in read.ok_value:
                         self._nodes.on_store_record(member, loop.time())
             is_alone = not self._nodes.alive(loop.time())
@@ -365,7 +367,6 @@
             self._pool.close_expired()
             self._store_view.discard_expired(now)
             self._nodes.discard_expired(now)
-            self._forwarder.node_count = self._nodes.node_count(now)
             logs.log_dropped_counts()
 
     async def _follow_settings(self) -> None:
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -54,6 +54,7 @@
         reservation_manager: reservations.ReservationManager,
         metrics: fleet_metrics.FleetMetrics,
         servers_age: Callable[[], float],
+        count_senders: Callable[[float], int],
         rng: random.Random,
     ) -> None:
         """Create a forwarder.
@@ -68,6 +69,7 @@
             reservation_manager: Reserves KV cache at engines.
             metrics: Records response times.
             servers_age: Returns the age of the server state, seconds.
+            count_senders: Returns how many nodes share the retry budget at a loop time.
             rng: Chooses among weighted services and adds jitter to retry-after.
         """
         self._local_node = local_node
@@ -79,10 +81,9 @@
         self._rng = rng
         self._metrics = metrics
         self._servers_age = servers_age
+        self._count_senders = count_senders
         self._sender = sends.Sender(pool, view, metrics)
         self._job_numbers = itertools.count(1)
-        self.node_count = 1
-        """Nodes that share the retry budget, this one included."""
         self.accept_streams_until = float("inf")
         """Loop time after which new streams are refused; inf unless this node is stopping."""
 
@@ -219,13 +220,13 @@
             return forwarding.final_response(attempt_ends, deadline_passed=False)
         if attempt_ends[-1] is forwarding.AttemptEnd.NOT_SENT:
             return None
-        if not self._retry_budget.spend(context.service, self.node_count, now):
+        if not self._retry_budget.spend(context.service, self._count_senders(now), now):
             logs.event(
                 "retry_refused",
                 request=context.request.attempt_id,
                 service=context.service,
                 spent=self._retry_budget.spent(context.service, now),
-                limit=self._retry_budget.limit(context.service, self.node_count, now),
+                limit=self._retry_budget.limit(context.service, self._count_senders(now), now),
             )
             return forwarding.final_response(attempt_ends, deadline_passed=False)
         logs.event(
@@ -269,7 +270,7 @@
             context.route.is_retryable
             and forwarding.has_attempt_left(after, context.route)
             and len(after) < MAX_ATTEMPTS_PER_REQUEST
-            and self._retry_budget.can_spend(context.service, self.node_count, now)
+            and self._retry_budget.can_spend(context.service, self._count_senders(now), now)
         )
 
     def _build_job(
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from dragonflycove.fleet import catalog, entry_points, roster
+from dragonflycove.fleet import catalog, entry_points, retry_budget_share, roster
 
 
 def member(number: int, *, incarnation: int = 0, cores: float = 1.0) -> roster.Member:
@@ -139,3 +139,70 @@
 ) -> None:
     chosen = entry_points.choose(_points(*zones), "r1", "a")
     assert sorted(point.zone for point in chosen) == expected
+
+
+ALLOWANCE = 100.0
+"""Retries per window that all nodes together may send without requests."""
+
+
+def spend_all(
+    rosters: list[roster.Roster], shares: list[retry_budget_share.RetryBudgetShare], now: float
+) -> int:
+    """Return how many retries all nodes together may send at one moment."""
+    return sum(
+        share.spend("svc", nodes.sender_count(now), now)
+        for nodes, share in zip(rosters, shares, strict=True)
+        for _ in range(int(ALLOWANCE) + 1)
+    )
+
+
+def shares_of(count: int, started_at: float) -> list[retry_budget_share.RetryBudgetShare]:
+    """Return the retry budget shares of some nodes."""
+    return [
+        retry_budget_share.RetryBudgetShare(0.2, ALLOWANCE, 10.0, started_at) for _ in range(count)
+    ]
+
+
+@pytest.mark.parametrize("groups", [[[0, 1], [2, 3, 4, 5, 6]], [[n] for n in range(7)]])
+def test_nodes_cut_off_from_each_other_keep_to_the_retry_budget(groups: list[list[int]]) -> None:
+    rosters = [roster.Roster(member(number)) for number in range(7)]
+    for own, nodes in enumerate(rosters):
+        for other in range(7):
+            if other != own:
+                hear(nodes, other, 0.0)
+    for now in range(1, 61):
+        for group in groups:
+            for own in group:
+                for other in group:
+                    if other != own:
+                        hear(rosters[own], other, float(now))
+                rosters[own].discard_expired(float(now))
+    assert spend_all(rosters, shares_of(7, -10.0), 60.0) <= ALLOWANCE
+
+
+def test_nodes_that_have_just_started_keep_to_the_retry_budget() -> None:
+    rosters = [roster.Roster(member(number)) for number in range(7)]
+    # Their predecessors may have spent their shares in the same window.
+    spent_before = int(ALLOWANCE * retry_budget_share.ALLOWANCE_SHARE)
+    assert spent_before + spend_all(rosters, shares_of(7, 0.0), 0.1) <= ALLOWANCE
+
+
+def test_nodes_that_left_or_were_replaced_stop_sharing_the_retry_budget() -> None:
+    nodes = roster.Roster(member(0))
+    hear(nodes, 1, 0.0)
+    hear(nodes, 2, 0.0)
+    nodes.mark_running(member(2), 1.0, is_ready=False, is_leaving=True)
+    assert nodes.sender_count(2.0) == 3
+    nodes.discard_expired(40.0)
+    assert nodes.sender_count(40.0) == 2
+    nodes.discard_expired(700.0)
+    assert nodes.sender_count(700.0) == 1
+
+
+def test_nodes_that_only_the_first_hub_hears_share_the_retry_budget_for_good() -> None:
+    nodes = roster.Roster(member(5))
+    hear(nodes, 1, 0.0)
+    for now in range(0, 1_200):
+        nodes.confirm_running(float(now))
+        nodes.discard_expired(float(now))
+    assert nodes.sender_count(1_200.0) == 2
