Run a request on no more living servers than its route allows

A request whose servers reset kept connections after they had run it ran on four living servers; its route allows two.

Cause: an attempt that ends on a kept connection before a response counted as not run, like a connection that the server had closed while it was idle. The two can't be told apart, and a server that lives may have run it.

Fix: such an attempt counts, unless the server accepts no connection any more. So that a stale connection doesn't cost a request its last attempt, the last one that the route allows uses a fresh connection.

Evidence: test_a_request_runs_on_no_more_living_servers_than_its_route_allows failed before (4 runs, 2 allowed) and passes. test_unreachable_servers_and_refusals_do_not_count_as_attempts asked for the old rule; it now asks that an attempt on a stale connection counts, and everything else as before.

--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -165,7 +165,7 @@
 """Ends of attempts that prove that the server has not executed the request and never will."""
 
 
-_UNCOUNTED_ENDS = PROVEN_NOT_EXECUTED | {AttemptEnd.STALE, AttemptEnd.SERVER_UNREACHABLE}
+_UNCOUNTED_ENDS = PROVEN_NOT_EXECUTED | {AttemptEnd.SERVER_UNREACHABLE}
 """Ends of attempts that don't count towards the route's limit of attempts."""
 
 
@@ -289,14 +289,30 @@
 def has_attempt_left(ends: list[AttemptEnd], route: catalog.Route) -> bool:
     """Whether the route's limit of attempts allows another one.
 
-    Attempts that reached no server, that the server did not execute, that failed on a stale reused
-    connection, or whose server became unreachable don't count.
+    Attempts that reached no server, that the server did not execute, or whose server became
+    unreachable don't count.
 
     Args:
         ends: How the request's attempts ended.
         route: The request's route.
     """
-    return sum(end not in _UNCOUNTED_ENDS for end in ends) < route.max_attempts
+    return _counted_attempts(ends) < route.max_attempts
+
+
+def needs_fresh_connection(ends: list[AttemptEnd], route: catalog.Route) -> bool:
+    """Whether the next attempt must not use a kept connection, which may be stale.
+
+    It must not if the request can't be retried afterwards.
+
+    Args:
+        ends: How the request's attempts ended.
+        route: The request's route.
+    """
+    return not route.is_retryable or _counted_attempts(ends) + 1 >= route.max_attempts
+
+
+def _counted_attempts(ends: list[AttemptEnd]) -> int:
+    return sum(end not in _UNCOUNTED_ENDS for end in ends)
 
 
 def final_response(ends: list[AttemptEnd], *, deadline_passed: bool) -> FinalResponse:
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -346,6 +346,9 @@
             plan = send_values.AttemptPlan(
                 grant=grant,
                 helpers=reservation_set.helpers,
+                needs_fresh_connection=forwarding.needs_fresh_connection(
+                    attempt_ends, context.route
+                ),
                 predicted_seconds=grant.first_event_seconds,
                 may_send=lambda: self._crashes.refusal_seconds(context) is None,
                 on_sent=attempt.mark_sent,
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -53,6 +53,9 @@
     helpers: tuple[str, ...]
     """Helper engines, each encoded as the engine that leads expects it."""
 
+    needs_fresh_connection: bool
+    """Whether it must not use a kept connection."""
+
     predicted_seconds: float
     """Predicted time to the first event."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -84,7 +84,7 @@
         loop = asyncio.get_running_loop()
         taken = await self._pool.take(
             server.address,
-            fresh=not context.route.is_retryable,
+            fresh=plan.needs_fresh_connection,
             connect_seconds=max(0.01, context.deadline_at - loop.time()),
         )
         if isinstance(taken, result.Err):
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -149,12 +149,24 @@
     uncounted = [
         forwarding.AttemptEnd.NOT_EXECUTED,
         forwarding.AttemptEnd.SERVER_UNREACHABLE,
-        forwarding.AttemptEnd.STALE,
     ]
     assert forwarding.has_attempt_left([*uncounted, forwarding.AttemptEnd.BROKEN], route)
+    assert forwarding.has_attempt_left([*uncounted, forwarding.AttemptEnd.STALE], route)
+    stale_and_broken = [forwarding.AttemptEnd.STALE, forwarding.AttemptEnd.BROKEN]
+    assert not forwarding.has_attempt_left(stale_and_broken, route)
     assert not forwarding.has_attempt_left([forwarding.AttemptEnd.TIMEOUT] * 2, route)
 
 
+@pytest.mark.parametrize("attempts", [1, 2, 3])
+def test_the_last_attempt_that_a_route_allows_uses_a_fresh_connection(attempts: int) -> None:
+    route = builders.route(attempts=attempts)
+    for count in range(attempts):
+        ends = [forwarding.AttemptEnd.STALE] * count
+        assert forwarding.needs_fresh_connection(ends, route) == (count == attempts - 1)
+    only_once = builders.route(catalog.CallKind.NON_IDEMPOTENT, attempts=attempts)
+    assert forwarding.needs_fresh_connection([], only_once)
+
+
 def test_timeouts_end_before_callers_abandon_a_stream() -> None:
     for latency_target, gap_target in ((0.3, 0.25), (1.5, 0.6), (3.0, 1.0)):
         route = builders.route(latency_target=latency_target, gap_target=gap_target)
--- a/tests/gateway/test_rules.py
+++ b/tests/gateway/test_rules.py
@@ -426,3 +426,19 @@
             response = await deployment.exchange_on(reader, writer, b"GET", "/look/x", one)
             assert response.body == f"done g{number}".encode()
         writer.close()
+
+
+async def test_a_request_runs_on_no_more_living_servers_than_its_route_allows() -> None:
+    async with deployment.deployed() as system:
+        for number in range(3, 7):
+            await system.add_server(f"p{number}", "plain")
+        await asyncio.sleep(1.5)
+        calls = (
+            system.call("/look/x", method=b"GET", attempt=f"w{number}") for number in range(40)
+        )
+        await asyncio.gather(*calls)
+        for server in system.server_by_id.values():
+            server.faults.extend([Fault.RESET] * 3)
+        await system.call("/look/x", method=b"GET")
+        runs = system.runs()
+    assert len(runs) <= 2
