Send requests that crash servers in the soak, and check BUDGET over all nodes

Change: each seed also draws requests, with a generator of their own so that the other faults of a seed stay, that crash every server that runs them, by a reset, a close or silence. A caller sends one again and again, to one node or all, and at times leaves first. The servers return under another id or the same. The check is the rule's: after the third crash and 3 s, at most three retries through nodes that nothing disturbed for 3 s. The test of the plan asks that both generators together draw every kind, as it asked of the one before.

--- a/src/dragonflycove/cli/soak_command.py
+++ b/src/dragonflycove/cli/soak_command.py
@@ -64,6 +64,7 @@
     )
     verdict = asyncio.run(soak_main.run_soak(soak))
     print(f"seed {seed}: responses by status {verdict.response_count_by_status}")
+    print(f"seed {seed}: servers crashed by each crashing request {verdict.crash_counts}")
     for line in verdict.violations:
         print(line)
     if verdict.violations:
--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -12,13 +13,12 @@
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import catalog
-from dragonflycove.measure.soak import plan, proxy
+from dragonflycove.measure.soak import crashes, plan, proxy
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import store as platform_store
 
 if TYPE_CHECKING:
     import pathlib
-    import random
 
     from dragonflycove.measure.soak import checks
 
@@ -43,6 +43,9 @@
 POLL_INTERVAL_SECONDS = 0.05
 """Interval at which the end of a stopping process is polled."""
 
+KEEP_ID_PROBABILITY = 0.3
+"""Probability that a crashed server returns under the id that it had."""
+
 FAULT_PROBABILITY = 0.3
 """Probability, per check, that a server without a pending fault gets a new one."""
 
@@ -66,7 +69,6 @@
         self._process: subprocess.Popen[bytes] | None = None
         self.store_address = catalog.Address(f"127.{block}.2.{number + 1}", 8_223)
         """Address at which only this node reaches the store, so that store faults can be per node."""
-        self.disturbed_until = 0.0
 
     def write_settings(self) -> None:
         """Write the settings file in the platform's format."""
@@ -129,7 +131,12 @@
     """Store, servers and nodes of one soak, with the faults that affect them."""
 
     def __init__(
-        self, rng: random.Random, folder: pathlib.Path, block: int, sizes: tuple[int, int, int]
+        self,
+        rng: random.Random,
+        folder: pathlib.Path,
+        block: int,
+        sizes: tuple[int, int, int],
+        checker: checks.Checker,
     ) -> None:
         """Create a deployment in which nothing is running.
 
@@ -138,7 +145,13 @@
             folder: Folder for settings and logs.
             block: Second byte of all loopback addresses.
             sizes: Numbers of nodes, engines and plain servers.
+            checker: Records the crashing requests and their responses.
         """
+        self._checker = checker
+        self.crash_log = crashes.CrashLog()
+        """Servers crashed by requests, and when nodes were disturbed."""
+        self._crashing_paths: set[str] = set()
+        self._return_tasks: list[asyncio.Task[None]] = []
         self._rng = rng
         self._block = block
         self.store = platform_store.PlatformStore()
@@ -152,6 +165,7 @@
         self.runs: list[platform_server.ExecutedRequest] = []
         """Executed requests of all servers, in order of arrival."""
         self._proxies: dict[str, proxy.Proxy] = {}
+        self._born_by_id: dict[str, int] = {}
         self._server_count = 0
         self._version = 1
         self._silent_faults: dict[str, float] = {}
@@ -218,19 +232,59 @@
         """Start a server and its proxy and register it; returns its id."""
         self._server_count += 1
         server_id = f"{kind}-{self._server_count}"
-        host = f"127.{self._block}.3.{self._server_count % 250 + 1}"
+        await self._start_server(server_id)
+        return server_id
+
+    async def _start_server(self, server_id: str) -> None:
+        number = int(server_id.rpartition("-")[2])
+        host = f"127.{self._block}.3.{number % 250 + 1}"
         server = platform_server.PlatformServer(
             server_id, events=EVENTS, event_seconds=EVENT_INTERVAL_SECONDS
         )
         # All servers append to one list, so that it survives their crashes and keeps the order.
         server.runs = self.runs
+        server.crashing_paths = self._crashing_paths
+        server.crash_mode = self._rng.choice(list(platform_server.CrashMode))
+        server.on_crash = lambda: self._on_crash(server)
         await server.listen(catalog.Address(host, 8_080))
         link_proxy = proxy.Proxy(catalog.Address(host, 8_080))
         await link_proxy.listen(catalog.Address(host, 8_081))
         self.servers[server_id] = server
         self._proxies[server_id] = link_proxy
+        self._born_by_id[server_id] = self._born_by_id.get(server_id, number) + 1_000
         self.register(server_id)
-        return server_id
+
+    def _on_crash(self, server: platform_server.PlatformServer) -> None:
+        """Record a crash by a request; the server returns later, under its id or another."""
+        crashing = self.runs[-1]
+        self.crash_log.add(crashing.target, crashing.attempt_id)
+        server_id = server.server_id
+        link_proxy = self._proxies.pop(server_id, None)
+        self.servers.pop(server_id, None)
+        if link_proxy is not None and server.crash_mode is platform_server.CrashMode.SILENT:
+            link_proxy.stop_accepting()
+            link_proxy.drops_requests = link_proxy.drops_responses = True
+        elif link_proxy is not None:
+            link_proxy.close()
+        returning = self._return(server, link_proxy)
+        self._return_tasks.append(asyncio.ensure_future(returning))
+
+    async def _return(
+        self, server: platform_server.PlatformServer, link_proxy: proxy.Proxy | None
+    ) -> None:
+        server_id = server.server_id
+        keeps_id = self._rng.random() < KEEP_ID_PROBABILITY
+        if not keeps_id:
+            await self.add_server(server_id.partition("-")[0])
+        await asyncio.sleep(self._rng.uniform(1.0, 3.0))
+        server.close()
+        if link_proxy is not None:
+            link_proxy.close()
+        if keeps_id:
+            await self._start_server(server_id)
+        else:
+            await asyncio.sleep(3 * HEARTBEAT_INTERVAL_SECONDS)
+            self.store.put("keyed.servers", server_id, None)
 
     def register(self, server_id: str, state: str = "ready") -> None:
         """Write a server's record to the store, with the proxy's address."""
@@ -242,7 +296,7 @@
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
-            "born": number,
+            "born": self._born_by_id[server_id],
         }
         self.store.put("keyed.servers", server_id, entry)
 
@@ -254,7 +308,20 @@
 
     async def apply_fault(self, planned: plan.PlannedFault) -> None:
         """Apply one fault and wait for its end."""
+        begin = time.monotonic()
+        await self._apply_kind(planned)
+        if planned.kind.value.startswith(("store", "history", "all")):
+            disturbed = ""
+        elif planned.kind.value.startswith("node"):
+            disturbed = self._node_of(planned).name
+        else:
+            return
+        self.crash_log.disturbances.append(crashes.Disturbance(disturbed, begin, time.monotonic()))
+
+    async def _apply_kind(self, planned: plan.PlannedFault) -> None:
         match planned.kind:
+            case plan.FaultKind.CRASHING_REQUEST:
+                await self._resend_crashing_request(planned)
             case plan.FaultKind.ALL_KILL:
                 await asyncio.gather(*(self._restart(one, signal.SIGKILL) for one in self.nodes))
             case plan.FaultKind.CONFIGURATION:
@@ -273,8 +340,21 @@
             case _:
                 await self._apply_server_fault(planned)
 
+    async def _resend_crashing_request(self, planned: plan.PlannedFault) -> None:
+        resender = crashes.Resender(
+            len(self._crashing_paths),
+            {node.name: catalog.Address(node.ip, CALLER_PORT) for node in self.nodes},
+            self._checker,
+            random.Random(planned.target_fraction),
+        )
+        self._crashing_paths.add(resender.target)
+        await resender.run(planned.seconds)
+
+    def _node_of(self, planned: plan.PlannedFault) -> Node:
+        return self.nodes[int(planned.target_fraction * len(self.nodes))]
+
     async def _apply_node_fault(self, planned: plan.PlannedFault) -> None:
-        node = self.nodes[int(planned.target_fraction * len(self.nodes))]
+        node = self._node_of(planned)
         match planned.kind:
             case plan.FaultKind.NODE_KILL:
                 await self._restart(node, signal.SIGKILL)
@@ -289,6 +369,8 @@
                 node.signal(signal.SIGHUP)
 
     async def _apply_server_fault(self, planned: plan.PlannedFault) -> None:
+        if not self.servers:
+            return
         server_id = list(self.servers)[int(planned.target_fraction * len(self.servers))]
         link_proxy = self._proxies[server_id]
         match planned.kind:
@@ -375,6 +457,8 @@
 
     async def close(self) -> None:
         """Kill the node processes that the soak started, and stop the servers and the store."""
+        for task in self._return_tasks:
+            task.cancel()
         for node in self.nodes:
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGKILL)
--- a/src/dragonflycove/measure/soak/main.py
+++ b/src/dragonflycove/measure/soak/main.py
@@ -9,7 +9,7 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.measure.soak import callers, checks, deployment, plan
+from dragonflycove.measure.soak import callers, checks, crashes, deployment, plan
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -51,6 +51,9 @@
     block: int
     """Second byte of all loopback addresses."""
 
+    has_crashing_requests: bool = True
+    """Whether callers also send requests that crash servers."""
+
 
 class SoakResult(NamedTuple):
     """Result of one soak."""
@@ -64,6 +67,9 @@
     folder: pathlib.Path
     """Folder with the nodes' settings and logs."""
 
+    crash_counts: str
+    """Servers crashed by each crashing request, as JSON."""
+
 
 async def run_soak(soak: SoakSettings) -> SoakResult:
     """Run a soak to its end.
@@ -77,8 +83,12 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{soak.seed}-"))
     rng = random.Random(soak.seed)
     planned_faults = plan.draw_faults(rng, soak.seconds)
+    if soak.has_crashing_requests:
+        crash_rng = random.Random(f"crashes of {soak.seed}")
+        planned_faults += plan.draw_crashing_requests(crash_rng, soak.seconds)
+        planned_faults.sort(key=lambda planned: planned.at)
     checker = checks.Checker(deployment.EVENTS)
-    running = deployment.Deployment(rng, folder, soak.block, soak.sizes)
+    running = deployment.Deployment(rng, folder, soak.block, soak.sizes, checker)
     soak_callers = [
         callers.Caller(number, running.nodes, checker, random.Random(soak.seed * 1_000 + number))
         for number in range(soak.callers)
@@ -107,6 +117,7 @@
         await asyncio.sleep(RELEASE_SECONDS)
         running.check_leaks(checker)
         checker.check_executions(running.runs)
+        checker.violations += running.crash_log.violations()
         if watch_task.done():
             watch_task.result()
     finally:
@@ -115,7 +126,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await running.close()
     return SoakResult(
-        [*checker.violations, *running.stop_failures], checker.response_count_by_status(), folder
+        [*checker.violations, *running.stop_failures],
+        checker.response_count_by_status(),
+        folder,
+        crashes.describe(running.crash_log),
     )
 
 
--- a/src/dragonflycove/measure/soak/plan.py
+++ b/src/dragonflycove/measure/soak/plan.py
@@ -78,6 +78,9 @@
     ZONE_EVACUATED = "zone_out"
     """Evacuates a zone for the duration."""
 
+    CRASHING_REQUEST = "crashing_request"
+    """A request that crashes each server that runs it is sent again and again."""
+
 
 class PlannedFault(NamedTuple):
     """One fault with its time and target."""
@@ -107,6 +110,9 @@
 MAX_FAULT_SECONDS = 5.0
 """Maximum duration; exceeds the time after which unresponsive nodes and servers count as lost."""
 
+MIN_RESEND_SECONDS, MAX_RESEND_SECONDS = 8.0, 16.0
+"""Range of the time for which a crashing request is sent again."""
+
 
 def draw_faults(rng: random.Random, seconds: float) -> list[PlannedFault]:
     """Draw the faults of a soak.
@@ -120,7 +126,7 @@
     """
     planned_faults = []
     at = 1.0
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.CRASHING_REQUEST]
     while at < seconds:
         kind = rng.choice(kinds)
         count = 1
@@ -132,3 +138,24 @@
             at += rng.uniform(0.05, 0.4)
         at += MIN_INTERVAL_SECONDS + rng.expovariate(1 / MEAN_EXTRA_INTERVAL_SECONDS)
     return planned_faults
+
+
+def draw_crashing_requests(rng: random.Random, seconds: float) -> list[PlannedFault]:
+    """Draw the requests of a soak that crash servers.
+
+    They have a generator of their own, so that the other faults of a seed stay the same.
+
+    Args:
+        rng: Seeded random generator.
+        seconds: Length of the part with faults.
+
+    Returns:
+        The requests in order of time.
+    """
+    planned_faults = []
+    at = rng.uniform(1.0, 5.0)
+    while at < seconds:
+        duration = rng.uniform(MIN_RESEND_SECONDS, MAX_RESEND_SECONDS)
+        planned_faults.append(PlannedFault(at, FaultKind.CRASHING_REQUEST, duration, rng.random()))
+        at += rng.uniform(4.0, 2 * MAX_RESEND_SECONDS)
+    return planned_faults
--- a/src/dragonflycove/measure/soak/proxy.py
+++ b/src/dragonflycove/measure/soak/proxy.py
@@ -55,6 +55,11 @@
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections; open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
         if self._server is not None:
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -29,6 +29,7 @@
     first_plan = plan.draw_faults(random.Random(7), 30.0)
     assert first_plan == plan.draw_faults(random.Random(7), 30.0)
     assert first_plan != plan.draw_faults(random.Random(8), 30.0)
-    assert len({step.kind for step in plan.draw_faults(random.Random(1), 600.0)}) == len(
-        plan.FaultKind
-    )
+    drawn = {step.kind for step in plan.draw_faults(random.Random(1), 600.0)}
+    crashing = {step.kind for step in plan.draw_crashing_requests(random.Random(1), 600.0)}
+    assert drawn | crashing == set(plan.FaultKind)
+    assert not drawn & crashing
