Keep to the rate of cold servers while hubs don't reach each other

Cause: the hub of each group of nodes used seven tenths of a cold server's rate, as if it were the only one. Three groups sent 60 requests in a second, seven single nodes 140, where 47 are allowed.

Fix: a hub uses the part of that rate which is its group's part of the nodes that may be running, by the same count that divides the retry budget. A hub that reaches all nodes uses as much as before.

Evidence: test_hubs_cut_off_from_each_other_keep_to_the_rate_of_a_cold_server, with rosters and placers of three and of seven groups, failed before and passes. Two hubs that overlap, each of which reaches nearly all nodes, may send 1.4 times the rate, below the bound of 1.5 times.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -39,6 +39,7 @@
         view: store_view.StoreView,
         zone: str,
         is_suspect: Callable[[int], bool] = lambda _: False,
+        cold_share: Callable[[float], float] = lambda _: 1.0,
     ) -> None:
         """Create a placer without requests.
 
@@ -46,7 +47,10 @@
             view: This node's view of configuration and servers.
             zone: Availability zone of this node.
             is_suspect: Returns whether a request, by its fingerprint, may have crashed a server.
+            cold_share: Returns this node's share of the rate of cold servers at a loop time; hubs
+                that don't reach each other divide it.
         """
+        self._cold_share = cold_share
         self._is_suspect = is_suspect
         self._store_view = view
         self._zone = zone
@@ -126,7 +130,8 @@
             return True
         while send_times and send_times[0] <= now - COLD_WINDOW_SECONDS:
             send_times.popleft()
-        return len(send_times) < service.cold_requests_per_second * COLD_RATE_SHARE
+        rate = service.cold_requests_per_second * COLD_RATE_SHARE * self._cold_share(now)
+        return len(send_times) < rate
 
     def is_cold(self, instance: catalog.Instance, now: float) -> bool:
         """Whether a server is cold according to its record in the store.
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -51,6 +51,9 @@
 Longer than any partition that the fleet has to bear without overstepping a common limit.
 """
 
+UNKNOWN_FLEET_SHARE = 0.1
+"""Share of the fleet that a node assumes to be while it knows of no others."""
+
 LARGE_HOST_CORES = 0.9
 """Minimum CPU cores of a host that is preferred as a hub; a hub places all nodes' requests."""
 
@@ -376,6 +379,22 @@
             return 0
         return 1 + sum(now < until for until in self._sender_until_by_host.values())
 
+    def reachable_share(self, now: float) -> float:
+        """Return the share of the nodes that run as far as this node knows, this one included.
+
+        Groups of nodes that don't reach each other have shares that add up to one.
+
+        Args:
+            now: Loop time.
+
+        Returns:
+            The share, 0 to 1; `UNKNOWN_FLEET_SHARE` while no other node has been learned of.
+        """
+        senders = self.sender_count(now)
+        if not senders:
+            return UNKNOWN_FLEET_SHARE
+        return min(1.0, (1 + len(self.alive(now))) / senders)
+
     def entry_points(self, now: float) -> list[entry_points.EntryPoint]:
         """Return the other nodes that accept callers, as entries for the directory.
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -131,7 +131,9 @@
         self._nodes = roster.Roster(self._own)
         self._members = members.MemberList(settings.store.address)
         self._store_view = store_view.StoreView()
-        self._placer = placer.Placer(self._store_view, settings.zone, self._is_suspect)
+        self._placer = placer.Placer(
+            self._store_view, settings.zone, self._is_suspect, self._nodes.reachable_share
+        )
         self._crash_counts = crash_counts.CrashCounts()
         self._local_placer = placing.LocalRequestPlacer(self._placer, self._crash_counts)
         self._store_follower = store_follower.StoreFollower(
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from dragonflycove.fleet import engine_forecast, placer, server_health, work
-from tests.fleet import builders
+from dragonflycove.fleet import engine_forecast, placer, roster, server_health, work
+from tests.fleet import builders, test_roster
 
 
 def make_placer(count: int = 14) -> placer.Placer:
@@ -378,3 +378,33 @@
     fleet_placer.on_end(jobs[2].key, server_health.Outcome.ANSWERED, 1.0)
     again = place_granted(fleet_placer, builders.job(5)._replace(fingerprint=3), 1.0)
     assert again.lead.instance != leads[1]
+
+
+@pytest.mark.parametrize("groups", [[[0, 1], [2, 3], [4, 5, 6]], [[n] for n in range(7)]])
+def test_hubs_cut_off_from_each_other_keep_to_the_rate_of_a_cold_server(
+    groups: list[list[int]],
+) -> None:
+    placed = 0
+    for group in groups:
+        nodes = roster.Roster(test_roster.member(group[0]))
+        for other in range(7):
+            if other != group[0]:
+                test_roster.hear(nodes, other, 0.0)
+        for other in group[1:]:
+            test_roster.hear(nodes, other, 20.0)
+        cold = builders.server("e0")._replace(cold_seconds=60.0)
+        hub = placer.Placer(builders.view(cold), "z1", cold_share=nodes.reachable_share)
+        for number in range(60):
+            decision = hub.place(builders.job(number), 20.0)
+            if isinstance(decision, work.Grant):
+                placed += 1
+                hub.on_end(work.JobKey("n1", 1, number), server_health.Outcome.ANSWERED, 20.0)
+    assert placed <= 28.0 * 1.5 + 5
+
+
+def test_a_hub_that_reaches_all_nodes_uses_the_whole_rate_of_a_cold_server() -> None:
+    nodes = roster.Roster(test_roster.member(0))
+    for other in range(1, 7):
+        test_roster.hear(nodes, other, 20.0)
+    assert nodes.reachable_share(20.0) == 1.0
+    assert roster.Roster(test_roster.member(0)).reachable_share(20.0) == pytest.approx(0.1)
