Log the refusal of a crashing request once

Cause: the check right before a send logged crasher_refused, and the loop that then refuses logged it again. Change: the check and the log line are separate. Result: tests of the crashing requests as before.

--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -105,15 +105,21 @@
             context: The request.
         """
         now = asyncio.get_running_loop().time()
-        seconds = self._counts.refusal_seconds(context.fingerprint, now)
-        if seconds is not None:
-            logs.event(
-                "crasher_refused",
-                request=context.request.attempt_id,
-                fingerprint=context.fingerprint_text,
-                lost=self._counts.crash_count(context.fingerprint, now),
-            )
-        return seconds
+        return self._counts.refusal_seconds(context.fingerprint, now)
+
+    def log_refusal(self, context: request_context.RequestContext) -> None:
+        """Log that a request is refused because it crashes servers.
+
+        Args:
+            context: The request.
+        """
+        now = asyncio.get_running_loop().time()
+        logs.event(
+            "crasher_refused",
+            request=context.request.attempt_id,
+            fingerprint=context.fingerprint_text,
+            lost=self._counts.crash_count(context.fingerprint, now),
+        )
 
     def on_answered(self, context: request_context.RequestContext) -> None:
         """Clear a request of crashes, after a server has responded completely and with success.
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -207,6 +207,7 @@
             return forwarding.final_response(attempt_ends, deadline_passed=True)
         refusal_seconds = self._crashes.refusal_seconds(context)
         if refusal_seconds is not None:
+            self._crashes.log_refusal(context)
             if all(end in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
                 return forwarding.FinalResponse(503, work.CRASHES_SERVERS, refusal_seconds)
             return forwarding.FinalResponse(502, work.CRASHES_SERVERS, None)
@@ -390,6 +391,7 @@
         if any(end not in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
             return forwarding.final_response(attempt_ends, deadline_passed=False)
         if refusal.reason == work.CRASHES_SERVERS:
+            self._crashes.log_refusal(context)
             return forwarding.FinalResponse(503, refusal.reason, refusal.retry_after_seconds)
         base = max(MIN_RETRY_AFTER_SECONDS, refusal.retry_after_seconds)
         retry_after_seconds = base * (1 + RETRY_AFTER_JITTER_RATIO * self._rng.random())
