Give the crash guard, the count of senders and the stand-ins' faults modules of their own

Change: gateway/crash_guard.py holds the parts that learn, exchange and save crashes; fleet/sender_counts.py counts the nodes among which limits are divided; crash_watch decides how an attempt ended; node_process and server_faults leave the soak and the stand-in. Behaviour is the same.

--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from dragonflycove.fleet import catalog, entry_points
+from dragonflycove.fleet import catalog, entry_points, sender_counts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,15 +45,6 @@
 RETENTION_SECONDS = 30.0
 """Time after its last report for which an unresponsive node is kept and contacted."""
 
-SENDER_RETENTION_SECONDS = 600.0
-"""Time after its last sign of life for which a node counts as one that may send requests.
-
-Longer than any partition that the fleet has to bear without overstepping a common limit.
-"""
-
-UNKNOWN_FLEET_SHARE = 0.1
-"""Share of the fleet that a node assumes to be while it knows of no others."""
-
 LARGE_HOST_CORES = 0.9
 """Minimum CPU cores of a host that is preferred as a hub; a hub places all nodes' requests."""
 
@@ -127,7 +118,8 @@
         Args:
             own: This node.
         """
-        self._own = own
+        self.own = own
+        """This node."""
         self.is_ready = False
         """Whether this node accepts callers."""
         self.is_leaving = False
@@ -136,8 +128,8 @@
         self._unconfirmed_by_host: dict[str, tuple[Member, float]] = {}
         self._hub_responded_at = float("-inf")
         self._suspected_until_by_host: dict[str, float] = {}
-        self._sender_until_by_host: dict[str, float] = {}
-        self._has_learned_of_others = False
+        self.senders = sender_counts.SenderCounts()
+        """How many nodes may send requests to servers."""
 
     @property
     def report_seconds(self) -> float:
@@ -174,14 +166,13 @@
         Returns:
             Whether the change should be sent to other nodes at once.
         """
-        if member.host == self._own.host:
+        if member.host == self.own.host:
             return False
         known = self._status_by_host.get(member.host)
         if known is not None and member.incarnation < known.member.incarnation:
             return False
         self._status_by_host[member.host] = MemberStatus(member, now, is_ready, is_leaving)
-        self._has_learned_of_others = True
-        self._keep_as_sender(self._status_by_host[member.host], now)
+        self.senders.on_running(member.host, now, is_leaving=is_leaving)
         self._unconfirmed_by_host.pop(member.host, None)
         return (
             known is None
@@ -226,12 +217,7 @@
         """
         for status in self.alive(now):
             self._status_by_host[status.member.host] = status._replace(last_seen_at=now)
-            self._keep_as_sender(status, now)
-
-    def _keep_as_sender(self, status: MemberStatus, now: float) -> None:
-        """Count a node that runs as one that may send requests for some time to come."""
-        retention = RETENTION_SECONDS if status.is_leaving else SENDER_RETENTION_SECONDS
-        self._sender_until_by_host[status.member.host] = now + retention
+            self.senders.on_running(status.member.host, now, is_leaving=status.is_leaving)
 
     def on_store_record(self, member: Member, now: float) -> None:
         """Add a node that is only known from its record in the store.
@@ -240,11 +226,11 @@
             member: The node.
             now: Loop time.
         """
-        if member.host == self._own.host or member.host in self._status_by_host:
+        if member.host == self.own.host or member.host in self._status_by_host:
             return
         if member.host not in self._unconfirmed_by_host:
             self._unconfirmed_by_host[member.host] = (member, now)
-            self._sender_until_by_host.setdefault(member.host, now + RETENTION_SECONDS)
+            self.senders.on_listed(member.host, now)
 
     def on_hub_response(self, host: str, now: float) -> None:
         """Record that a hub responded, which ends a suspicion.
@@ -299,7 +285,7 @@
         Args:
             now: Loop time.
         """
-        own = MemberStatus(self._own, now, self.is_ready, self.is_leaving)
+        own = MemberStatus(self.own, now, self.is_ready, self.is_leaving)
         return hash_members([own, *self.alive(now)])
 
     def hubs(self, now: float) -> list[Member]:
@@ -315,7 +301,7 @@
             and not status.is_leaving
         ]
         if not self.is_leaving:
-            members.append(self._own)
+            members.append(self.own)
         return sorted(members, key=lambda member: member.rank)[:HUB_COUNT]
 
     def hub_rank(self, now: float) -> int:
@@ -325,7 +311,7 @@
             now: Loop time.
         """
         hosts = [hub.host for hub in self.hubs(now)]
-        return hosts.index(self._own.host) if self._own.host in hosts else -1
+        return hosts.index(self.own.host) if self.own.host in hosts else -1
 
     def is_first_hub(self, now: float) -> bool:
         """Whether this node is the first hub, which places requests for all nodes.
@@ -359,26 +345,6 @@
             if self.unresponsive_after_seconds < now - status.last_seen_at <= RETENTION_SECONDS
         ]
 
-    def on_member_list(self) -> None:
-        """Record that the store's list of all nodes has been read."""
-        self._has_learned_of_others = True
-
-    def sender_count(self, now: float) -> int:
-        """Return how many nodes may send requests to servers, this one included.
-
-        A node that is cut off can't tell whether the others still run, so each of them counts for
-        `SENDER_RETENTION_SECONDS` after its last sign of life.
-
-        Args:
-            now: Loop time.
-
-        Returns:
-            The number of nodes; 0 while this node has not learned of any others.
-        """
-        if not self._has_learned_of_others:
-            return 0
-        return 1 + sum(now < until for until in self._sender_until_by_host.values())
-
     def reachable_share(self, now: float) -> float:
         """Return the share of the nodes that run as far as this node knows, this one included.
 
@@ -386,14 +352,8 @@
 
         Args:
             now: Loop time.
-
-        Returns:
-            The share, 0 to 1; `UNKNOWN_FLEET_SHARE` while no other node has been learned of.
         """
-        senders = self.sender_count(now)
-        if not senders:
-            return UNKNOWN_FLEET_SHARE
-        return min(1.0, (1 + len(self.alive(now))) / senders)
+        return self.senders.share(1 + len(self.alive(now)), now)
 
     def entry_points(self, now: float) -> list[entry_points.EntryPoint]:
         """Return the other nodes that accept callers, as entries for the directory.
@@ -421,9 +381,7 @@
         for host, status in list(self._status_by_host.items()):
             if now - status.last_seen_at > RETENTION_SECONDS:
                 del self._status_by_host[host]
-        for host, until in list(self._sender_until_by_host.items()):
-            if now >= until:
-                del self._sender_until_by_host[host]
+        self.senders.discard_expired(now)
         for host, (_, added_at) in list(self._unconfirmed_by_host.items()):
             if now - added_at > RETENTION_SECONDS:
                 del self._unconfirmed_by_host[host]
--- a/src/dragonflycove/gateway/crash_exchange.py
+++ b/src/dragonflycove/gateway/crash_exchange.py
@@ -15,7 +15,7 @@
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from dragonflycove.fleet import catalog, roster
     from dragonflycove.gateway import peer_socket
@@ -33,9 +33,9 @@
 class _Facts(NamedTuple):
     """What one node tells another."""
 
-    crashes: list[crash_counts.Crash] = []
-    answers: list[crash_counts.Answer] = []
-    survivals: list[crash_counts.Survival] = []
+    crashes: Sequence[crash_counts.Crash] = ()
+    answers: Sequence[crash_counts.Answer] = ()
+    survivals: Sequence[crash_counts.Survival] = ()
 
 
 class CrashExchange:
@@ -43,7 +43,6 @@
 
     def __init__(
         self,
-        own: roster.Member,
         nodes: roster.Roster,
         counts: crash_counts.CrashCounts,
         datagram_socket: peer_socket.PeerSocket,
@@ -51,12 +50,10 @@
         """Create the exchange and register its message handlers at the socket.
 
         Args:
-            own: This node.
-            nodes: The other nodes.
+            nodes: This node and the others.
             counts: Crashes that this node knows.
             datagram_socket: Socket to the other nodes.
         """
-        self._own = own
         self._nodes = nodes
         self._counts = counts
         self._peer_socket = datagram_socket
@@ -110,7 +107,7 @@
         addresses = {hub.peer_address for hub in self._nodes.hubs(now)}
         if self._nodes.is_first_hub(now):
             addresses.update(self._other_addresses(now))
-        for address in addresses - {self._own.peer_address}:
+        for address in addresses - {self._nodes.own.peer_address}:
             self._peer_socket.send(address, peer_messages.CrashDigest(digest))
 
     def _other_addresses(self, now: float) -> list[catalog.Address]:
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -11,12 +11,13 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from dragonflycove.fleet import forwarding, server_health
 from dragonflycove.quarantine import crash_counts
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog, store_view
-    from dragonflycove.gateway import connection_pool, crash_exchange, request_context
+    from dragonflycove.gateway import connection_pool, crash_exchange, request_context, send_values
 
 SILENCE_SECONDS = 0.5
 """Time without a byte from a server after which it is probed when the caller leaves."""
@@ -133,13 +134,33 @@
             logs.event("suspect_cleared", fingerprint=context.fingerprint_text)
             self._exchange.report_answer(answer)
 
-    async def is_reachable(self, attempt: WatchedAttempt, end: str) -> bool:
-        """Whether a server accepts connections after an attempt; if not, it counts as crashed.
+    async def classify_end(
+        self, attempt: WatchedAttempt, outcome: send_values.AttemptResult
+    ) -> forwarding.AttemptEnd:
+        """Return the end of an attempt; probes a server without a complete response.
+
+        If the server closed the connection and accepts no other, the attempt doesn't count towards
+        the route's limit, and the server counts as crashed by the request.
 
         Args:
-            attempt: The attempt, which had no complete response.
-            end: How it ended, for the log.
+            attempt: The attempt.
+            outcome: How it ended, as seen on its connection.
         """
+        end = outcome.end
+        if end is forwarding.AttemptEnd.TIMEOUT:
+            # The probe of a silent server takes its timeout, for which the request need not wait.
+            self._probe_later(attempt, end.value)
+            return end
+        is_closed = end is forwarding.AttemptEnd.STALE or (
+            end is forwarding.AttemptEnd.BROKEN
+            and outcome.server_outcome is server_health.Outcome.BROKEN
+        )
+        if not is_closed or await self._is_reachable(attempt, end.value):
+            return end
+        return forwarding.AttemptEnd.SERVER_UNREACHABLE
+
+    async def _is_reachable(self, attempt: WatchedAttempt, end: str) -> bool:
+        """Whether a server accepts connections after an attempt; if not, it counts as crashed."""
         if await self._pool.is_reachable(attempt.server.address):
             self._keep_in_mind(attempt, end)
             return True
@@ -147,14 +168,9 @@
         self._on_crash(attempt, end)
         return False
 
-    def probe(self, attempt: WatchedAttempt, end: str) -> None:
-        """Find out in the background whether a server that fell silent accepts connections.
-
-        Args:
-            attempt: The attempt, which had no complete response.
-            end: How it ended, for the log.
-        """
-        task = asyncio.ensure_future(self.is_reachable(attempt, end))
+    def _probe_later(self, attempt: WatchedAttempt, end: str) -> None:
+        """Find out in the background whether a server that fell silent accepts connections."""
+        task = asyncio.ensure_future(self._is_reachable(attempt, end))
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
 
@@ -169,7 +185,7 @@
             return
         silent_since = max(attempt.sent_at, last_event_at)
         if asyncio.get_running_loop().time() - silent_since >= SILENCE_SECONDS:
-            self.probe(attempt, "caller_gone")
+            self._probe_later(attempt, "caller_gone")
         else:
             self._keep_in_mind(attempt, "caller_gone")
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -25,9 +25,7 @@
     callers,
     connection_pool,
     control_endpoints,
-    crash_exchange,
-    crash_store,
-    crash_watch,
+    crash_guard,
     forwarder,
     peer_placing,
     peer_reports,
@@ -39,9 +37,8 @@
     reservations,
     store_follower,
 )
-from dragonflycove.platform import crash_records, members
+from dragonflycove.platform import members
 from dragonflycove.platform import settings as platform_settings
-from dragonflycove.quarantine import crash_counts
 from dragonflycove.telemetry import fleet_metrics, logs
 
 if TYPE_CHECKING:
@@ -131,18 +128,21 @@
         self._nodes = roster.Roster(self._own)
         self._members = members.MemberList(settings.store.address)
         self._store_view = store_view.StoreView()
+        self._peer_socket = peer_socket.PeerSocket()
+        self._pool = connection_pool.ConnectionPool()
+        self._crashes = crash_guard.CrashGuard(
+            self._nodes, self._peer_socket, self._pool, self._store_view, settings.store.address
+        )
         self._placer = placer.Placer(
-            self._store_view, settings.zone, self._is_suspect, self._nodes.reachable_share
+            self._store_view,
+            settings.zone,
+            self._crashes.is_suspect,
+            self._nodes.reachable_share,
         )
-        self._crash_counts = crash_counts.CrashCounts()
-        self._local_placer = placing.LocalRequestPlacer(self._placer, self._crash_counts)
+        self._local_placer = placing.LocalRequestPlacer(self._placer, self._crashes.counts)
         self._store_follower = store_follower.StoreFollower(
             settings.store.address, self._store_view, self._read_age
         )
-        self._peer_socket = peer_socket.PeerSocket()
-        self._crash_exchange = crash_exchange.CrashExchange(
-            self._own, self._nodes, self._crash_counts, self._peer_socket
-        )
         self._reports = peer_reports.PeerReports(
             self._own,
             self._nodes,
@@ -156,17 +156,10 @@
             self._nodes,
             self._placer,
             self._local_placer,
-            self._crash_counts,
+            self._crashes.counts,
             self._peer_socket,
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
-        self._pool = connection_pool.ConnectionPool()
-        self._crash_store = crash_store.CrashStore(
-            crash_records.CrashRecords(settings.store.address), self._crash_counts, self._nodes
-        )
-        self._crash_watch = crash_watch.CrashWatch(
-            self._crash_counts, self._crash_exchange, self._pool, self._store_view
-        )
         self._reservation_manager = reservations.ReservationManager(self._pool)
         bounds = settings.bounds
         retry_budget = retry_budget_share.RetryBudgetShare(
@@ -183,11 +176,11 @@
             hub_placer,
             self._pool,
             retry_budget,
-            self._crash_watch,
+            self._crashes.watch,
             self._reservation_manager,
             self._metrics,
             self._servers_age,
-            self._nodes.sender_count,
+            self._nodes.senders.count,
             rng,
         )
         self._callers = callers.CallerListener(self._forwarder, self._limits)
@@ -201,10 +194,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._control_listeners: list[callers.CallerListener] = []
 
-    def _is_suspect(self, fingerprint: int) -> bool:
-        """Whether a request has crashed a server."""
-        return self._crash_counts.crash_count(fingerprint, asyncio.get_running_loop().time()) > 0
-
     def _limits(self) -> catalog.CallerLimits:
         configuration = self._store_view.configuration
         return configuration.limits if configuration else catalog.CallerLimits()
@@ -247,10 +236,10 @@
             "dragonflycove_hub_rank": self._nodes.hub_rank(now),
             "dragonflycove_active_requests": self._callers.active,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
-            "dragonflycove_suspect_requests": self._crash_counts.suspect_count(now),
+            "dragonflycove_suspect_requests": self._crashes.counts.suspect_count(now),
             "dragonflycove_store_calls": self._store_follower.calls
             + self._members.calls
-            + self._crash_store.calls,
+            + self._crashes.store_calls,
             "dragonflycove_peer_bytes": self._peer_socket.bytes_sent,
             "dragonflycove_server_connections": self._pool.opened,
         }
@@ -285,9 +274,7 @@
             self._local_placer.run(),
             self._clean_up(),
             self._reports.run(),
-            self._crash_exchange.run(),
-            self._crash_watch.run(),
-            self._crash_store.run(),
+            self._crashes.run(),
             self._announce(),
             self._find_nodes(),
             self._follow_settings(),
@@ -356,7 +343,7 @@
             if self._nodes.hub_rank(loop.time()) >= 0:
                 read = await self._members.read()
                 if isinstance(read, result.Ok):
-                    self._nodes.on_member_list()
+                    self._nodes.senders.on_list_read()
                     for member in read.ok_value:
                         self._nodes.on_store_record(member, loop.time())
             is_alone = not self._nodes.alive(loop.time())
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -179,7 +179,7 @@
             outcome = await self._run_attempt(
                 attempt, job, decision, response, progress, attempt_ends
             )
-            attempt_ends.append(await self._classify_end(outcome, attempt))
+            attempt_ends.append(await self._crashes.classify_end(attempt, outcome))
             excluded.append(outcome.refusing_helper_id or decision.lead.instance.server_id)
             if outcome.is_success:
                 self._crashes.on_answered(context)
@@ -239,28 +239,6 @@
         )
         return None
 
-    async def _classify_end(
-        self, outcome: send_values.AttemptResult, attempt: crash_watch.WatchedAttempt
-    ) -> forwarding.AttemptEnd:
-        """Return the end of an attempt; probes a server without a complete response.
-
-        If the server accepts no connection, the attempt doesn't count towards the route's limit,
-        and the server counts as crashed by the request.
-        """
-        if outcome.end is forwarding.AttemptEnd.TIMEOUT:
-            # The probe of a silent server takes its timeout, for which the request need not wait.
-            self._crashes.probe(attempt, outcome.end.value)
-            return outcome.end
-        is_closed = outcome.end is forwarding.AttemptEnd.STALE or (
-            outcome.end is forwarding.AttemptEnd.BROKEN
-            and outcome.server_outcome is server_health.Outcome.BROKEN
-        )
-        if not is_closed:
-            return outcome.end
-        if await self._crashes.is_reachable(attempt, outcome.end.value):
-            return outcome.end
-        return forwarding.AttemptEnd.SERVER_UNREACHABLE
-
     def _can_move(
         self, context: request_context.RequestContext, attempt_ends: list[forwarding.AttemptEnd]
     ) -> bool:
--- a/src/dragonflycove/measure/soak/callers.py
+++ b/src/dragonflycove/measure/soak/callers.py
@@ -11,7 +11,7 @@
 import result
 
 from dragonflycove.fleet import catalog
-from dragonflycove.measure.soak import checks, deployment
+from dragonflycove.measure.soak import checks, node_process
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
@@ -42,7 +42,7 @@
     def __init__(
         self,
         number: int,
-        nodes: Sequence[deployment.Node],
+        nodes: Sequence[node_process.Node],
         checker: checks.Checker,
         rng: random.Random,
     ) -> None:
@@ -98,7 +98,7 @@
         if time.monotonic() - self._looked_up_at < LOOKUP_TTL_SECONDS and self._addresses:
             return
         node = self._rng.choice(list(self._nodes))
-        address = catalog.Address(node.ip, deployment.DIRECTORY_PORT)
+        address = catalog.Address(node.ip, node_process.DIRECTORY_PORT)
         opened = await http1.Connection.open(address, CONNECT_TIMEOUT_SECONDS)
         if isinstance(opened, result.Err):
             return
--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
 import random
 import signal
-import subprocess
-import sys
 import time
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import catalog
-from dragonflycove.measure.soak import crashes, plan, proxy
+from dragonflycove.measure.soak import crashes, node_process, plan, proxy
 from dragonflycove.standins.platform import server as platform_server
+from dragonflycove.standins.platform import server_faults
 from dragonflycove.standins.platform import store as platform_store
 
 if TYPE_CHECKING:
@@ -28,21 +25,9 @@
 EVENT_INTERVAL_SECONDS = 0.05
 """Time between two events of a stream."""
 
-CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 8_227, 8_220, 8_224, 7_340
-"""Ports of every node, as on the platform; nodes differ in their loopback addresses."""
-
-HEARTBEAT_INTERVAL_SECONDS = 0.8
-"""Heartbeat interval in the nodes' settings."""
-
-STOP_GRACE_SECONDS = 8.0
-"""Time that a node has to stop after SIGTERM before it gets SIGKILL."""
-
 RESTART_DELAY_SECONDS = 0.4
 """Time between the end of a process and its next start."""
 
-POLL_INTERVAL_SECONDS = 0.05
-"""Interval at which the end of a stopping process is polled."""
-
 KEEP_ID_PROBABILITY = 0.3
 """Probability that a crashed server returns under the id that it had."""
 
@@ -50,83 +35,6 @@
 """Probability, per check, that a server without a pending fault gets a new one."""
 
 
-class Node:
-    """A node process with its settings and log."""
-
-    def __init__(self, number: int, folder: pathlib.Path, block: int) -> None:
-        """Create a node without a process.
-
-        Args:
-            number: Number of the node, from 0.
-            folder: Folder for its settings and log.
-            block: Second byte of its loopback address; soaks with different blocks can run at once.
-        """
-        self.ip = f"127.{block}.1.{number + 1}"
-        self.name = f"n{number}"
-        self.zone = f"z{number % 2}"
-        self._folder = folder
-        self._settings = folder / f"{self.name}.yaml"
-        self._process: subprocess.Popen[bytes] | None = None
-        self.store_address = catalog.Address(f"127.{block}.2.{number + 1}", 8_223)
-        """Address at which only this node reaches the store, so that store faults can be per node."""
-
-    def write_settings(self) -> None:
-        """Write the settings file in the platform's format."""
-        settings = {
-            "node_name": self.name,
-            "ip": self.ip,
-            "zone": self.zone,
-            "region": "r1",
-            "zones": {"z0": "r1", "z1": "r1"},
-            "listen_addresses": {
-                "frontend": f"{self.ip}:{CALLER_PORT}",
-                "ready": f"{self.ip}:{READY_PORT}",
-                "directory_service": f"{self.ip}:{DIRECTORY_PORT}",
-            },
-            "internal_port_range": [PEER_PORT, PEER_PORT + 15],
-            "limits": {"cpu_share": 1.0, "cpu_cores": 1, "memory_mb": 300},
-            "heartbeat_ms": int(HEARTBEAT_INTERVAL_SECONDS * 1000),
-            "bounds": {"grace_s": STOP_GRACE_SECONDS, "retry_allowance": 100},
-            "platform": {"address": str(self.store_address)},
-        }
-        # JSON is valid YAML.
-        self._settings.write_text(json.dumps(settings))
-
-    def start(self) -> None:
-        """Start the process; it appends to the log of earlier ones."""
-        self.write_settings()
-        environment = dict(os.environ, DRAGONFLYCOVE_CONFIG=str(self._settings))
-        with (self._folder / f"{self.name}.log").open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, "-m", "dragonflycove", "platform-node"],
-                env=environment,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
-
-    def signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process, if it is running."""
-        if self.is_running and self._process is not None:
-            self._process.send_signal(signal_number)
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._process is not None and self._process.poll() is None
-
-    async def wait_stopped(self, seconds: float) -> bool:
-        """Wait for the process to end, kill it at the timeout; returns whether it ended before."""
-        for _ in range(int(seconds / POLL_INTERVAL_SECONDS)):
-            if not self.is_running:
-                break
-            await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        has_stopped = not self.is_running
-        self.signal(signal.SIGKILL)
-        if self._process is not None:
-            self._process.wait()
-        return has_stopped
-
-
 class Deployment:
     """Store, servers and nodes of one soak, with the faults that affect them."""
 
@@ -155,7 +63,7 @@
         self._rng = rng
         self._block = block
         self.store = platform_store.PlatformStore()
-        self.nodes = [Node(number, folder, block) for number in range(sizes[0])]
+        self.nodes = [node_process.Node(number, folder, block) for number in range(sizes[0])]
         """The nodes in order of their numbers."""
         self.faults: list[platform_store.StoreFaults] = []
         """Faults of the store towards each node, in the order of `nodes`."""
@@ -244,7 +152,7 @@
         # All servers append to one list, so that it survives their crashes and keeps the order.
         server.runs = self.runs
         server.crashing_paths = self._crashing_paths
-        server.crash_mode = self._rng.choice(list(platform_server.CrashMode))
+        server.crash_mode = self._rng.choice(list(server_faults.CrashMode))
         server.on_crash = lambda: self._on_crash(server)
         await server.listen(catalog.Address(host, 8_080))
         link_proxy = proxy.Proxy(catalog.Address(host, 8_080))
@@ -261,7 +169,7 @@
         server_id = server.server_id
         link_proxy = self._proxies.pop(server_id, None)
         self.servers.pop(server_id, None)
-        if link_proxy is not None and server.crash_mode is platform_server.CrashMode.SILENT:
+        if link_proxy is not None and server.crash_mode is server_faults.CrashMode.SILENT:
             link_proxy.stop_accepting()
             link_proxy.drops_requests = link_proxy.drops_responses = True
         elif link_proxy is not None:
@@ -283,7 +191,7 @@
         if keeps_id:
             await self._start_server(server_id)
         else:
-            await asyncio.sleep(3 * HEARTBEAT_INTERVAL_SECONDS)
+            await asyncio.sleep(3 * node_process.HEARTBEAT_INTERVAL_SECONDS)
             self.store.put("keyed.servers", server_id, None)
 
     def register(self, server_id: str, state: str = "ready") -> None:
@@ -343,14 +251,14 @@
     async def _resend_crashing_request(self, planned: plan.PlannedFault) -> None:
         resender = crashes.Resender(
             len(self._crashing_paths),
-            {node.name: catalog.Address(node.ip, CALLER_PORT) for node in self.nodes},
+            {node.name: catalog.Address(node.ip, node_process.CALLER_PORT) for node in self.nodes},
             self._checker,
             random.Random(planned.target_fraction),
         )
         self._crashing_paths.add(resender.target)
         await resender.run(planned.seconds)
 
-    def _node_of(self, planned: plan.PlannedFault) -> Node:
+    def _node_of(self, planned: plan.PlannedFault) -> node_process.Node:
         return self.nodes[int(planned.target_fraction * len(self.nodes))]
 
     async def _apply_node_fault(self, planned: plan.PlannedFault) -> None:
@@ -383,12 +291,12 @@
             case _:
                 await self._apply_link_fault(link_proxy, planned)
 
-    async def _restart(self, node: Node, signal_number: signal.Signals) -> None:
+    async def _restart(self, node: node_process.Node, signal_number: signal.Signals) -> None:
         if not node.is_running:
             return
         node.signal(signal_number)
         if not await node.wait_stopped(
-            STOP_GRACE_SECONDS if signal_number is signal.SIGTERM else 1.0
+            node_process.STOP_GRACE_SECONDS if signal_number is signal.SIGTERM else 1.0
         ):
             self.stop_failures.append(f"STOP: {node.name} was still running after its grace time")
         await asyncio.sleep(RESTART_DELAY_SECONDS)
@@ -409,7 +317,7 @@
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             if not server.faults and self._rng.random() < FAULT_PROBABILITY:
-                server.faults.append(self._rng.choice(list(platform_server.Fault)))
+                server.faults.append(self._rng.choice(list(server_faults.Fault)))
             await asyncio.sleep(0.02)
         server.faults.clear()
 
--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import contextlib
-import enum
 import json
 import socket
 import struct
@@ -16,6 +15,8 @@
 
 import h11
 
+from dragonflycove.standins.platform import server_faults
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -25,68 +26,6 @@
 """Prefix of the `X-Server-Stamp` header, by which a response is known to come from a server."""
 
 
-class Fault(enum.Enum):
-    """Fault of one request."""
-
-    REFUSED = "refused"
-    """Responds 503 with `X-Not-Executed`, without executing."""
-
-    MISDIRECTED = "misdirected"
-    """Responds 421, as a different server at the same address would, without executing."""
-
-    ERROR = "error"
-    """Executes and responds 500."""
-
-    EXECUTED_503 = "false_promise"
-    """Executes and responds 503, without `X-Not-Executed`."""
-
-    RESET = "reset"
-    """Executes and resets the connection without a response."""
-
-    NO_RESPONSE = "silent"
-    """Executes and never responds."""
-
-    TRUNCATED = "truncated"
-    """Executes and stops in the middle of the response: closes a plain one, resets a stream."""
-
-    INVALID_RESPONSE = "garbage"
-    """Executes and sends bytes that are not an HTTP response, then resets the connection."""
-
-    EXTRA_RESPONSE = "extra"
-    """Executes and sends the response twice."""
-
-    LATE_EXTRA_RESPONSE = "extra_late"
-    """Executes, and sends the response again once the next request has arrived."""
-
-    UNFRAMED = "unframed"
-    """Executes and responds without a length, then closes the connection."""
-
-    UNFRAMED_RESET = "unframed_reset"
-    """Executes and responds without a length, then resets the connection."""
-
-    UNSIGNED = "unsigned"
-    """Executes and responds without the `X-Server-Stamp` header."""
-
-    EARLY_REFUSAL = "early"
-    """Responds 413 before the body has arrived, without executing; keeps the connection."""
-
-    STALLED_STREAM = "mute_midway"
-    """Executes and stops sending in the middle of a stream, without closing it."""
-
-
-class CrashMode(enum.Enum):
-    """How callers perceive the crash of a server."""
-
-    RESET = "reset"
-    """All connections are reset and new ones are refused."""
-
-    CLOSE = "close"
-    """All connections are closed in an orderly way and new ones are refused."""
-
-    SILENT = "silent"
-    """Connections stay open without a byte, and new ones are not accepted."""
-
-
 class ExecutedRequest(NamedTuple):
     """A request that the server began to execute."""
 
@@ -125,7 +64,7 @@
         """Time between two events."""
         self.runs: list[ExecutedRequest] = []
         """Requests executed, in order of arrival."""
-        self.faults: collections.deque[Fault] = collections.deque()
+        self.faults: collections.deque[server_faults.Fault] = collections.deque()
         """Faults of the next requests, one each."""
         self.arrivals = 0
         """Number of requests received, including refused ones but not reservations."""
@@ -137,7 +76,7 @@
         """KV cache tokens reserved, by reservation id."""
         self.crashing_paths: set[str] = set()
         """Paths of requests that crash the server as soon as it begins to execute them."""
-        self.crash_mode = CrashMode.RESET
+        self.crash_mode = server_faults.CrashMode.RESET
         """How the server crashes."""
         self.on_crash: Callable[[], None] | None = None
         """Called after the server has crashed."""
@@ -177,11 +116,11 @@
         address = self._server.sockets[0].getsockname()
         self._server.close()
         for writer in list(self._writers):
-            if self.crash_mode is CrashMode.RESET:
+            if self.crash_mode is server_faults.CrashMode.RESET:
                 _reset(writer)
-            elif self.crash_mode is CrashMode.CLOSE:
+            elif self.crash_mode is server_faults.CrashMode.CLOSE:
                 writer.close()
-        if self.crash_mode is CrashMode.SILENT:
+        if self.crash_mode is server_faults.CrashMode.SILENT:
             self._block_connections(address)
         if self.on_crash is not None:
             self.on_crash()
@@ -232,7 +171,7 @@
         is_reservation = head.target == b"/order"
         self.arrivals += not is_reservation
         fault = self.faults.popleft() if self.faults and not is_reservation else None
-        if fault is Fault.EARLY_REFUSAL:
+        if fault is server_faults.Fault.EARLY_REFUSAL:
             writer.write(self._encode_response(headers, 413, b"too long", ["X-Not-Executed: 1"]))
         body = b""
         while isinstance(event := await _next_event(parser, reader), h11.Data):
@@ -242,7 +181,7 @@
         if is_reservation:
             await asyncio.sleep(self.reservation_seconds)
             self._serve_reservation(json.loads(body), writer)
-        elif fault is not Fault.EARLY_REFUSAL:
+        elif fault is not server_faults.Fault.EARLY_REFUSAL:
             run = ExecutedRequest(
                 headers.get("x-attempt-id", ""),
                 headers,
@@ -278,7 +217,7 @@
     async def _execute_or_refuse(
         self,
         run: ExecutedRequest,
-        fault: Fault | None,
+        fault: server_faults.Fault | None,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
@@ -287,10 +226,10 @@
             writer.write(self._deferred_response)
             self._deferred_response = b""
         is_misdirected = run.headers.get("x-expect-instance", self.server_id) != self.server_id
-        if fault is Fault.MISDIRECTED or is_misdirected:
+        if fault is server_faults.Fault.MISDIRECTED or is_misdirected:
             writer.write(self._encode_response(run.headers, 421, b"", ["X-Instance-Id: other"]))
             return True
-        if fault is Fault.REFUSED:
+        if fault is server_faults.Fault.REFUSED:
             writer.write(self._encode_response(run.headers, 503, b"full", ["X-Not-Executed: 1"]))
             return True
         for helper in run.headers.get("x-helpers", "").split(","):
@@ -305,10 +244,15 @@
         if run.target.partition("?")[0] in self.crashing_paths:
             self.crash()
             return await self._stay_silent(reader)
-        if fault in (Fault.RESET, Fault.NO_RESPONSE, Fault.INVALID_RESPONSE, Fault.UNSIGNED):
+        if fault in (
+            server_faults.Fault.RESET,
+            server_faults.Fault.NO_RESPONSE,
+            server_faults.Fault.INVALID_RESPONSE,
+            server_faults.Fault.UNSIGNED,
+        ):
             return await self._respond_faultily(run, fault, reader, writer)
-        if fault in (Fault.ERROR, Fault.EXECUTED_503):
-            status = 500 if fault is Fault.ERROR else 503
+        if fault in (server_faults.Fault.ERROR, server_faults.Fault.EXECUTED_503):
+            status = 500 if fault is server_faults.Fault.ERROR else 503
             writer.write(self._encode_response(run.headers, status, b"failed", []))
             return True
         if "x-token-counts" in run.headers:
@@ -324,46 +268,46 @@
     async def _respond_faultily(
         self,
         run: ExecutedRequest,
-        fault: Fault,
+        fault: server_faults.Fault,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        if fault is Fault.NO_RESPONSE:
+        if fault is server_faults.Fault.NO_RESPONSE:
             return await self._stay_silent(reader)
-        if fault is Fault.INVALID_RESPONSE:
+        if fault is server_faults.Fault.INVALID_RESPONSE:
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             await writer.drain()
-        elif fault is Fault.UNSIGNED:
+        elif fault is server_faults.Fault.UNSIGNED:
             writer.write(self._encode_response(run.headers, 200, b"whole", [], signed=False))
             return True
         _reset(writer)
         return False
 
     def _respond_plain(
-        self, run: ExecutedRequest, fault: Fault | None, writer: asyncio.StreamWriter
+        self, run: ExecutedRequest, fault: server_faults.Fault | None, writer: asyncio.StreamWriter
     ) -> bool:
         body = b"done " + run.attempt_id.encode()
         response = self._encode_response(run.headers, 200, body, [])
-        if fault is Fault.TRUNCATED:
+        if fault is server_faults.Fault.TRUNCATED:
             writer.write(response[:-3])
             return False
-        if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+        if fault in (server_faults.Fault.UNFRAMED, server_faults.Fault.UNFRAMED_RESET):
             head = response.partition(b"\r\n\r\n")[0].replace(b"Content-Length", b"X-Was")
             writer.write(head + b"\r\n\r\n" + body)
-            if fault is Fault.UNFRAMED_RESET:
+            if fault is server_faults.Fault.UNFRAMED_RESET:
                 _reset(writer)
             return False
         writer.write(response)
-        if fault is Fault.EXTRA_RESPONSE:
+        if fault is server_faults.Fault.EXTRA_RESPONSE:
             writer.write(response)
-        if fault is Fault.LATE_EXTRA_RESPONSE:
+        if fault is server_faults.Fault.LATE_EXTRA_RESPONSE:
             self._deferred_response = response
         return True
 
     async def _respond_stream(
         self,
         run: ExecutedRequest,
-        fault: Fault | None,
+        fault: server_faults.Fault | None,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
@@ -379,10 +323,13 @@
         fault_event = first_number + (self.events - first_number) // 2
         for event_number in range(first_number, self.events + 1):
             event = f"id: {event_number}\ndata: piece {event_number}\n\n".encode()
-            if event_number == fault_event and fault in (Fault.TRUNCATED, Fault.STALLED_STREAM):
+            if event_number == fault_event and fault in (
+                server_faults.Fault.TRUNCATED,
+                server_faults.Fault.STALLED_STREAM,
+            ):
                 writer.write(_chunk(event[:7]))
                 await writer.drain()
-                if fault is Fault.STALLED_STREAM:
+                if fault is server_faults.Fault.STALLED_STREAM:
                     await reader.read(1)
                     self.disconnected_runs += 1
                 _reset(writer)
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -150,7 +150,7 @@
 ) -> int:
     """Return how many retries all nodes together may send at one moment."""
     return sum(
-        share.spend("svc", nodes.sender_count(now), now)
+        share.spend("svc", nodes.senders.count(now), now)
         for nodes, share in zip(rosters, shares, strict=True)
         for _ in range(int(ALLOWANCE) + 1)
     )
@@ -192,11 +192,11 @@
     hear(nodes, 1, 0.0)
     hear(nodes, 2, 0.0)
     nodes.mark_running(member(2), 1.0, is_ready=False, is_leaving=True)
-    assert nodes.sender_count(2.0) == 3
+    assert nodes.senders.count(2.0) == 3
     nodes.discard_expired(40.0)
-    assert nodes.sender_count(40.0) == 2
+    assert nodes.senders.count(40.0) == 2
     nodes.discard_expired(700.0)
-    assert nodes.sender_count(700.0) == 1
+    assert nodes.senders.count(700.0) == 1
 
 
 def test_nodes_that_only_the_first_hub_hears_share_the_retry_budget_for_good() -> None:
@@ -205,4 +205,4 @@
     for now in range(0, 1_200):
         nodes.confirm_running(float(now))
         nodes.discard_expired(float(now))
-    assert nodes.sender_count(1_200.0) == 2
+    assert nodes.senders.count(1_200.0) == 2
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -16,6 +16,7 @@
 from dragonflycove.gateway import daemon, forwarder, peer_codec
 from dragonflycove.platform import requests
 from dragonflycove.standins.platform import server as platform_server
+from dragonflycove.standins.platform import server_faults
 from dragonflycove.standins.platform import store as platform_store
 from tests import ports
 
@@ -196,7 +197,7 @@
         self,
         server_id: str,
         path: str,
-        mode: platform_server.CrashMode = platform_server.CrashMode.RESET,
+        mode: server_faults.CrashMode = server_faults.CrashMode.RESET,
         service: str = "svc",
         *,
         comeback: Comeback = Comeback.NEW_ID,
@@ -210,7 +211,7 @@
         self,
         server: platform_server.PlatformServer,
         path: str,
-        mode: platform_server.CrashMode,
+        mode: server_faults.CrashMode,
         service: str,
         comeback: Comeback,
     ) -> None:
@@ -232,7 +233,7 @@
         self,
         server: platform_server.PlatformServer,
         path: str,
-        mode: platform_server.CrashMode,
+        mode: server_faults.CrashMode,
         service: str,
         comeback: Comeback,
     ) -> None:
@@ -383,7 +384,7 @@
             if run.attempt_id == attempt
         ]
 
-    def fail_first(self, fault: platform_server.Fault) -> None:
+    def fail_first(self, fault: server_faults.Fault) -> None:
         """Inject a fault once, into whichever server gets the next request."""
         shared = collections.deque([fault])
         for server in self.server_by_id.values():
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dragonflycove.standins.platform.server import CrashMode, Fault
+from dragonflycove.standins.platform.server_faults import CrashMode, Fault
 from tests.gateway import deployment
 
 pytestmark = pytest.mark.asyncio
