--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -224,7 +224,8 @@
         instance = attempt.server.instance
         sent_at = now if attempt.sent_at is None else attempt.sent_at
         while self._counts.has_crashed_before(context.fingerprint, instance, sent_at, now):
-            # A later start under the same id, whose record had not arrived yet; any number differs.
+            # The server has started again under its id, and its new record has not arrived yet. Any
+            # number that tells the start from the known ones will do.
             instance = instance._replace(started_at_ms=instance.started_at_ms + 1)
         crash = crash_counts.Crash(context.fingerprint, instance, now)
         if not self._counts.add(crash, now):
