--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -102,6 +102,23 @@
     """Hash of target and body."""
 
 
+class RateLimit(NamedTuple):
+    """What a server's response states of the rate of requests that it takes."""
+
+    requests_per_second: float | None
+    """Requests that it takes from all nodes together; None if it states no limit."""
+
+    is_readable: bool = True
+    """Whether the statement could be decoded; if not, it changes nothing."""
+
+
+NO_RATE_LIMIT = RateLimit(None)
+"""A response without a limit."""
+
+UNREADABLE_RATE_LIMIT = RateLimit(None, is_readable=False)
+"""A response with a limit that is no decimal number."""
+
+
 class ResponseHead(NamedTuple):
     """Status and headers of a server's response, parsed."""
 
@@ -132,6 +149,9 @@
     faulty_address: catalog.Address | None
     """Address of the helper that failed or refused to help; None if not given."""
 
+    rate_limit: RateLimit = NO_RATE_LIMIT
+    """The rate of requests that the server states to take."""
+
 
 class AttemptEnd(enum.Enum):
     """How one attempt at a server ended; decides on a retry."""
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -19,6 +19,7 @@
     placer,
     retry_budget_share,
     roster,
+    server_limits,
     store_view,
 )
 from dragonflycove.gateway import (
@@ -27,6 +28,7 @@
     control_endpoints,
     crash_guard,
     forwarder,
+    limit_watch,
     peer_placing,
     peer_reports,
     peer_socket,
@@ -133,6 +135,7 @@
         self._crashes = crash_guard.CrashGuard(
             self._nodes, self._peer_socket, self._pool, self._store_view, settings.store.address
         )
+        self._server_limits = server_limits.ServerLimits()
         self._placer = placer.Placer(
             self._store_view,
             settings.zone,
@@ -177,13 +180,14 @@
             self._pool,
             retry_budget,
             self._crashes.watch,
+            limit_watch.LimitWatch(self._server_limits),
             self._reservation_manager,
             self._metrics,
             self._servers_age,
             self._nodes.senders.count,
             rng,
         )
-        self._callers = callers.CallerListener(self._forwarder, self._limits)
+        self._callers = callers.CallerListener(self._forwarder, self._caller_limits)
         self._control_endpoints = control_endpoints.ControlEndpoints(
             self._list_entry_points,
             self._is_ready,
@@ -194,7 +198,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._control_listeners: list[callers.CallerListener] = []
 
-    def _limits(self) -> catalog.CallerLimits:
+    def _caller_limits(self) -> catalog.CallerLimits:
         configuration = self._store_view.configuration
         return configuration.limits if configuration else catalog.CallerLimits()
 
@@ -237,6 +241,7 @@
             "dragonflycove_active_requests": self._callers.active,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
             "dragonflycove_suspect_requests": self._crashes.counts.suspect_count(now),
+            "dragonflycove_limited_servers": len(self._server_limits),
             "dragonflycove_store_calls": self._store_follower.calls
             + self._members.calls
             + self._crashes.store_calls,
@@ -290,7 +295,7 @@
         for address in {settings.readiness_address, settings.directory_address, metrics_address}:
             if address is None:
                 continue
-            listener = callers.CallerListener(self._control_endpoints, self._limits)
+            listener = callers.CallerListener(self._control_endpoints, self._caller_limits)
             await listener.listen(address)
             self._control_listeners.append(listener)
         if settings.caller_address is not None:
@@ -356,6 +361,7 @@
             self._pool.close_expired()
             self._store_view.discard_expired(now)
             self._nodes.discard_expired(now)
+            self._server_limits.discard_expired(now)
             logs.log_dropped_counts()
 
     async def _follow_settings(self) -> None:
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from dragonflycove.fleet import retry_budget_share, store_view
-    from dragonflycove.gateway import callers, connection_pool, reservations
+    from dragonflycove.gateway import callers, connection_pool, limit_watch, reservations
     from dragonflycove.telemetry import fleet_metrics
 
 MIN_ATTEMPT_SECONDS = 0.03
@@ -51,6 +51,7 @@
         pool: connection_pool.ConnectionPool,
         retry_budget: retry_budget_share.RetryBudgetShare,
         crashes: crash_watch.CrashWatch,
+        limits: limit_watch.LimitWatch,
         reservation_manager: reservations.ReservationManager,
         metrics: fleet_metrics.FleetMetrics,
         servers_age: Callable[[], float],
@@ -66,6 +67,7 @@
             pool: Connections to servers.
             retry_budget: This node's share of the retry budget.
             crashes: Notices servers that end while they run a request, and refuses such requests.
+            limits: Reads the rate limits that servers state.
             reservation_manager: Reserves KV cache at engines.
             metrics: Records response times.
             servers_age: Returns the age of the server state, seconds.
@@ -77,6 +79,7 @@
         self._request_placer = request_placer
         self._retry_budget = retry_budget
         self._crashes = crashes
+        self._limits = limits
         self._reservation_manager = reservation_manager
         self._rng = rng
         self._metrics = metrics
@@ -331,6 +334,9 @@
                 predicted_seconds=grant.first_event_seconds,
                 may_send=lambda: self._crashes.refusal_seconds(context) is None,
                 on_sent=attempt.mark_sent,
+                on_head=lambda head: self._limits.on_head(
+                    grant.lead.instance, head, attempt.sent_at or context.received_at
+                ),
                 on_first_event=lambda: self._request_placer.on_first_event(job.key),
                 can_move=lambda: self._can_move(context, attempt_ends),
             )
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -65,6 +65,9 @@
     on_sent: Callable[[], None]
     """Called when the request has been sent."""
 
+    on_head: Callable[[forwarding.ResponseHead], None]
+    """Called with the head of the server's response to this request."""
+
     on_first_event: Callable[[], None]
     """Called when the first event of a stream arrives."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -200,6 +200,7 @@
             head = requests.decode_response_head(read.ok_value)
             own_id = self._context.request.attempt_id
             if head.attempt_id is None or head.attempt_id == own_id:
+                self._plan.on_head(head)
                 return result.Ok(head)
             logs.event("crossed_answer", request=own_id, other=head.attempt_id)
             while (chunk := await self._connection.read_body_chunk()) is not None:
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
@@ -28,6 +29,10 @@
 _NOT_EXECUTED = b"x-not-executed"
 _SERVER_ID = b"x-instance-id"
 _FAULTY_SERVER = b"at-server"
+_RATE_LIMIT = b"server-limit"
+
+_DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?|\.\d{1,12}")
+"""A decimal number without sign or exponent."""
 
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -218,6 +223,7 @@
         closes=b"close" in first_by_name.get(b"connection", b"").lower(),
         idle_seconds=_keep_alive_seconds(keep_alive),
         faulty_address=_faulty_address(first_by_name.get(_FAULTY_SERVER)),
+        rate_limit=_rate_limit(first_by_name.get(_RATE_LIMIT)),
     )
 
 
@@ -232,6 +238,16 @@
         return None
 
 
+def _rate_limit(value: bytes | None) -> forwarding.RateLimit:
+    """Decode the requests a second that a server takes from all nodes together."""
+    if value is None:
+        return forwarding.NO_RATE_LIMIT
+    if not _DECIMAL.fullmatch(value.strip()):
+        logs.warning("rate_limit_unreadable", value=value)
+        return forwarding.UNREADABLE_RATE_LIMIT
+    return forwarding.RateLimit(float(value))
+
+
 def _keep_alive_seconds(value: bytes) -> float | None:
     """Return the idle timeout of a `Keep-Alive` header in seconds; None if not given."""
     for part in value.split(b","):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dragonflycove.fleet import catalog
+from dragonflycove.fleet import catalog, forwarding
 from dragonflycove.platform import engine_orders, records, requests, settings
 from dragonflycove.transport import http1
 from tests.fleet import builders
@@ -230,6 +230,29 @@
     assert b"content-length" not in dict(response.headers)
 
 
+@pytest.mark.parametrize(
+    ("value", "limit", "is_readable"),
+    [
+        (b"1.5", 1.5, True),
+        (b" 12 ", 12.0, True),
+        (b"0", 0.0, True),
+        (b".25", 0.25, True),
+        (b"-1", None, False),
+        (b"nan", None, False),
+        (b"inf", None, False),
+        (b"1e9", None, False),
+        (b"", None, False),
+        (b"9" * 400, None, False),
+        (b"1, 2", None, False),
+    ],
+)
+def test_a_rate_limit_is_a_decimal_number_or_unreadable(
+    value: bytes, limit: float | None, is_readable: bool
+) -> None:
+    head = requests.decode_response_head(http1.Head(200, ((b"server-limit", value),)))
+    assert head.rate_limit == forwarding.RateLimit(limit, is_readable)
+
+
 def test_a_reservation_order_encodes_and_a_load_report_decodes() -> None:
     order = engine_orders.reserve(catalog.Address("1.2.3.4", 5), "t1", 60_000, 3.0)
     assert json.loads(order.body) == {
