--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -68,6 +68,10 @@
         """Faults of the next requests, one each."""
         self.arrivals = 0
         """Number of requests received, including refused ones but not reservations."""
+        self.arrival_times: list[float] = []
+        """Loop times of those requests."""
+        self.stated_limit = ""
+        """Value of `Server-Limit` in all responses; empty for none."""
         self.disconnected_runs = 0
         """Number of requests whose client disconnected or violated HTTP."""
         self.connections = 0
@@ -170,6 +174,8 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         is_reservation = head.target == b"/order"
         self.arrivals += not is_reservation
+        if not is_reservation:
+            self.arrival_times.append(asyncio.get_running_loop().time())
         fault = self.faults.popleft() if self.faults and not is_reservation else None
         if fault is server_faults.Fault.EARLY_REFUSAL:
             writer.write(self._encode_response(headers, 413, b"too long", ["X-Not-Executed: 1"]))
@@ -318,6 +324,7 @@
             "Transfer-Encoding: chunked",
             f"X-Server-Stamp: {STAMP}.{self.server_id}",
             f"X-Attempt-Id: {run.attempt_id}",
+            *self._limit_lines(),
         ]
         writer.write("\r\n".join(header_lines).encode() + b"\r\n\r\n")
         fault_event = first_number + (self.events - first_number) // 2
@@ -345,6 +352,9 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _limit_lines(self) -> list[str]:
+        return [f"Server-Limit: {self.stated_limit}"] if self.stated_limit else []
+
     def _encode_response(
         self,
         headers: dict[str, str],
@@ -358,6 +368,7 @@
             f"HTTP/1.1 {status} Status",
             f"Content-Length: {len(body)}",
             *extra_header_lines,
+            *self._limit_lines(),
         ]
         if signed:
             header_lines.append(f"X-Server-Stamp: {STAMP}.{self.server_id}")
