Keep to the rate limits that servers state, over all nodes

Callers' servers got up to 157 requests in 4 s where 11 are allowed, and prompts of nearly all callers when they were in need. Cause: no decision read Server-Limit; and a limit kept at each node would have been overstepped by their sum. Change: each change of a limit is told to all nodes at once and compared by digests (digest_gossip, taken out of crash_exchange). The first hub counts all placements, retries, resumes, parts and reservations towards it; other nodes place only while no hub responds, with a small share that can't be saved up. A node that has just started waits for its hub first. Servers in need help only with prompts that fit nowhere else. If all servers of a service state limits, a request waits only as long as it can be in time, else it is refused at once; half of the capacity is booked for those that return when told.

--- a/src/dragonflycove/fleet/engine_selection.py
+++ b/src/dragonflycove/fleet/engine_selection.py
@@ -75,7 +75,7 @@
         forecasts: dict[catalog.Instance, engine_forecast.EngineForecast],
         spec: catalog.EngineSpec,
         health: server_health.ServerHealth,
-        is_cold: Callable[[catalog.Instance], bool],
+        may_help: Callable[[catalog.Instance], bool],
         now: float,
     ) -> None:
         """Determine the engines with a free slot.
@@ -86,7 +86,7 @@
             forecasts: Forecast of each engine.
             spec: Speed and size of every engine.
             health: Health of the engines.
-            is_cold: Returns whether an engine is cold.
+            may_help: Returns whether an engine may be a helper.
             now: Loop time.
         """
         self._job = job
@@ -94,7 +94,7 @@
         self._forecasts = forecasts
         self._spec = spec
         self._health = health
-        self._is_cold = is_cold
+        self._may_help = may_help
         self._now = now
         self._leads = [
             server
@@ -187,7 +187,7 @@
             for server in self._servers
             if server.instance != lead.instance
             and self._forecasts[server.instance].helped_prompt_count < self._spec.slots
-            and not self._is_cold(server.instance)
+            and self._may_help(server.instance)
             and not self._health.refuses_help(server.instance, self._now)
         ]
         candidates.sort(key=lambda one: one.loss + self._own_loss(one.first_event_seconds))
--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -258,6 +258,36 @@
     """The hash; 0 for none."""
 
 
+class LimitRecord(NamedTuple):
+    """What a server has stated of the rate of requests that it takes."""
+
+    instance: catalog.Instance
+    """The server."""
+
+    requests_per_second: float | None
+    """Requests that it takes from all nodes together; None if its limit has ended."""
+
+    age_seconds: float
+    """Time since the statement."""
+
+
+class LimitReport(NamedTuple):
+    """What the sender knows of servers' limits: something new, or a part of all."""
+
+    limits: tuple[LimitRecord, ...]
+    """The newest statements of servers."""
+
+    wants_all: bool
+    """Whether the sender requests all statements that the receiver knows."""
+
+
+class LimitDigest(NamedTuple):
+    """Hash of all limits that the sender knows, to find nodes that lack some."""
+
+    digest: int
+    """The hash; 0 for none."""
+
+
 Message = (
     Report
     | Pulse
@@ -271,5 +301,7 @@
     | Ended
     | CrashReport
     | CrashDigest
+    | LimitReport
+    | LimitDigest
 )
 """Any message between nodes."""
--- a/src/dragonflycove/fleet/placement_queue.py
+++ b/src/dragonflycove/fleet/placement_queue.py
@@ -12,10 +12,10 @@
 import collections
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import engine_forecast, work
+from dragonflycove.fleet import engine_forecast, return_bookings, work
 
 if TYPE_CHECKING:
-    from dragonflycove.fleet import placer
+    from dragonflycove.fleet import limited_servers, placer
 
 MIN_SERVICE_SECONDS = 0.1
 """Time left below which a queued request is refused; a prefill and a pass take longer."""
@@ -38,6 +38,9 @@
 GRANT_INTERVAL_WEIGHT = 0.2
 """Weight of the newest interval in the moving average, which covers about the last ten."""
 
+RETURNED_WAIT_SECONDS = 1.0
+"""Time that a caller who returned when told may wait for a rate-limited server."""
+
 LONG_PROMPT_RETRY_SECONDS = 0.1
 """Time between two placement tries of a queued long prompt, which take most of the CPU time."""
 
@@ -70,6 +73,18 @@
     service_seconds: float
     """Predicted time from its placement to its first event."""
 
+    has_returned: bool = False
+    """Whether its caller was refused before and has returned when told."""
+
+    @property
+    def must_be_served(self) -> bool:
+        """Whether it is served also after its latency target, before those that can be in time.
+
+        An interrupted stream is worse for its caller than one that hasn't started, and a retry-after
+        is a promise.
+        """
+        return self.job.has_started or self.has_returned
+
     @property
     def is_short(self) -> bool:
         """Whether it has a short target for gaps, as short prompts have."""
@@ -86,11 +101,10 @@
 
     def sort_key(self, now: float) -> tuple[float, ...]:
         """Return the sort key; the lowest is placed first."""
-        # An interrupted stream is worse for its caller than one that hasn't started.
-        misses_target = self.misses_target(now) and not self.job.has_started
+        misses_target = self.misses_target(now) and not self.must_be_served
         # Value is ignored after the target, so that no late request starves.
         value = 0.0 if misses_target else self.job.value
-        return self.job.priority, misses_target, -value, self.queued_at
+        return self.job.priority, not self.has_returned, misses_target, -value, self.queued_at
 
 
 class _JobGroup(NamedTuple):
@@ -144,6 +158,7 @@
         self._next_try_by_key: dict[work.JobKey, float] = {}
         self._intervals_by_service: dict[str, _GrantIntervals] = {}
         self._late_intervals_by_service: dict[str, _GrantIntervals] = {}
+        self._bookings_by_service: dict[str, return_bookings.ReturnBookings] = {}
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -166,13 +181,18 @@
         known = self._queued_by_key.get(job.key)
         if known is not None:
             return work.Wait(known.service_seconds, is_full=False)
+        capacity = self._placer.rate_capacity(job, now)
+        if capacity is not None:
+            not_yet = self._wait_for_rate(job, capacity, now)
+            if not_yet is not None:
+                return not_yet
         decision = self._placer.place(job, now)
         if not isinstance(decision, work.Wait):
             return decision
         # An empty queue isn't polled, so its intervals may have started long ago.
         self._restart_idle_intervals(now)
-        timeout = min(job.deadline_seconds, job.next_event_deadline_seconds)
-        queued = QueuedJob(job, now, now + timeout, decision.service_seconds)
+        queued = _queued_job(job, decision, now)
+        timeout = queued.expires_at - now
         expected_wait = self._expected_wait(queued, now)
         if len(self._queued_by_key) >= MAX_QUEUED:
             return work.Refusal("line_full", self._retry_after_seconds(job.service, now))
@@ -181,9 +201,58 @@
         self._queued_by_key[job.key] = queued
         return decision
 
+    def _wait_for_rate(
+        self, job: work.Job, capacity: limited_servers.RateCapacity, now: float
+    ) -> work.Wait | work.Refusal | None:
+        """Queue or refuse a request whose servers all have rate limits; None if one may get it now.
+
+        It is queued only for so short a time that it can still meet its latency target, or if its
+        caller returned when told. A refused caller is told when there is capacity for it.
+        """
+        bookings = self._bookings(job.service)
+        has_returned = bookings.redeem(job, now)
+        queued_count = self._queued_count(job.service)
+        service_seconds = self._placer.service_seconds(job)
+        max_wait = max(0.0, job.latency_target_seconds - service_seconds)
+        if has_returned:
+            ahead, ahead_in_wait = 0, queued_count
+            max_wait = max(max_wait, RETURNED_WAIT_SECONDS)
+        else:
+            # What comes just before a booked time is kept, so that it is there at that time.
+            ahead = queued_count + bookings.due_within(1 / capacity.requests_per_second, now)
+            ahead_in_wait = queued_count + bookings.due_within(max_wait, now)
+        if capacity.seconds_until(1 + ahead) <= 0:
+            return None
+        # Refusing a stream that has started would cut it off.
+        may_wait = job.has_started or capacity.seconds_until(1 + ahead_in_wait) <= max_wait
+        if may_wait and len(self._queued_by_key) < MAX_QUEUED:
+            self._restart_idle_intervals(now)
+            wait = work.Wait(service_seconds, is_full=False)
+            queued = _queued_job(job, wait, now)
+            self._queued_by_key[job.key] = queued._replace(has_returned=has_returned)
+            return wait
+        return self._refuse_for_rate(job, capacity, now)
+
+    def _refuse_for_rate(
+        self, job: work.Job, capacity: limited_servers.RateCapacity, now: float
+    ) -> work.Refusal:
+        """Refuse a request because of its servers' rate limits, and book its return."""
+        bookings = self._bookings(job.service)
+        seconds = bookings.seconds_to_booking(job, now)
+        if seconds is None:
+            position = 1 + self._queued_count(job.service)
+            seconds = bookings.book(job, position, capacity, now)
+        return work.Refusal(work.SERVER_LIMIT, seconds)
+
+    def _bookings(self, service: str) -> return_bookings.ReturnBookings:
+        return self._bookings_by_service.setdefault(service, return_bookings.ReturnBookings())
+
+    def _queued_count(self, service: str) -> int:
+        return sum(one.job.service == service for one in self._queued_by_key.values())
+
     def _retry_after_seconds(self, service: str, now: float) -> float:
         """Return the retry-after of a refused request: the time to place all that wait now."""
-        queued_count = sum(1 for one in self._queued_by_key.values() if one.job.service == service)
+        queued_count = self._queued_count(service)
         intervals = self._intervals_by_service.get(service)
         seconds = (
             intervals.wait_seconds(1 + queued_count, now) if intervals else MIN_RETRY_AFTER_SECONDS
@@ -259,8 +328,10 @@
             if misses_target:
                 late_intervals.on_grant(now)
             return decision
-        # Refusing a stream that has started would cut it off.
-        if misses_target and not queued.job.has_started:
+        if misses_target and not queued.must_be_served:
+            capacity = self._placer.rate_capacity(queued.job, now)
+            if capacity is not None:
+                return self._refuse_for_rate(queued.job, capacity, now)
             late_ahead[service] += 1
             expected_wait = late_intervals.wait_seconds(late_ahead[service], now)
             if expected_wait + MIN_SERVICE_SECONDS > remaining_seconds:
@@ -316,3 +387,8 @@
         """
         self._queued_by_key.pop(key, None)
         self._next_try_by_key.pop(key, None)
+
+
+def _queued_job(job: work.Job, decision: work.Wait, now: float) -> QueuedJob:
+    timeout = min(job.deadline_seconds, job.next_event_deadline_seconds)
+    return QueuedJob(job, now, now + timeout, decision.service_seconds)
--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -11,7 +11,14 @@
 import collections
 from typing import TYPE_CHECKING
 
-from dragonflycove.fleet import engine_forecast, engine_selection, server_health, work
+from dragonflycove.fleet import (
+    engine_forecast,
+    engine_selection,
+    limited_servers,
+    server_health,
+    server_limits,
+    work,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -40,6 +47,7 @@
         zone: str,
         is_suspect: Callable[[int], bool] = lambda _: False,
         cold_share: Callable[[float], float] = lambda _: 1.0,
+        limited: limited_servers.LimitedServers | None = None,
     ) -> None:
         """Create a placer without requests.
 
@@ -49,7 +57,11 @@
             is_suspect: Returns whether a request, by its fingerprint, may have crashed a server.
             cold_share: Returns this node's share of the rate of cold servers at a loop time; hubs
                 that don't reach each other divide it.
+            limited: Counts requests towards the limits that servers state; None for no limits.
         """
+        self._limited = limited or limited_servers.LimitedServers(
+            server_limits.ServerLimits(), lambda _: 1.0
+        )
         self._cold_share = cold_share
         self._is_suspect = is_suspect
         self._store_view = view
@@ -76,9 +88,14 @@
         service = self._service(job.service)
         if service is None:
             return work.Refusal("no_configuration", 1.0)
-        servers = self._eligible_servers(job, service, now)
-        if not servers:
+        candidates = self._eligible_servers(job, service, now)
+        if not candidates:
             return work.Refusal("no_server", 0.5)
+        servers = [
+            server for server in candidates if self._limited.can_take_request(server.instance, now)
+        ]
+        if not servers:
+            return work.Wait(self.service_seconds(job), is_full=not job.excluded)
         if service.engine is None:
             return self._place_plain(job, servers, now)
         return self._place_prompt(job, servers, service.engine, now)
@@ -101,6 +118,41 @@
         healthy = [server for server in usable if not self.health.is_suspect(server.instance, now)]
         return self._without_other_suspects(job, healthy or usable)
 
+    def rate_capacity(self, job: work.Job, now: float) -> limited_servers.RateCapacity | None:
+        """Return what the servers that may get a request take; None if their rate isn't limited.
+
+        Args:
+            job: The request.
+            now: Loop time.
+        """
+        service = self._service(job.service)
+        if service is None or not self._limited.has_limits:
+            return None
+        servers = self._eligible_servers(job, service, now)
+        if not servers:
+            return None
+        return self._limited.capacity((server.instance for server in servers), now)
+
+    def service_seconds(self, job: work.Job) -> float:
+        """Return the predicted time to the first event of a request on an idle server.
+
+        Args:
+            job: The request.
+        """
+        service = self._service(job.service)
+        if service is None or service.engine is None:
+            return PLAIN_CALL_SECONDS
+        return engine_forecast.prefill_seconds(service.engine, job.prompt_tokens, 1)
+
+    def on_unknown_request(self, instance: catalog.Instance, now: float) -> None:
+        """Count a request that ended at a server and whose placement this node didn't know.
+
+        Args:
+            instance: The server.
+            now: Loop time.
+        """
+        self._limited.on_request(instance, now)
+
     def _without_other_suspects(
         self, job: work.Job, servers: list[catalog.BackendServer]
     ) -> list[catalog.BackendServer]:
@@ -185,18 +237,24 @@
         now: float,
     ) -> work.Grant | work.Wait | work.Refusal:
         forecasts = {server.instance: self._forecast(server, spec) for server in servers}
-        selection = engine_selection.EngineSelection(
-            job,
-            servers,
-            forecasts,
-            spec,
-            self.health,
-            lambda instance: self.is_cold(instance, now),
-            now,
+
+        def select(
+            may_help: Callable[[catalog.Instance], bool],
+        ) -> engine_selection.EngineSelection:
+            return engine_selection.EngineSelection(
+                job, servers, forecasts, spec, self.health, may_help, now
+            )
+
+        selection = select(
+            lambda instance: not self.is_cold(instance, now)
+            and not self._limited.is_limited(instance)
         )
         if not selection.has_free_slot:
             return self._wait_or_refuse(job, forecasts, spec, is_full=not job.excluded)
         grant = selection.choose()
+        if grant is None:
+            # Servers in need help only with prompts that don't fit on the others.
+            grant = select(lambda instance: not self.is_cold(instance, now)).choose()
         if grant is None:
             return self._wait_or_refuse_for_kv_cache(job, servers, forecasts, spec)
         first = grant.first_event_seconds
@@ -294,7 +352,8 @@
     # State of placed requests
 
     def _record_placement(self, placement: work.Placement, now: float) -> None:
-        """Record a placement, and count it towards the rate limits of its cold servers."""
+        """Record a placement, and count it towards the rate limits of its servers."""
+        self._limited.on_placement(placement.grant, now)
         self._placement_by_job[placement.job.key] = placement
         for instance in placement.instances:
             if self.is_cold(instance, now):
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -45,6 +45,12 @@
 RETENTION_SECONDS = 30.0
 """Time after its last report for which an unresponsive node is kept and contacted."""
 
+STANDBY_SHARE = 0.4
+"""Share of a common limit that all nodes but the first hub may use together.
+
+With the first hub's share it stays below the overage of a half that the platform tolerates.
+"""
+
 LARGE_HOST_CORES = 0.9
 """Minimum CPU cores of a host that is preferred as a hub; a hub places all nodes' requests."""
 
@@ -294,16 +300,19 @@
         Args:
             now: Loop time.
         """
-        members = [
-            status.member
-            for status in self._status_by_host.values()
-            if now - status.last_seen_at <= self.unresponsive_after_seconds
-            and not status.is_leaving
-        ]
+        members = [status.member for status in self._recently_seen(now) if not status.is_leaving]
         if not self.is_leaving:
             members.append(self.own)
         return sorted(members, key=lambda member: member.rank)[:HUB_COUNT]
 
+    def _recently_seen(self, now: float) -> list[MemberStatus]:
+        """Return the other nodes that are not unresponsive, without grace for a lost hub."""
+        return [
+            status
+            for status in self._status_by_host.values()
+            if now - status.last_seen_at <= self.unresponsive_after_seconds
+        ]
+
     def hub_rank(self, now: float) -> int:
         """Return this node's index among the hubs; -1 if it is not a hub.
 
@@ -333,6 +342,16 @@
             if now - added_at <= UNCONFIRMED_SECONDS
         ]
 
+    def awaits_first_contact(self, now: float) -> bool:
+        """Whether this node may have peers, and has not heard from any of them yet.
+
+        Args:
+            now: Loop time.
+        """
+        if self._status_by_host:
+            return False
+        return bool(self.unconfirmed(now)) or not self.senders.count(now)
+
     def unresponsive(self, now: float) -> list[Member]:
         """Return the nodes without recent reports, which may only be disconnected from this one.
 
@@ -355,6 +374,19 @@
         """
         return self.senders.share(1 + len(self.alive(now)), now)
 
+    def placing_share(self, now: float) -> float:
+        """Return the share of a common limit that this node may use for placements.
+
+        The first hub has that of its group. Others place only while no hub responds to them, with
+        `STANDBY_SHARE` divided among all nodes.
+
+        Args:
+            now: Loop time.
+        """
+        if self.is_first_hub(now):
+            return self.senders.share(1 + len(self._recently_seen(now)), now)
+        return STANDBY_SHARE * self.senders.share(1, now)
+
     def entry_points(self, now: float) -> list[entry_points.EntryPoint]:
         """Return the other nodes that accept callers, as entries for the directory.
 
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -28,6 +28,10 @@
 """Reason of the refusal of a request that has crashed too many servers."""
 
 
+SERVER_LIMIT = "server_limit"
+"""Reason of the refusal of a request because all servers of its service have rate limits."""
+
+
 class JobKey(NamedTuple):
     """Identifies one placement attempt of a request in the fleet."""
 
--- a/src/dragonflycove/gateway/crash_exchange.py
+++ b/src/dragonflycove/gateway/crash_exchange.py
@@ -1,8 +1,7 @@
 """Exchanges with the other nodes which servers ended while they ran which requests.
 
-A node that loses a server reports it to all nodes at once. Datagrams can be lost and nodes can be
-cut off or start later, so that nodes also compare digests with the hubs at intervals and exchange
-all crashes where they differ.
+A node that loses a server reports it to all nodes at once; `digest_gossip` makes up for what was
+lost on the way.
 """
 
 from __future__ import annotations
@@ -11,6 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.fleet import peer_messages
+from dragonflycove.gateway import digest_gossip
 from dragonflycove.quarantine import crash_counts
 from dragonflycove.telemetry import logs
 
@@ -20,15 +20,6 @@
     from dragonflycove.fleet import catalog, roster
     from dragonflycove.gateway import peer_socket
 
-DIGEST_INTERVAL_SECONDS = 0.9
-"""Interval at which digests are sent, as long as a crash is known."""
-
-FULL_REPORT_INTERVAL_SECONDS = 0.5
-"""Minimum time between two reports of all crashes to one node."""
-
-RECORDS_PER_DATAGRAM = 12
-"""Records of each kind in one datagram; keeps it under 1,400 bytes, as any network path carries."""
-
 
 class _Facts(NamedTuple):
     """What one node tells another."""
@@ -54,10 +45,11 @@
             counts: Crashes that this node knows.
             datagram_socket: Socket to the other nodes.
         """
-        self._nodes = nodes
         self._counts = counts
         self._peer_socket = datagram_socket
-        self._reported_all_at_by_address: dict[catalog.Address, float] = {}
+        self._gossip = digest_gossip.DigestGossip(
+            nodes, datagram_socket, counts.digest, peer_messages.CrashDigest, self._encode_all
+        )
         datagram_socket.register(peer_messages.CrashReport, self._on_report)
         datagram_socket.register(peer_messages.CrashDigest, self._on_digest)
 
@@ -88,36 +80,14 @@
 
     def _broadcast(self, facts: _Facts) -> None:
         now = asyncio.get_running_loop().time()
-        for message in _encode(facts, now, wants_all=False):
-            for address in self._other_addresses(now):
-                self._peer_socket.send(address, message)
+        self._gossip.broadcast(_encode(facts, now, wants_all=False))
 
     async def run(self) -> None:
         """Send digests at intervals; runs until cancelled."""
-        while True:
-            await asyncio.sleep(DIGEST_INTERVAL_SECONDS)
-            self._send_digests()
-
-    def _send_digests(self) -> None:
-        """Send the digest to the hubs, and as the first hub to all nodes."""
-        now = asyncio.get_running_loop().time()
-        digest = self._counts.digest(now)
-        if not digest:
-            return
-        addresses = {hub.peer_address for hub in self._nodes.hubs(now)}
-        if self._nodes.is_first_hub(now):
-            addresses.update(self._other_addresses(now))
-        for address in addresses - {self._nodes.own.peer_address}:
-            self._peer_socket.send(address, peer_messages.CrashDigest(digest))
-
-    def _other_addresses(self, now: float) -> list[catalog.Address]:
-        members = [status.member for status in self._nodes.alive(now)]
-        return [member.peer_address for member in [*members, *self._nodes.unconfirmed(now)]]
+        await self._gossip.run()
 
     def _on_digest(self, message: peer_messages.CrashDigest, sender: catalog.Address) -> None:
-        now = asyncio.get_running_loop().time()
-        if message.digest != self._counts.digest(now):
-            self._report_all(sender, now, wants_all=True)
+        self._gossip.on_digest(message.digest, sender)
 
     def _on_report(self, message: peer_messages.CrashReport, sender: catalog.Address) -> None:
         now = asyncio.get_running_loop().time()
@@ -135,7 +105,7 @@
             if self._counts.add(crash, now):
                 self._on_new_crash(crash, sender, now)
         if message.wants_all:
-            self._report_all(sender, now, wants_all=False)
+            self._gossip.report_all(sender, wants_all=False)
 
     def _on_new_crash(self, crash: crash_counts.Crash, sender: catalog.Address, now: float) -> None:
         logs.event(
@@ -152,22 +122,11 @@
             for message in _encode(_Facts(answers=[answer]), now, wants_all=False):
                 self._peer_socket.send(sender, message)
 
-    def _report_all(self, address: catalog.Address, now: float, *, wants_all: bool) -> None:
-        """Send all that is known to a node, at most every `FULL_REPORT_INTERVAL_SECONDS`."""
-        reported_at = self._reported_all_at_by_address.get(address, float("-inf"))
-        if now - reported_at < FULL_REPORT_INTERVAL_SECONDS:
-            return
-        self._reported_all_at_by_address = {
-            known: at
-            for known, at in self._reported_all_at_by_address.items()
-            if now - at < FULL_REPORT_INTERVAL_SECONDS
-        }
-        self._reported_all_at_by_address[address] = now
+    def _encode_all(self, now: float, wants_all: bool) -> Iterable[peer_messages.CrashReport]:
         facts = _Facts(
             self._counts.crashes(now), self._counts.answers(now), self._counts.survivals()
         )
-        for message in _encode(facts, now, wants_all=wants_all):
-            self._peer_socket.send(address, message)
+        return _encode(facts, now, wants_all=wants_all)
 
 
 def _encode(facts: _Facts, now: float, *, wants_all: bool) -> Iterable[peer_messages.CrashReport]:
@@ -184,6 +143,6 @@
         for one in facts.survivals
     )
     longest = max(1, len(crashes), len(answers), len(survivals))
-    for start in range(0, longest, RECORDS_PER_DATAGRAM):
-        part = slice(start, start + RECORDS_PER_DATAGRAM)
+    for start in range(0, longest, digest_gossip.RECORDS_PER_DATAGRAM):
+        part = slice(start, start + digest_gossip.RECORDS_PER_DATAGRAM)
         yield peer_messages.CrashReport(crashes[part], answers[part], survivals[part], wants_all)
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -16,6 +16,7 @@
 from dragonflycove.fleet import (
     catalog,
     entry_points,
+    limited_servers,
     placer,
     retry_budget_share,
     roster,
@@ -28,6 +29,7 @@
     control_endpoints,
     crash_guard,
     forwarder,
+    limit_exchange,
     limit_watch,
     peer_placing,
     peer_reports,
@@ -136,11 +138,18 @@
             self._nodes, self._peer_socket, self._pool, self._store_view, settings.store.address
         )
         self._server_limits = server_limits.ServerLimits()
+        self._limited_servers = limited_servers.LimitedServers(
+            self._server_limits, self._nodes.placing_share
+        )
+        self._limit_exchange = limit_exchange.LimitExchange(
+            self._nodes, self._server_limits, self._peer_socket
+        )
         self._placer = placer.Placer(
             self._store_view,
             settings.zone,
             self._crashes.is_suspect,
             self._nodes.reachable_share,
+            self._limited_servers,
         )
         self._local_placer = placing.LocalRequestPlacer(self._placer, self._crashes.counts)
         self._store_follower = store_follower.StoreFollower(
@@ -180,7 +189,7 @@
             self._pool,
             retry_budget,
             self._crashes.watch,
-            limit_watch.LimitWatch(self._server_limits),
+            limit_watch.LimitWatch(self._server_limits, self._limit_exchange),
             self._reservation_manager,
             self._metrics,
             self._servers_age,
@@ -280,6 +289,7 @@
             self._clean_up(),
             self._reports.run(),
             self._crashes.run(),
+            self._limit_exchange.run(),
             self._announce(),
             self._find_nodes(),
             self._follow_settings(),
@@ -351,6 +361,8 @@
                     self._nodes.senders.on_list_read()
                     for member in read.ok_value:
                         self._nodes.on_store_record(member, loop.time())
+                    if self._nodes.awaits_first_contact(loop.time()):
+                        self._reports.report(with_jobs=False)
             is_alone = not self._nodes.alive(loop.time())
             await asyncio.sleep(ISOLATED_MEMBER_POLL_SECONDS if is_alone else MEMBER_POLL_SECONDS)
 
@@ -362,6 +374,7 @@
             self._store_view.discard_expired(now)
             self._nodes.discard_expired(now)
             self._server_limits.discard_expired(now)
+            self._limited_servers.discard_unlimited()
             logs.log_dropped_counts()
 
     async def _follow_settings(self) -> None:
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -377,6 +377,9 @@
         if refusal.reason == work.CRASHES_SERVERS:
             self._crashes.log_refusal(context)
             return forwarding.FinalResponse(503, refusal.reason, refusal.retry_after_seconds)
+        if refusal.reason == work.SERVER_LIMIT:
+            # The time is booked for this caller.
+            return forwarding.FinalResponse(503, refusal.reason, refusal.retry_after_seconds)
         base = max(MIN_RETRY_AFTER_SECONDS, refusal.retry_after_seconds)
         retry_after_seconds = base * (1 + RETRY_AFTER_JITTER_RATIO * self._rng.random())
         return forwarding.FinalResponse(503, refusal.reason, retry_after_seconds)
--- a/src/dragonflycove/gateway/limit_watch.py
+++ b/src/dragonflycove/gateway/limit_watch.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog, forwarding
+    from dragonflycove.gateway import limit_exchange
 
 WRONG_INSTANCE_STATUS = 421
 """Status of a response that comes from another server than the expected one."""
@@ -18,13 +19,17 @@
 class LimitWatch:
     """Keeps the limits that this node's attempts come to know."""
 
-    def __init__(self, limits: server_limits.ServerLimits) -> None:
+    def __init__(
+        self, limits: server_limits.ServerLimits, exchange: limit_exchange.LimitExchange
+    ) -> None:
         """Create a watch.
 
         Args:
             limits: Limits that this node knows.
+            exchange: Tells changed limits to the other nodes.
         """
         self._limits = limits
+        self._exchange = exchange
 
     def on_head(
         self, instance: catalog.Instance, head: forwarding.ResponseHead, sent_at: float
@@ -55,3 +60,4 @@
             limit=statement.requests_per_second,
             limited=len(self._limits),
         )
+        self._exchange.report(statement)
--- a/src/dragonflycove/gateway/peer_placing.py
+++ b/src/dragonflycove/gateway/peer_placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import peer_messages, server_health, work
@@ -30,6 +31,12 @@
 
 A job that need not queue is placed within one iteration of the event loop."""
 
+FIRST_CONTACT_SECONDS = 0.5
+"""Time after its start for which a node waits for a hub, rather than place without knowledge."""
+
+FIRST_CONTACT_CHECK_SECONDS = 0.02
+"""Interval at which a node that has just started looks for a hub."""
+
 _HubResponse = peer_messages.PlaceGranted | peer_messages.PlaceRefused | peer_messages.PlaceWaits
 
 
@@ -61,6 +68,7 @@
         self._local_placer = local_placer
         self._crash_counts = counts
         self._peer_socket = datagram_socket
+        self._contact_until: float | None = None
         self._response_by_key: dict[work.JobKey, asyncio.Future[_HubResponse]] = {}
         self._placing_task_by_key: dict[work.JobKey, asyncio.Task[None]] = {}
         datagram_socket.register(peer_messages.PlaceRequest, self._on_place_request)
@@ -85,6 +93,7 @@
         """
         loop = asyncio.get_running_loop()
         until = loop.time() + job.deadline_seconds
+        await self._wait_for_first_contact()
         for hub in self._nodes.hubs(loop.time()):
             if hub.host == self._own.host:
                 break
@@ -98,6 +107,20 @@
             logs.event("hub_passed_over", hub=hub.host, job=job.key.number)
         return await self._local_placer.place(job._replace(deadline_seconds=until - loop.time()))
 
+    async def _wait_for_first_contact(self) -> None:
+        """Wait until a hub is known, for `FIRST_CONTACT_SECONDS` after the first request at most.
+
+        A node without contact knows neither the limits of servers nor what others place.
+        """
+        loop = asyncio.get_running_loop()
+        if self._contact_until is None:
+            self._contact_until = loop.time() + FIRST_CONTACT_SECONDS
+        for pause in itertools.repeat(FIRST_CONTACT_CHECK_SECONDS):
+            now = loop.time()
+            if now >= self._contact_until or not self._nodes.awaits_first_contact(now):
+                return
+            await asyncio.sleep(pause)
+
     async def _request_placement(
         self, hub: roster.Member, job: work.Job
     ) -> work.Grant | work.Refusal | None:
@@ -255,4 +278,5 @@
             self._local_placer.on_end(message.key, message.outcome, message.refusing_helper_id)
         else:
             now = asyncio.get_running_loop().time()
+            self._placer.on_unknown_request(message.instance, now)
             self._placer.health.on_outcome(message.instance, message.outcome, now)
