Divide the rate of cold servers among nodes that place while no hub responds

Callers' requests could crash a server that had just returned: nodes whose hub didn't respond each used the whole rate. Cause: the share of the rate was that of the group of nodes, also at nodes other than its first hub, and for the 4 s for which a lost hub's nodes count as running. Change: the share for limits that servers state (placing_share) serves cold rates as well; reachable_share is gone, and its two tests now check placing_share with the same bounds. Evidence: seven nodes without a responding hub placed 140 requests in one second where 47 are allowed; the new test failed so with the old share and passes.

--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -364,20 +364,11 @@
             if self.unresponsive_after_seconds < now - status.last_seen_at <= RETENTION_SECONDS
         ]
 
-    def reachable_share(self, now: float) -> float:
-        """Return the share of the nodes that run as far as this node knows, this one included.
-
-        Groups of nodes that don't reach each other have shares that add up to one.
-
-        Args:
-            now: Loop time.
-        """
-        return self.senders.share(1 + len(self.alive(now)), now)
-
     def placing_share(self, now: float) -> float:
         """Return the share of a common limit that this node may use for placements.
 
-        The first hub has that of its group. Others place only while no hub responds to them, with
+        The first hub has that of its group; groups of nodes that don't reach each other have shares
+        that add up to one. Others place only while no hub responds to them, with
         `STANDBY_SHARE` divided among all nodes.
 
         Args:
--- a/tests/fleet/test_placer.py
+++ b/tests/fleet/test_placer.py
@@ -393,7 +393,7 @@
         for other in group[1:]:
             test_roster.hear(nodes, other, 20.0)
         cold = builders.server("e0")._replace(cold_seconds=60.0)
-        hub = placer.Placer(builders.view(cold), "z1", cold_share=nodes.reachable_share)
+        hub = placer.Placer(builders.view(cold), "z1", cold_share=nodes.placing_share)
         for number in range(60):
             decision = hub.place(builders.job(number), 20.0)
             if isinstance(decision, work.Grant):
@@ -406,5 +406,21 @@
     nodes = roster.Roster(test_roster.member(0))
     for other in range(1, 7):
         test_roster.hear(nodes, other, 20.0)
-    assert nodes.reachable_share(20.0) == 1.0
-    assert roster.Roster(test_roster.member(0)).reachable_share(20.0) == pytest.approx(0.1)
+    assert nodes.placing_share(20.0) == 1.0
+    assert roster.Roster(test_roster.member(0)).placing_share(20.0) == pytest.approx(0.1)
+
+
+def test_nodes_that_place_while_no_hub_responds_keep_to_the_rate_of_a_cold_server() -> None:
+    members = [test_roster.member(number) for number in range(7)]
+    placed = 0
+    for own in members:
+        nodes = roster.Roster(own)
+        for other in members:
+            nodes.mark_running(other, 20.0, is_ready=True, is_leaving=False)
+        cold = builders.server("e0")._replace(cold_seconds=60.0, slots=200)
+        node = placer.Placer(builders.view(cold), "z1", cold_share=nodes.placing_share)
+        for number in range(60):
+            grant = node.place(builders.job(number, tokens=10, host=own.host), 20.0)
+            placed += isinstance(grant, work.Grant)
+            node.on_end(work.JobKey(own.host, 1, number), server_health.Outcome.ANSWERED, 20.0)
+    assert placed <= 28.0 * 1.5 + 5
