--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -101,6 +101,9 @@
     content_hash: int
     """Hash of target and body."""
 
+    shared_parts: tuple[str, ...] = ()
+    """Ids of the parts of its prompt that other requests may share, in order."""
+
 
 class RateLimit(NamedTuple):
     """What a server's response states of the rate of requests that it takes."""
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -11,6 +11,7 @@
 
 from dragonflycove.fleet import catalog, forwarding, server_health, work
 from dragonflycove.gateway import crash_watch, request_context, send_values, sends
+from dragonflycove.quarantine import part_blame
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -36,6 +37,9 @@
 RETRY_AFTER_JITTER_RATIO = 0.5
 """Maximum random addition to retry-after, as a share of it; spreads the callers' resends."""
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that the log names."""
+
 MAX_ATTEMPTS_PER_REQUEST = 4
 """Maximum attempts of one request, refused ones included; the retry budget also limits them."""
 
@@ -143,6 +147,7 @@
             received_at=now,
             deadline_at=now + seconds,
             fingerprint=request.content_hash ^ hash_text(name),
+            part_fingerprints=tuple(map(part_blame.part_fingerprint, request.shared_parts)),
         )
         logs.event(
             "received",
@@ -156,6 +161,7 @@
             deadline=seconds,
             version=configuration.version,
             fingerprint=context.fingerprint_text,
+            parts=",".join(request.shared_parts[:MAX_LOGGED_PARTS]),
         )
         return result.Ok(context)
 
--- a/src/dragonflycove/gateway/request_context.py
+++ b/src/dragonflycove/gateway/request_context.py
@@ -63,6 +63,9 @@
     fingerprint: int
     """Hash of content and organisation; equal when the caller resends."""
 
+    part_fingerprints: tuple[int, ...] = ()
+    """Fingerprints of the parts of its prompt that other requests may share."""
+
     @property
     def fingerprint_text(self) -> str:
         """The fingerprint as logged, 16 hexadecimal digits."""
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -23,6 +23,7 @@
 _PRIORITY = b"x-request-priority"
 _HELPERS = b"x-helpers"
 _TOKEN_COUNTS = b"x-token-counts"
+_PROMPT_PARTS = b"x-prompt-prefix"
 _LENGTH_HINT = b"x-length-hint"
 _LAST_EVENT_ID = b"last-event-id"
 _SERVER_STAMP = b"x-server-stamp"
@@ -69,6 +70,10 @@
 """Statuses that mean "not executed" also without the header `x-not-executed`."""
 
 
+MAX_SHARED_PARTS = 64
+"""Parts of one prompt that are told apart; those after them are ignored."""
+
+
 def decode_request(
     method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes
 ) -> forwarding.CallerRequest:
@@ -107,9 +112,16 @@
         output_tokens=min(output_tokens, int(length_hint)) if length_hint else output_tokens,
         last_event_number=None if last_event_id is None else int(last_event_id),
         content_hash=xxhash.xxh3_64_intdigest(target + b"\0" + body),
+        shared_parts=_shared_parts(first_by_name.get(_PROMPT_PARTS, b"")),
     )
 
 
+def _shared_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts without the last, which belongs to the request alone."""
+    ids = [part.partition(b":")[0].strip().lower() for part in value.split(b",")[:-1]]
+    return tuple(dict.fromkeys(one.decode("latin-1") for one in ids if one))[:MAX_SHARED_PARTS]
+
+
 def _number(value: bytes | None) -> float | None:
     if value is None:
         return None
