Add failing tests of crashing parts with six nodes on loopback

Cause: requests are counted by a hash of path, body and organisation, so that no two of these count together. Change: the stand-in crashes after the first event of a response to a prompt with some part; tests send such requests in turn and at once, beside sound ones, over restarts, loss of power and cuts.

--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -48,6 +48,9 @@
 class PlatformServer:
     """One simulated backend server."""
 
+    stated_limit = ""
+    """Value of `Server-Limit` in all responses; empty for none."""
+
     def __init__(self, server_id: str, *, events: int = 5, event_seconds: float = 0.01) -> None:
         """Create a server; `listen` starts it.
 
@@ -70,8 +73,6 @@
         """Number of requests received, including refused ones but not reservations."""
         self.arrival_times: list[float] = []
         """Loop times of those requests."""
-        self.stated_limit = ""
-        """Value of `Server-Limit` in all responses; empty for none."""
         self.disconnected_runs = 0
         """Number of requests whose client disconnected or violated HTTP."""
         self.connections = 0
@@ -80,6 +81,8 @@
         """KV cache tokens reserved, by reservation id."""
         self.crashing_paths: set[str] = set()
         """Paths of requests that crash the server as soon as it begins to execute them."""
+        self.crashing_parts: set[str] = set()
+        """Ids of parts of prompts that crash the server after the first event of its response."""
         self.crash_mode = server_faults.CrashMode.RESET
         """How the server crashes."""
         self.on_crash: Callable[[], None] | None = None
@@ -327,6 +330,9 @@
             *self._limit_lines(),
         ]
         writer.write("\r\n".join(header_lines).encode() + b"\r\n\r\n")
+        parts = {
+            part.partition(":")[0] for part in run.headers.get("x-prompt-prefix", "").split(",")
+        }
         fault_event = first_number + (self.events - first_number) // 2
         for event_number in range(first_number, self.events + 1):
             event = f"id: {event_number}\ndata: piece {event_number}\n\n".encode()
@@ -345,6 +351,9 @@
                 return await self._stay_silent(reader)
             writer.write(_chunk(event))
             await writer.drain()
+            if parts & self.crashing_parts:
+                self.crash()
+                return await self._stay_silent(reader)
             await asyncio.sleep(self.event_seconds)
             if reader.at_eof() or writer.is_closing():
                 self.disconnected_runs += 1
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -15,6 +15,7 @@
 from dragonflycove.fleet import catalog, host_settings, peer_messages
 from dragonflycove.gateway import daemon, forwarder, peer_codec
 from dragonflycove.platform import requests
+from dragonflycove.quarantine import part_blame
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import server_faults
 from dragonflycove.standins.platform import store as platform_store
@@ -176,6 +177,8 @@
         """Faults of the store towards each node, in the order of `nodes`."""
         self.crash_times_by_path: dict[str, list[float]] = collections.defaultdict(list)
         """Loop times at which requests with each path have crashed servers."""
+        self.crashing_parts: set[str] = set()
+        """Parts of prompts that crash the servers that return after a crash."""
         self._born_by_id: dict[str, int] = collections.defaultdict(lambda: 1)
         self._record_by_id: dict[str, dict[str, object]] = {}
         self._beating_ids: set[str] = set()
@@ -216,6 +219,7 @@
         comeback: Comeback,
     ) -> None:
         server.crashing_paths.add(path)
+        server.crashing_parts = self.crashing_parts
         server.crash_mode = mode
 
         def return_later() -> None:
@@ -272,9 +276,17 @@
         """Tell a node, as another one, that a request has crashed some servers."""
         request = requests.decode_request(b"POST", path.encode(), (), b"")
         fingerprint = request.content_hash ^ forwarder.hash_text("org")
+        self._tell(fingerprint, [(one, 0.0) for one in server_ids], node)
+
+    def tell_part_crashes(self, part: str, server_ids: list[str], node: int = 0) -> None:
+        """Tell a node that a part of prompts has crashed some servers, one second apart."""
+        crashes = [(one, float(age)) for age, one in enumerate(server_ids)]
+        self._tell(part_blame.part_fingerprint(part), crashes, node)
+
+    def _tell(self, fingerprint: int, crashes: list[tuple[str, float]], node: int) -> None:
         records = tuple(
-            peer_messages.CrashRecord(fingerprint, catalog.Instance(one, 1), 0.0)
-            for one in server_ids
+            peer_messages.CrashRecord(fingerprint, catalog.Instance(server_id, 1), age)
+            for server_id, age in crashes
         )
         report = peer_messages.CrashReport(records, (), (), wants_all=False)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
