Blame the parts of prompts that crash servers, over all nodes

Cause: crashes were counted by a hash of the whole request. Change: a crash is recorded for each shared part of the request as well, under a negative fingerprint, in the same table, exchange and store. Answers clear parts. Of those left, the part that accounts for the most crashes is blamed, one that was never answered first; crashes that it accounts for count against no other. A waiting request is refused as soon as a part of it is blamed.

--- a/src/dragonflycove/gateway/crash_exchange.py
+++ b/src/dragonflycove/gateway/crash_exchange.py
@@ -11,7 +11,7 @@
 
 from dragonflycove.fleet import peer_messages
 from dragonflycove.gateway import digest_gossip
-from dragonflycove.quarantine import crash_counts
+from dragonflycove.quarantine import crash_counts, part_blame
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -53,22 +53,22 @@
         datagram_socket.register(peer_messages.CrashReport, self._on_report)
         datagram_socket.register(peer_messages.CrashDigest, self._on_digest)
 
-    def report_crash(self, crash: crash_counts.Crash) -> None:
-        """Report a crash that this node has noticed to all nodes.
+    def report_crashes(self, crashes: Sequence[crash_counts.Crash]) -> None:
+        """Report the crash of a server that this node has noticed to all nodes.
 
         Args:
-            crash: The crash.
+            crashes: The crash, for each fingerprint of the request that ran there.
         """
-        answer = self._counts.answer(crash.fingerprint)
-        self._broadcast(_Facts([crash], [answer] if answer else []))
+        answers = [self._counts.answer(crash.fingerprint) for crash in crashes]
+        self._broadcast(_Facts(crashes, [answer for answer in answers if answer]))
 
-    def report_answer(self, answer: crash_counts.Answer) -> None:
-        """Report an answer that clears a request of crashes to all nodes.
+    def report_answers(self, answers: Sequence[crash_counts.Answer]) -> None:
+        """Report an answer that clears fingerprints of crashes to all nodes.
 
         Args:
-            answer: The answer.
+            answers: The answer, for each fingerprint that it clears.
         """
-        self._broadcast(_Facts(answers=[answer]))
+        self._broadcast(_Facts(answers=answers))
 
     def report_survival(self, survival: crash_counts.Survival) -> None:
         """Report to all nodes that a server has not ended.
@@ -118,7 +118,7 @@
             lost=self._counts.crash_count(crash.fingerprint, now),
         )
         answer = self._counts.answer(crash.fingerprint)
-        if answer is not None:
+        if answer is not None and _matters(answer, crash):
             for message in _encode(_Facts(answers=[answer]), now, wants_all=False):
                 self._peer_socket.send(sender, message)
 
@@ -129,6 +129,11 @@
         return _encode(facts, now, wants_all=wants_all)
 
 
+def _matters(answer: crash_counts.Answer, crash: crash_counts.Crash) -> bool:
+    """Whether the reporter of a crash needs an answer; of parts many nodes know older ones."""
+    return not part_blame.is_part(crash.fingerprint) or answer.at > crash.at
+
+
 def _encode(facts: _Facts, now: float, *, wants_all: bool) -> Iterable[peer_messages.CrashReport]:
     """Divide facts among messages; one message if there are none."""
     crashes = tuple(
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.fleet import forwarding, server_health
-from dragonflycove.quarantine import crash_counts
+from dragonflycove.quarantine import blamed_parts, crash_counts
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -89,6 +89,8 @@
             view: Servers as this node knows them.
         """
         self._counts = counts
+        self._blamed_parts = blamed_parts.BlamedParts(counts)
+        self._logged_blame: frozenset[frozenset[int]] = frozenset()
         self._exchange = exchange
         self._pool = pool
         self._store_view = view
@@ -101,6 +103,16 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self._check_records()
             self._check_survivals()
+            self._log_blame()
+
+    def _log_blame(self) -> None:
+        """Log the parts that are blamed, when they have changed."""
+        found = self._blamed_parts.found(asyncio.get_running_loop().time())
+        blamed = frozenset(one.parts for one in found)
+        if blamed != self._logged_blame:
+            self._logged_blame = blamed
+            texts = sorted("+".join(str(part) for part in sorted(parts)) for parts in blamed)
+            logs.event("parts_blamed", parts=",".join(texts))
 
     def refusal_seconds(self, context: request_context.RequestContext) -> float | None:
         """Return for how long a request is refused because it crashes servers; None if it isn't.
@@ -109,7 +121,10 @@
             context: The request.
         """
         now = asyncio.get_running_loop().time()
-        return self._counts.refusal_seconds(context.fingerprint, now)
+        seconds = self._counts.refusal_seconds(context.fingerprint, now)
+        if seconds is not None:
+            return seconds
+        return self._blamed_parts.refusal_seconds(context.part_fingerprints, now)
 
     def log_refusal(self, context: request_context.RequestContext) -> None:
         """Log that a request is refused because it crashes servers.
@@ -123,6 +138,7 @@
             request=context.request.attempt_id,
             fingerprint=context.fingerprint_text,
             lost=self._counts.crash_count(context.fingerprint, now),
+            blamed_parts=sum(len(one.parts) for one in self._blamed_parts.found(now)),
         )
 
     def on_answered(self, context: request_context.RequestContext) -> None:
@@ -132,10 +148,19 @@
             context: The request.
         """
         now = asyncio.get_running_loop().time()
-        answer = crash_counts.Answer(context.fingerprint, now)
-        if self._counts.add_answer(answer, now):
-            logs.event("suspect_cleared", fingerprint=context.fingerprint_text)
-            self._exchange.report_answer(answer)
+        cleared = [
+            answer
+            for answer in (
+                crash_counts.Answer(fingerprint, now)
+                for fingerprint in (context.fingerprint, *context.part_fingerprints)
+            )
+            if self._counts.add_answer(answer, now)
+        ]
+        if cleared:
+            logs.event(
+                "suspect_cleared", fingerprint=context.fingerprint_text, cleared=len(cleared)
+            )
+            self._exchange.report_answers(cleared)
 
     async def classify_end(
         self, attempt: WatchedAttempt, outcome: send_values.AttemptResult
@@ -226,12 +251,19 @@
         context = attempt.context
         instance = attempt.server.instance
         sent_at = now if attempt.sent_at is None else attempt.sent_at
-        while self._counts.has_crashed_before(context.fingerprint, instance, sent_at, now):
+        fingerprints = (context.fingerprint, *context.part_fingerprints)
+        while any(
+            self._counts.has_crashed_before(one, instance, sent_at, now) for one in fingerprints
+        ):
             # The server has started again under its id, and its new record has not arrived yet. Any
             # number that tells the start from the known ones will do.
             instance = instance._replace(started_at_ms=instance.started_at_ms + 1)
-        crash = crash_counts.Crash(context.fingerprint, instance, now)
-        if not self._counts.add(crash, now):
+        crashes = [
+            crash
+            for crash in (crash_counts.Crash(one, instance, now) for one in fingerprints)
+            if self._counts.add(crash, now)
+        ]
+        if not crashes:
             return
         logs.event(
             "server_lost",
@@ -243,4 +275,4 @@
             parts=",".join(context.request.shared_parts[:MAX_LOGGED_PARTS]),
             lost=self._counts.crash_count(context.fingerprint, now),
         )
-        self._exchange.report_crash(crash)
+        self._exchange.report_crashes(crashes)
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -37,6 +37,9 @@
 RETRY_AFTER_JITTER_RATIO = 0.5
 """Maximum random addition to retry-after, as a share of it; spreads the callers' resends."""
 
+WAITING_CHECK_SECONDS = 0.1
+"""Interval at which a waiting request is checked for being known to crash servers."""
+
 MAX_LOGGED_PARTS = 8
 """Parts of a prompt that the log names."""
 
@@ -180,7 +183,7 @@
             if final is not None:
                 break
             job = self._build_job(context, excluded, progress, now)
-            decision = await self._request_placer.place(job)
+            decision = await self._place(context, job)
             if isinstance(decision, work.Refusal):
                 final = self._respond_to_refusal(context, attempt_ends, decision)
                 break
@@ -202,6 +205,22 @@
                 break
         await self._write_final_response(context, response, fallback, final)
 
+    async def _place(
+        self, context: request_context.RequestContext, job: work.Job
+    ) -> work.Grant | work.Refusal:
+        """Place a request, or refuse it once it is known to crash servers while it waits."""
+        task = asyncio.ensure_future(self._request_placer.place(job))
+        try:
+            while True:
+                await asyncio.wait({task}, timeout=WAITING_CHECK_SECONDS)
+                if task.done():
+                    return task.result()
+                refusal_seconds = self._crashes.refusal_seconds(context)
+                if refusal_seconds is not None:
+                    return work.Refusal(work.CRASHES_SERVERS, refusal_seconds)
+        finally:
+            task.cancel()
+
     def _check_attempt_allowed(
         self,
         context: request_context.RequestContext,
--- a/src/dragonflycove/quarantine/_suspicion_table.py
+++ b/src/dragonflycove/quarantine/_suspicion_table.py
@@ -58,6 +58,10 @@
             self._suspicion_by_fingerprint[fingerprint] = suspicion
         return suspicion
 
+    def discard(self, fingerprint: str) -> None:
+        """Remove the suspicion of a fingerprint, if there is one."""
+        self._suspicion_by_fingerprint.pop(fingerprint, None)
+
     def all(self, now: float) -> dict[str, _suspicion.Suspicion]:
         """Return the suspicions that have not expired, by fingerprint."""
         for fingerprint in list(self._suspicion_by_fingerprint):
--- a/src/dragonflycove/quarantine/crash_counts.py
+++ b/src/dragonflycove/quarantine/crash_counts.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from dragonflycove.fleet import catalog
-from dragonflycove.quarantine import _suspicion_table
+from dragonflycove.quarantine import _suspicion_table, part_blame
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -35,6 +35,9 @@
 """Recently answered fingerprints kept at once."""
 
 
+MAX_ANSWERED_PARTS = 5_000
+"""Recently answered parts of prompts kept at once."""
+
 MAX_SURVIVALS = 1_000
 """Servers kept at once that turned out to be alive."""
 
@@ -84,6 +87,7 @@
             _suspicion_table.REFUSAL_SECONDS, MAX_FINGERPRINTS
         )
         self._answered_at_by_fingerprint: dict[int, float] = {}
+        self._answered_at_by_part: dict[int, float] = {}
         self._survived_at_by_instance: dict[catalog.Instance, float] = {}
         self._digest = (-1, 0.0, 0)
         self.revision = 0
@@ -106,7 +110,10 @@
         return suspicion.add_crash(crash.instance.server_id, _start_id(crash.instance), crash.at)
 
     def add_answer(self, answer: Answer, now: float) -> bool:
-        """Record a complete response; crashes before it and shortly after it don't count.
+        """Record a complete response; crashes before it don't count.
+
+        Those shortly after it don't count against a request either, but they do against a part of
+        prompts: its requests are all unlike, so that no copies of them run beside the answered one.
 
         Args:
             answer: The answer, relayed by this node or reported by another.
@@ -117,11 +124,22 @@
         """
         before = self.crash_count(answer.fingerprint, now)
         self.revision += before > 0
-        answered_at = self._answered_at_by_fingerprint.pop(answer.fingerprint, answer.at)
-        self._answered_at_by_fingerprint[answer.fingerprint] = max(answered_at, answer.at)
-        while len(self._answered_at_by_fingerprint) > MAX_ANSWERS:
-            self._answered_at_by_fingerprint.pop(next(iter(self._answered_at_by_fingerprint)))
-        return self.crash_count(answer.fingerprint, now) < before
+        answered_at_by_key, max_answers = self._answer_times(answer.fingerprint)
+        answered_at = answered_at_by_key.pop(answer.fingerprint, answer.at)
+        answered_at_by_key[answer.fingerprint] = max(answered_at, answer.at)
+        while len(answered_at_by_key) > max_answers:
+            answered_at_by_key.pop(next(iter(answered_at_by_key)))
+        counted = self.crash_count(answer.fingerprint, now)
+        if not counted and part_blame.is_part(answer.fingerprint):
+            # Parts that many prompts share run on most servers that end.
+            self._suspicions.discard(_name(answer.fingerprint))
+        return counted < before
+
+    def _answer_times(self, fingerprint: int) -> tuple[dict[int, float], int]:
+        """Return the answer times of a kind of fingerprint, and how many of them are kept."""
+        if part_blame.is_part(fingerprint):
+            return self._answered_at_by_part, MAX_ANSWERED_PARTS
+        return self._answered_at_by_fingerprint, MAX_ANSWERS
 
     def add_survival(self, survival: Survival) -> bool:
         """Record that a server was alive; crashes of it that were noticed before don't count.
@@ -151,7 +169,7 @@
         Args:
             fingerprint: The request's fingerprint.
         """
-        answered_at = self._answered_at_by_fingerprint.get(fingerprint)
+        answered_at = self._answer_times(fingerprint)[0].get(fingerprint)
         return None if answered_at is None else Answer(fingerprint, answered_at)
 
     def has_crashed_before(
@@ -193,6 +211,21 @@
             return None
         return max(crash.at for crash in counted) + _suspicion_table.REFUSAL_SECONDS - now
 
+    def part_crashes(self, now: float) -> dict[int, part_blame.PartCrashes]:
+        """Return the crashes that count against parts of prompts, by part.
+
+        Args:
+            now: Loop time.
+        """
+        by_part = {}
+        for name in self._suspicions.all(now):
+            fingerprint = int(name, 16)
+            counted = self._counted(fingerprint, now) if part_blame.is_part(fingerprint) else []
+            if counted:
+                answered_at = self._answered_at_by_part.get(fingerprint)
+                by_part[fingerprint] = part_blame.PartCrashes(counted, answered_at)
+        return by_part
+
     def crashes(self, now: float) -> list[Crash]:
         """Return all known crashes, for a node that lacks some.
 
@@ -258,11 +291,12 @@
         suspicion = self._suspicions.find(name, now)
         if suspicion is None:
             return []
-        answered_at = self._answered_at_by_fingerprint.get(fingerprint, float("-inf"))
+        answered_at = self._answer_times(fingerprint)[0].get(fingerprint, float("-inf"))
+        validity = 0.0 if part_blame.is_part(fingerprint) else ANSWER_VALIDITY_SECONDS
         return [
             crash
             for crash in _crashes_of(name, suspicion)
-            if crash.at > answered_at + ANSWER_VALIDITY_SECONDS
+            if crash.at > answered_at + validity
             and crash.at > self._survived_at_by_instance.get(crash.instance, float("-inf"))
         ]
 
--- a/src/dragonflycove/quarantine/part_blame.py
+++ b/src/dragonflycove/quarantine/part_blame.py
@@ -70,6 +70,8 @@
 def find_blamed(by_part: Mapping[int, PartCrashes], now: float) -> list[Blame]:
     """Return the parts that crash servers.
 
+    Parts that were never answered are tried first; they are likelier than those that were.
+
     Args:
         by_part: Crashes and last answers by part.
         now: Loop time.
@@ -79,20 +81,21 @@
         for part, known in by_part.items()
     }
     blamed = []
-    while servers_by_part:
-        most = max(servers_by_part.values(), key=len)
-        if len(most) < MIN_CRASHED_SERVERS:
-            break
-        candidates = [part for part, servers in servers_by_part.items() if servers == most]
-        # Of parts that the same crashes implicate, those that were never answered are likelier.
-        unanswered = [part for part in candidates if by_part[part].answered_at is None]
-        crashes = [crash for crash in by_part[candidates[0]].crashes if crash.instance in most]
-        if _is_conclusive(crashes, was_answered=not unanswered, now=now):
-            parts = frozenset(unanswered or candidates)
-            blamed.append(Blame(parts, max(crash.at for crash in crashes)))
-        servers_by_part = {
-            part: servers - most for part, servers in servers_by_part.items() if servers - most
+    for was_answered in (False, True):
+        candidates = {
+            part
+            for part, known in by_part.items()
+            if (known.answered_at is not None) is was_answered
         }
+        while True:
+            most = max((servers_by_part[part] for part in candidates), key=len, default=frozenset())
+            if len(most) < MIN_CRASHED_SERVERS:
+                break
+            parts = frozenset(part for part in candidates if servers_by_part[part] == most)
+            crashes = [one for one in by_part[next(iter(parts))].crashes if one.instance in most]
+            if _is_conclusive(crashes, was_answered=was_answered, now=now):
+                blamed.append(Blame(parts, max(crash.at for crash in crashes)))
+            servers_by_part = {part: servers - most for part, servers in servers_by_part.items()}
     return blamed
 
 
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -219,16 +219,21 @@
 
 
 async def test_a_waiting_request_with_a_crashing_part_is_refused_at_once() -> None:
-    async with _fleet("bad") as system:
+    async with deployment.deployed() as system:
         for server in system.server_by_id.values():
             server.event_seconds = 0.4
-        running = [asyncio.ensure_future(_ask(system, "aa", "cc")) for _ in range(8 * ENGINES)]
-        await asyncio.sleep(0.5)
-        waiting = asyncio.ensure_future(_ask(system, "aa", "bad", node=0))
+        running = [
+            asyncio.ensure_future(system.call(PATH, attempt=f"s{n}", body=b"%d" % n))
+            for n in range(16)
+        ]
+        await asyncio.sleep(0.3)
+        headers = {"X-Prompt-Prefix": "aa:100,bad:200,own:200"}
+        waiting = asyncio.ensure_future(system.call(PATH, attempt="waiting", headers=headers))
         await asyncio.sleep(0.1)
         assert not waiting.done()
         system.tell_part_crashes("bad", ["x1", "x2", "x3"])
-        response = await asyncio.wait_for(waiting, 0.2)
+        response = await asyncio.wait_for(waiting, 0.3)
         await asyncio.gather(*running)
+        assert system.runs("waiting") == []
     assert response.status == 503
-    assert not _times(system)
+    assert float(response.headers["retry-after"]) > 500
