Bound the memory and time that responses without end take

News from the platform: bytes that are no answer may come without end, in a head or a body. Cause: each buffered body could grow to 16 MB, informational responses and bytes that complete no event were read for ever, each chunk began the wait for an event anew, and events were looked for in all that was buffered, again and again. Change: 32 MB for all buffered bodies of a node, 256 KB for an event, 16 informational or crossed responses; the wait for an event counts from the last event. Responses to orders to engines take 64 KB.

--- a/src/dragonflycove/fleet/event_stream.py
+++ b/src/dragonflycove/fleet/event_stream.py
@@ -9,10 +9,17 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 """An empty line ends an event."""
 
+MAX_EVENT_END_BYTES = 4
+"""Length of the longest end of an event."""
+
 _ID_LINE = re.compile(rb"(?:^|\n)id: ?(\d+)")
 """The field that carries an event's number."""
 
 
+MAX_EVENT_BYTES = 262_144
+"""Maximum size of an event; a longer one is no event but bytes without end."""
+
+
 class Event(NamedTuple):
     """One complete server-sent event."""
 
@@ -55,7 +62,9 @@
         buffer = self._pending + data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(buffer):
+        # The end of an event may have begun in the last bytes of the buffer before.
+        searched = max(0, len(self._pending) - MAX_EVENT_END_BYTES)
+        for match in _EVENT_END.finditer(buffer, searched):
             raw = buffer[start : match.end()]
             number = _ID_LINE.search(raw)
             events.append(Event(int(number[1]) if number else None, raw))
@@ -63,6 +72,11 @@
         self._pending = buffer[start:]
         return events
 
+    @property
+    def is_overlong(self) -> bool:
+        """Whether the buffer holds more of an event than `MAX_EVENT_BYTES`."""
+        return len(self._pending) > MAX_EVENT_BYTES
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds an incomplete event."""
--- a/src/dragonflycove/gateway/reservations.py
+++ b/src/dragonflycove/gateway/reservations.py
@@ -28,6 +28,9 @@
 ENGINE_TIMEOUT_SECONDS = 0.6
 """Timeout of a call to an engine; a running one responds within milliseconds."""
 
+MAX_RESPONSE_BYTES = 65_536
+"""Maximum size of an engine's response to an order; they have some hundred bytes."""
+
 MAX_RELEASE_ATTEMPTS = 4
 """Maximum attempts to release a reservation; then it is left to expire."""
 
@@ -165,7 +168,7 @@
                     return 0
                 connection = taken.ok_value
                 connection.send(request)
-                response = await connection.read_response()
+                response = await connection.read_response(MAX_RESPONSE_BYTES)
                 if isinstance(response, result.Err):
                     return 0
                 head, _ = response.ok_value
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -23,6 +23,12 @@
 MAX_RESPONSE_BYTES = 16_777_216
 """Maximum size of a buffered response; the specification's plain responses have a few kilobytes."""
 
+MAX_BUFFERED_BYTES = 33_554_432
+"""Maximum size of all responses that are buffered at once; small hosts have 200 MB."""
+
+MAX_CROSSED_RESPONSES = 16
+"""Responses to earlier requests that may precede a response on its connection."""
+
 DISCARD_TIMEOUT_SECONDS = 0.5
 """Timeout for discarding the rest of an unused response, so that its connection can be reused."""
 
@@ -42,6 +48,13 @@
 _T = TypeVar("_T")
 
 
+class _BufferedBytes:
+    """Bytes of responses that are buffered at present, over all exchanges of a node."""
+
+    def __init__(self) -> None:
+        self.total = 0
+
+
 class Sender:
     """Sends requests to backend servers and relays their responses."""
 
@@ -61,6 +74,7 @@
         self._pool = pool
         self._store_view = view
         self._metrics = metrics
+        self._buffered = _BufferedBytes()
 
     async def send(
         self,
@@ -100,7 +114,7 @@
                 forwarding.AttemptEnd.NOT_SENT, server_health.Outcome.ABANDONED
             )
         exchange = _Exchange(
-            context, plan, response, progress, connection, self._pool, self._metrics
+            context, plan, response, progress, connection, self._pool, self._metrics, self._buffered
         )
         try:
             return await exchange.run(seconds_left)
@@ -121,7 +135,9 @@
         connection: http1.Connection,
         pool: connection_pool.ConnectionPool,
         metrics: fleet_metrics.FleetMetrics,
+        buffered: _BufferedBytes,
     ) -> None:
+        self._buffered = buffered
         self._metrics = metrics
         self._last_event_at = 0.0
         self._context = context
@@ -193,7 +209,7 @@
 
     async def _read_own_head(self) -> result.Result[forwarding.ResponseHead, object]:
         """Read response heads until one belongs to this request; drop responses to earlier ones."""
-        while True:
+        for _ in range(MAX_CROSSED_RESPONSES + 1):
             read = await self._connection.read_head()
             if isinstance(read, result.Err):
                 return read
@@ -208,6 +224,7 @@
                     return chunk
             if head.closes or not self._connection.expect_another_response():
                 return result.Err("connection_ends")
+        return result.Err("too_many_crossed_answers")
 
     def _classify_loss(
         self, end: forwarding.AttemptEnd, *, response_started: bool
@@ -301,13 +318,25 @@
 
     async def _read_body(self) -> result.Result[bytes, object]:
         body = bytearray()
-        while (chunk := await self._connection.read_body_chunk()) is not None:
-            if isinstance(chunk, result.Err):
-                return chunk
-            body += chunk.ok_value
-            if len(body) > MAX_RESPONSE_BYTES:
-                return result.Err("answer_too_long")
-        return result.Ok(bytes(body))
+        try:
+            while (chunk := await self._connection.read_body_chunk()) is not None:
+                if isinstance(chunk, result.Err):
+                    return chunk
+                body += chunk.ok_value
+                self._buffered.total += len(chunk.ok_value)
+                is_too_long = len(body) > MAX_RESPONSE_BYTES
+                if is_too_long or self._buffered.total > MAX_BUFFERED_BYTES:
+                    logs.event(
+                        "answer_too_long",
+                        request=self._context.request.attempt_id,
+                        server=self._plan.grant.lead.instance.server_id,
+                        bytes=len(body),
+                        buffered=self._buffered.total,
+                    )
+                    return result.Err("answer_too_long")
+            return result.Ok(bytes(body))
+        finally:
+            self._buffered.total -= len(body)
 
     async def _discard_body(self, head: forwarding.ResponseHead) -> None:
         """Read and drop the rest of a response, so that its connection can be reused."""
@@ -328,16 +357,21 @@
         splitter = event_stream.EventSplitter()
         loop = asyncio.get_running_loop()
         timeout_seconds = self._first_event_timeout()
+        waiting_since = loop.time()
         while True:
-            chunk = await self._read_with_timeout(timeout_seconds, self._read_chunk())
+            # Bytes that complete no event don't extend the wait for one.
+            seconds_left = max(0.0, waiting_since + timeout_seconds - loop.time())
+            chunk = await self._read_with_timeout(seconds_left, self._read_chunk())
             if isinstance(chunk, result.Err):
                 return self._classify_loss(chunk.err_value, response_started=True)
             if chunk.ok_value is None:
                 break
             events = splitter.feed(chunk.ok_value)
+            if splitter.is_overlong:
+                return self._classify_loss(forwarding.AttemptEnd.BROKEN, response_started=True)
             if not events:
                 continue
-            now = loop.time()
+            now = waiting_since = loop.time()
             if self._first_event_seconds:
                 self._metrics.record_gap(now - self._last_event_at)
             else:
--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -26,6 +26,13 @@
 """Prefix of the `X-Server-Stamp` header, by which a response is known to come from a server."""
 
 
+ENDLESS_CHUNK_BYTES = 65_536
+"""Bytes written at once in a response that doesn't end."""
+
+TRICKLE_SECONDS = 0.05
+"""Time between two bytes of a response that trickles."""
+
+
 class ExecutedRequest(NamedTuple):
     """A request that the server began to execute."""
 
@@ -48,6 +55,9 @@
 class PlatformServer:
     """One simulated backend server."""
 
+    endless_bytes = 0
+    """Bytes sent in responses that don't end."""
+
     stated_limit = ""
     """Value of `Server-Limit` in all responses; empty for none."""
 
@@ -253,6 +263,8 @@
         if run.target.partition("?")[0] in self.crashing_paths:
             self.crash()
             return await self._stay_silent(reader)
+        if fault in server_faults.ENDLESS_FAULTS:
+            return await self._respond_endlessly(run, fault, writer)
         if fault in (
             server_faults.Fault.RESET,
             server_faults.Fault.NO_RESPONSE,
@@ -292,6 +304,25 @@
         _reset(writer)
         return False
 
+    async def _respond_endlessly(
+        self, run: ExecutedRequest, fault: server_faults.Fault, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send bytes until the connection is closed."""
+        data, pause = b"x" * ENDLESS_CHUNK_BYTES, 0.0
+        if fault is server_faults.Fault.ENDLESS_INFORMATIONAL:
+            data = b"HTTP/1.1 102 Processing\r\n\r\n" * 1_000
+        elif fault is not server_faults.Fault.ENDLESS_HEAD:
+            head = self._encode_response(run.headers, 200, b"", [])
+            writer.write(head.replace(b"Content-Length: 0\r\n", b""))
+        if fault is server_faults.Fault.TRICKLING_EVENT:
+            data, pause = b"x", TRICKLE_SECONDS
+        while not writer.is_closing():
+            writer.write(data)
+            await writer.drain()
+            self.endless_bytes += len(data)
+            await asyncio.sleep(pause)
+        return False
+
     def _respond_plain(
         self, run: ExecutedRequest, fault: server_faults.Fault | None, writer: asyncio.StreamWriter
     ) -> bool:
@@ -321,10 +352,15 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         first_number = int(run.headers.get("last-event-id", "0")) + 1
+        is_unframed = fault in (
+            server_faults.Fault.UNFRAMED,
+            server_faults.Fault.UNFRAMED_PARTIAL,
+        )
+        encode = bytes if is_unframed else _chunk
         header_lines = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
+            *(() if is_unframed else ("Transfer-Encoding: chunked",)),
             f"X-Server-Stamp: {STAMP}.{self.server_id}",
             f"X-Attempt-Id: {run.attempt_id}",
             *self._limit_lines(),
@@ -347,9 +383,12 @@
                     self.disconnected_runs += 1
                 _reset(writer)
                 return False
+            if event_number == fault_event and fault is server_faults.Fault.UNFRAMED_PARTIAL:
+                writer.write(event[:7])
+                return False
             if self.is_crashed:
                 return await self._stay_silent(reader)
-            writer.write(_chunk(event))
+            writer.write(encode(event))
             await writer.drain()
             if parts & self.crashing_parts:
                 self.crash()
@@ -358,6 +397,8 @@
             if reader.at_eof() or writer.is_closing():
                 self.disconnected_runs += 1
                 return False
+        if is_unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         return True
 
--- a/src/dragonflycove/standins/platform/server_faults.py
+++ b/src/dragonflycove/standins/platform/server_faults.py
@@ -44,6 +44,9 @@
     UNFRAMED_RESET = "unframed_reset"
     """Executes and responds without a length, then resets the connection."""
 
+    UNFRAMED_PARTIAL = "unframed_partial"
+    """Executes and sends a stream without a length, which is closed inside an event."""
+
     UNSIGNED = "unsigned"
     """Executes and responds without the `X-Server-Stamp` header."""
 
@@ -53,6 +56,33 @@
     STALLED_STREAM = "mute_midway"
     """Executes and stops sending in the middle of a stream, without closing it."""
 
+    ENDLESS_HEAD = "endless_head"
+    """Executes and sends bytes without a line end, where the response's head is due."""
+
+    ENDLESS_INFORMATIONAL = "endless_informational"
+    """Executes and sends informational responses, which no response follows."""
+
+    ENDLESS_BODY = "endless_body"
+    """Executes and sends a body without a length, which doesn't end."""
+
+    ENDLESS_EVENT = "endless_event"
+    """Executes and sends an event of a stream that doesn't end."""
+
+    TRICKLING_EVENT = "trickling_event"
+    """Executes and sends an event of a stream that doesn't end, a byte at a time."""
+
+
+ENDLESS_FAULTS = frozenset(
+    {
+        Fault.ENDLESS_HEAD,
+        Fault.ENDLESS_INFORMATIONAL,
+        Fault.ENDLESS_BODY,
+        Fault.ENDLESS_EVENT,
+        Fault.TRICKLING_EVENT,
+    }
+)
+"""Faults in which the server sends until its client closes the connection."""
+
 
 class CrashMode(enum.Enum):
     """How callers perceive the crash of a server."""
--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -24,6 +24,9 @@
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response's status line and headers."""
 
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Informational (1xx) responses that may precede a response."""
+
 TCP_USER_TIMEOUT_MS = 4_000
 """Time that sent data may stay unacknowledged before the kernel closes the connection."""
 
@@ -188,7 +191,7 @@
         Returns:
             The head, or why it could not be read.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, ReadFailure):
                 return result.Err(event)
@@ -196,6 +199,7 @@
                 return result.Ok(Head(event.status_code, tuple(event.headers)))
             if not isinstance(event, h11.InformationalResponse):
                 return result.Err(ReadFailure.CLOSED)
+        return result.Err(ReadFailure.MALFORMED)
 
     async def read_body_chunk(self) -> result.Result[bytes, ReadFailure] | None:
         """Read the next chunk of the response's body.
@@ -214,9 +218,14 @@
             return None
         return result.Err(ReadFailure.CLOSED)
 
-    async def read_response(self) -> result.Result[tuple[Head, bytes], ReadFailure]:
+    async def read_response(
+        self, max_body_bytes: float = float("inf")
+    ) -> result.Result[tuple[Head, bytes], ReadFailure]:
         """Read a complete response.
 
+        Args:
+            max_body_bytes: Size of the body from which on the response counts as malformed.
+
         Returns:
             Its head and body, or why it is incomplete.
         """
@@ -224,10 +233,14 @@
         if isinstance(head, result.Err):
             return head
         chunks = []
+        size = 0
         while (chunk := await self.read_body_chunk()) is not None:
             if isinstance(chunk, result.Err):
                 return chunk
             chunks.append(chunk.ok_value)
+            size += len(chunk.ok_value)
+            if size > max_body_bytes:
+                return result.Err(ReadFailure.MALFORMED)
         return result.Ok((head.ok_value, b"".join(chunks)))
 
     def expect_another_response(self) -> bool:
