Soak with servers that state limits and parts of prompts that crash servers

Change: two kinds of faults with generators of their own, checks of LIMIT and of BUDGET for parts over all nodes; sound callers share the part that crashing prompts begin with.

--- a/src/dragonflycove/measure/soak/callers.py
+++ b/src/dragonflycove/measure/soak/callers.py
@@ -33,6 +33,9 @@
 LONG_PROMPT_SHARE = 0.05
 """Fraction of streams whose prompt is long enough to need KV cache reservations at helpers."""
 
+SHARED_PART = "common"
+"""Id of the part that all prompts begin with."""
+
 _KINDS = ("stream", "stream", "post", "look")
 
 
@@ -138,6 +141,8 @@
         if sent.kind == "stream":
             tokens = 300_000 if self._rng.random() < LONG_PROMPT_SHARE else 2_000
             headers.append((b"x-token-counts", f"{tokens},200".encode()))
+            prefix = f"{SHARED_PART}:40,{sent.organisation}:100,own{sent.attempt_id}:1860"
+            headers.append((b"x-prompt-prefix", prefix.encode()))
         method = b"GET" if sent.kind == "look" else b"POST"
         request = http1.Request(method, sent.target.encode(), tuple(headers), sent.body)
         self._connection.send(request)
--- a/src/dragonflycove/measure/soak/crashes.py
+++ b/src/dragonflycove/measure/soak/crashes.py
@@ -10,7 +10,7 @@
 
 import result
 
-from dragonflycove.measure.soak import checks
+from dragonflycove.measure.soak import callers, checks
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
@@ -22,6 +22,12 @@
 MAX_CRASHES = 3
 """Crashes of a request after which its retries are limited."""
 
+MAX_PART_CRASHES = 5
+"""Crashes by a part of prompts after which requests with it are limited."""
+
+PART_PREFIX = "bad"
+"""Beginning of the ids of parts that crash servers."""
+
 MAX_LATE_RETRIES = 3
 """Retries that may reach servers later than `CONTACT_SECONDS` after the last tolerated crash."""
 
@@ -75,7 +81,7 @@
     def __init__(self) -> None:
         """Create an empty log."""
         self.crashes_by_target: dict[str, list[Crash]] = collections.defaultdict(list)
-        """Crashes in order of time, by path and query of the request."""
+        """Crashes in order of time, by path and query of the request, or by part of prompts."""
         self.disturbances: list[Disturbance] = []
         """Spans in which nodes were disturbed."""
 
@@ -83,7 +89,7 @@
         """Record that a request has crashed a server.
 
         Args:
-            target: Path and query of the request.
+            target: Path and query of the request, or the part of its prompt that crashes servers.
             attempt_id: Id of its attempt, which ends in the name of the node that it was sent to.
         """
         crash = Crash(target, attempt_id.rpartition("@")[2], time.monotonic())
@@ -98,12 +104,13 @@
         )
 
     def violations(self) -> list[str]:
-        """Return one line for each request that was sent too often after its third crash."""
+        """Return one line for each request or part that was sent too often after its crashes."""
         lines = []
         for target, crashes in self.crashes_by_target.items():
+            tolerated = MAX_PART_CRASHES if target.startswith(PART_PREFIX) else MAX_CRASHES
             limited_from = (
-                crashes[MAX_CRASHES - 1].at + CONTACT_SECONDS
-                if len(crashes) >= MAX_CRASHES
+                crashes[tolerated - 1].at + CONTACT_SECONDS
+                if len(crashes) >= tolerated
                 else float("inf")
             )
             late = [one for one in crashes if one.at > limited_from and self._is_in_touch(one)]
@@ -125,18 +132,23 @@
         addresses_by_node: dict[str, catalog.Address],
         checker: checks.Checker,
         rng: random.Random,
+        *,
+        is_part: bool = False,
     ) -> None:
         """Create a caller.
 
         Args:
-            number: Number of the request, from 0.
+            number: Number of the request or part, from 0.
             addresses_by_node: Addresses for callers by the names of their nodes.
             checker: Records requests and responses.
             rng: Seeded random generator.
+            is_part: Whether its requests are all unlike but for a part of their prompts.
         """
-        self._kind = rng.choice(_KINDS)
+        self._kind = "stream" if is_part else rng.choice(_KINDS)
         self.target = f"/{self._kind}/crash-{number}"
-        """Path of the request."""
+        """Path of the request; those that share a part only begin with it."""
+        self.part = f"{PART_PREFIX}{number}" if is_part else ""
+        """Id of the part that its requests share; empty if it sends one request again and again."""
         self._number = number
         self._addresses_by_node = addresses_by_node
         self._checker = checker
@@ -167,7 +179,8 @@
     async def _send(self, name: str) -> None:
         self._sent += 1
         attempt_id = f"x{self._number}-{self._sent}@{name}"
-        sent = checks.SentRequest(attempt_id, self._kind, "o0", self.target, b"")
+        target = f"{self.target}-{self._sent}" if self.part else self.target
+        sent = checks.SentRequest(attempt_id, self._kind, "o0", target, b"")
         self._checker.on_sent(sent)
         opened = await http1.Connection.open(self._addresses_by_node[name], 0.5)
         if isinstance(opened, result.Err):
@@ -182,9 +195,12 @@
         ]
         if self._kind == "stream":
             headers.append((b"x-token-counts", b"2000,200"))
+        if self.part:
+            prefix = f"{callers.SHARED_PART}:40,{self.part}:800,own{attempt_id}:1160"
+            headers.append((b"x-prompt-prefix", prefix.encode()))
         method = b"GET" if self._kind == "look" else b"POST"
         try:
-            connection.send(http1.Request(method, self.target.encode(), tuple(headers), b""))
+            connection.send(http1.Request(method, target.encode(), tuple(headers), b""))
             response = await connection.read_response()
         finally:
             connection.close()
--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import catalog
-from dragonflycove.measure.soak import crashes, node_process, plan, proxy
+from dragonflycove.measure.soak import crashes, limits, node_process, plan, proxy
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import server_faults
 from dragonflycove.standins.platform import store as platform_store
@@ -58,7 +58,10 @@
         self._checker = checker
         self.crash_log = crashes.CrashLog()
         """Servers crashed by requests, and when nodes were disturbed."""
+        self.limit_log = limits.LimitLog()
+        """Limits that servers have stated."""
         self._crashing_paths: set[str] = set()
+        self._crashing_parts: set[str] = set()
         self._return_tasks: list[asyncio.Task[None]] = []
         self._rng = rng
         self._block = block
@@ -152,6 +155,7 @@
         # All servers append to one list, so that it survives their crashes and keeps the order.
         server.runs = self.runs
         server.crashing_paths = self._crashing_paths
+        server.crashing_parts = self._crashing_parts
         server.crash_mode = self._rng.choice(list(server_faults.CrashMode))
         server.on_crash = lambda: self._on_crash(server)
         await server.listen(catalog.Address(host, 8_080))
@@ -165,7 +169,9 @@
     def _on_crash(self, server: platform_server.PlatformServer) -> None:
         """Record a crash by a request; the server returns later, under its id or another."""
         crashing = self.runs[-1]
-        self.crash_log.add(crashing.target, crashing.attempt_id)
+        parts = crashing.headers.get("x-prompt-prefix", "").split(",")
+        ids = {part.partition(":")[0] for part in parts} & self._crashing_parts
+        self.crash_log.add(min(ids, default=crashing.target), crashing.attempt_id)
         server_id = server.server_id
         link_proxy = self._proxies.pop(server_id, None)
         self.servers.pop(server_id, None)
@@ -228,8 +234,10 @@
 
     async def _apply_kind(self, planned: plan.PlannedFault) -> None:
         match planned.kind:
-            case plan.FaultKind.CRASHING_REQUEST:
-                await self._resend_crashing_request(planned)
+            case plan.FaultKind.CRASHING_REQUEST | plan.FaultKind.CRASHING_PART:
+                await self._send_crashing_requests(planned)
+            case plan.FaultKind.SERVER_LIMIT:
+                await self._state_limit(planned)
             case plan.FaultKind.ALL_KILL:
                 await asyncio.gather(*(self._restart(one, signal.SIGKILL) for one in self.nodes))
             case plan.FaultKind.CONFIGURATION:
@@ -248,14 +256,33 @@
             case _:
                 await self._apply_server_fault(planned)
 
-    async def _resend_crashing_request(self, planned: plan.PlannedFault) -> None:
+    async def _state_limit(self, planned: plan.PlannedFault) -> None:
+        if not self.servers:
+            return
+        server = list(self.servers.values())[int(planned.target_fraction * len(self.servers))]
+        if server.stated_limit:
+            return
+        rng = random.Random(planned.target_fraction)
+        limit = round(rng.uniform(limits.MIN_LIMIT, limits.MAX_LIMIT), 2)
+        begin = time.monotonic()
+        server.stated_limit = str(limit)
+        await asyncio.sleep(planned.seconds)
+        server.stated_limit = ""
+        self.limit_log.add(server, limit, begin)
+
+    async def _send_crashing_requests(self, planned: plan.PlannedFault) -> None:
+        is_part = planned.kind is plan.FaultKind.CRASHING_PART
         resender = crashes.Resender(
-            len(self._crashing_paths),
+            len(self._crashing_paths) + len(self._crashing_parts),
             {node.name: catalog.Address(node.ip, node_process.CALLER_PORT) for node in self.nodes},
             self._checker,
             random.Random(planned.target_fraction),
+            is_part=is_part,
         )
-        self._crashing_paths.add(resender.target)
+        if is_part:
+            self._crashing_parts.add(resender.part)
+        else:
+            self._crashing_paths.add(resender.target)
         await resender.run(planned.seconds)
 
     def _node_of(self, planned: plan.PlannedFault) -> node_process.Node:
--- a/src/dragonflycove/measure/soak/main.py
+++ b/src/dragonflycove/measure/soak/main.py
@@ -52,7 +52,7 @@
     """Second byte of all loopback addresses."""
 
     has_crashing_requests: bool = True
-    """Whether callers also send requests that crash servers."""
+    """Whether callers also send requests that crash servers, and servers state limits."""
 
 
 class SoakResult(NamedTuple):
@@ -84,8 +84,8 @@
     rng = random.Random(soak.seed)
     planned_faults = plan.draw_faults(rng, soak.seconds)
     if soak.has_crashing_requests:
-        crash_rng = random.Random(f"crashes of {soak.seed}")
-        planned_faults += plan.draw_crashing_requests(crash_rng, soak.seconds)
+        for kind in plan.DRAWN_APART:
+            planned_faults += plan.draw_apart(soak.seed, kind, soak.seconds)
         planned_faults.sort(key=lambda planned: planned.at)
     checker = checks.Checker(deployment.EVENTS)
     running = deployment.Deployment(rng, folder, soak.block, soak.sizes, checker)
@@ -118,6 +118,7 @@
         running.check_leaks(checker)
         checker.check_executions(running.runs)
         checker.violations += running.crash_log.violations()
+        checker.violations += running.limit_log.violations()
         if watch_task.done():
             watch_task.result()
     finally:
--- a/src/dragonflycove/measure/soak/plan.py
+++ b/src/dragonflycove/measure/soak/plan.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, NamedTuple
-
-if TYPE_CHECKING:
-    import random
+import random
+from typing import NamedTuple
 
 
 class FaultKind(enum.Enum):
@@ -81,6 +79,18 @@
     CRASHING_REQUEST = "crashing_request"
     """A request that crashes each server that runs it is sent again and again."""
 
+    CRASHING_PART = "crashing_part"
+    """Requests that share a part of their prompts, which crashes each server that runs them."""
+
+    SERVER_LIMIT = "server_limit"
+    """A server states a limit of requests a second."""
+
+
+DRAWN_APART = frozenset(
+    {FaultKind.CRASHING_REQUEST, FaultKind.CRASHING_PART, FaultKind.SERVER_LIMIT}
+)
+"""Kinds with generators of their own, so that the other faults of a seed stay the same."""
+
 
 class PlannedFault(NamedTuple):
     """One fault with its time and target."""
@@ -126,7 +136,7 @@
     """
     planned_faults = []
     at = 1.0
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.CRASHING_REQUEST]
+    kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     while at < seconds:
         kind = rng.choice(kinds)
         count = 1
@@ -140,22 +150,24 @@
     return planned_faults
 
 
-def draw_crashing_requests(rng: random.Random, seconds: float) -> list[PlannedFault]:
-    """Draw the requests of a soak that crash servers.
-
-    They have a generator of their own, so that the other faults of a seed stay the same.
+def draw_apart(seed: int, kind: FaultKind, seconds: float) -> list[PlannedFault]:
+    """Draw the faults of one of the kinds of `DRAWN_APART`.
 
     Args:
-        rng: Seeded random generator.
+        seed: Seed of the soak.
+        kind: The kind.
         seconds: Length of the part with faults.
 
     Returns:
-        The requests in order of time.
+        The faults in order of time.
     """
+    rng = random.Random(
+        f"crashes of {seed}" if kind is FaultKind.CRASHING_REQUEST else f"{kind.value} of {seed}"
+    )
     planned_faults = []
     at = rng.uniform(1.0, 5.0)
     while at < seconds:
         duration = rng.uniform(MIN_RESEND_SECONDS, MAX_RESEND_SECONDS)
-        planned_faults.append(PlannedFault(at, FaultKind.CRASHING_REQUEST, duration, rng.random()))
+        planned_faults.append(PlannedFault(at, kind, duration, rng.random()))
         at += rng.uniform(4.0, 2 * MAX_RESEND_SECONDS)
     return planned_faults
