Let one request with a blamed part through from time to time, and blame answered parts later

A sound kind of long prompts could be refused for 600 s: three servers that end one after the other for another reason, within the seconds that such a prompt takes, blamed the part that its kind shares. Cause: three crashes without an answer since were enough for any part, and nothing cleared a part that is refused.

--- a/src/dragonflycove/gateway/crash_guard.py
+++ b/src/dragonflycove/gateway/crash_guard.py
@@ -37,7 +37,9 @@
         self.counts = crash_counts.CrashCounts()
         """Servers that requests have crashed."""
         self._exchange = crash_exchange.CrashExchange(nodes, self.counts, datagram_socket)
-        self.watch = crash_watch.CrashWatch(self.counts, self._exchange, pool, view)
+        self.watch = crash_watch.CrashWatch(
+            self.counts, self._exchange, pool, view, nodes.is_first_hub
+        )
         """Finds out whether servers have ended that gave no complete response."""
         self._store = crash_store.CrashStore(
             crash_records.CrashRecords(store_address), self.counts, nodes
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -16,6 +16,8 @@
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dragonflycove.fleet import catalog, store_view
     from dragonflycove.gateway import connection_pool, crash_exchange, request_context, send_values
 
@@ -79,6 +81,7 @@
         exchange: crash_exchange.CrashExchange,
         pool: connection_pool.ConnectionPool,
         view: store_view.StoreView,
+        may_try: Callable[[float], bool] = lambda _: False,
     ) -> None:
         """Create a watch.
 
@@ -87,7 +90,10 @@
             exchange: Reports crashes to the other nodes.
             pool: Connections to servers.
             view: Servers as this node knows them.
+            may_try: Returns whether this node lets requests with blamed parts through from time to
+                time, at a loop time.
         """
+        self._may_try = may_try
         self._counts = counts
         self._blamed_parts = blamed_parts.BlamedParts(counts)
         self._logged_blame: frozenset[frozenset[int]] = frozenset()
@@ -124,7 +130,8 @@
         seconds = self._counts.refusal_seconds(context.fingerprint, now)
         if seconds is not None:
             return seconds
-        return self._blamed_parts.refusal_seconds(context.part_fingerprints, now)
+        request = blamed_parts.PartRequest(context.request.attempt_id, context.part_fingerprints)
+        return self._blamed_parts.refusal_seconds(request, now, may_try=self._may_try(now))
 
     def log_refusal(self, context: request_context.RequestContext) -> None:
         """Log that a request is refused because it crashes servers.
--- a/src/dragonflycove/quarantine/part_blame.py
+++ b/src/dragonflycove/quarantine/part_blame.py
@@ -17,7 +17,11 @@
     from dragonflycove.quarantine import crash_counts
 
 MIN_CRASHED_SERVERS = 3
-"""Crashed servers from which on parts are blamed."""
+"""Crashed servers from which on parts are blamed that were never answered."""
+
+MIN_CRASHED_AFTER_ANSWER = 5
+"""Crashed servers from which on parts are blamed that were answered before; the platform tolerates
+five."""
 
 MIN_SPAN_SECONDS = 0.3
 """Time between the first and the last of these crashes.
@@ -82,6 +86,7 @@
     }
     blamed = []
     for was_answered in (False, True):
+        enough = MIN_CRASHED_AFTER_ANSWER if was_answered else MIN_CRASHED_SERVERS
         candidates = {
             part
             for part, known in by_part.items()
@@ -89,7 +94,7 @@
         }
         while True:
             most = max((servers_by_part[part] for part in candidates), key=len, default=frozenset())
-            if len(most) < MIN_CRASHED_SERVERS:
+            if len(most) < enough:
                 break
             parts = frozenset(part for part in candidates if servers_by_part[part] == most)
             crashes = [one for one in by_part[next(iter(parts))].crashes if one.instance in most]
@@ -106,5 +111,4 @@
     times = sorted(crash.at for crash in crashes)
     if times[-1] - times[0] < MIN_SPAN_SECONDS:
         return False
-    decided_at = times[MIN_CRASHED_SERVERS - 1]
-    return not was_answered or now >= decided_at + CONFIRMATION_SECONDS
+    return not was_answered or now >= times[MIN_CRASHED_AFTER_ANSWER - 1] + CONFIRMATION_SECONDS
