Free capacity that is granted in the moment in which its caller leaves

A slot of a server stayed taken for the life of the node. Cause: a waiting request whose grant and cancellation came in the same iteration of the event loop was cancelled, and nobody ended its placement; since placing runs in a task of its own, the forwarder could lose a grant in the same way. Change: both end the placement.

--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -210,16 +210,21 @@
     ) -> work.Grant | work.Refusal:
         """Place a request, or refuse it once it is known to crash servers while it waits."""
         task = asyncio.ensure_future(self._request_placer.place(job))
+        is_decided = False
         try:
             while True:
                 await asyncio.wait({task}, timeout=WAITING_CHECK_SECONDS)
                 if task.done():
+                    is_decided = True
                     return task.result()
                 refusal_seconds = self._crashes.refusal_seconds(context)
                 if refusal_seconds is not None:
                     return work.Refusal(work.CRASHES_SERVERS, refusal_seconds)
         finally:
-            task.cancel()
+            if not is_decided:
+                task.cancel()
+                # It may have been placed in the moment in which its caller left.
+                self._request_placer.on_end(job.key, server_health.Outcome.ABANDONED)
 
     def _check_attempt_allowed(
         self,
--- a/src/dragonflycove/gateway/placing.py
+++ b/src/dragonflycove/gateway/placing.py
@@ -60,6 +60,11 @@
         self._fingerprint_by_key[job.key] = job.fingerprint
         try:
             return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                # It was placed in the moment in which its caller left.
+                self._placer.on_end(job.key, server_health.Outcome.ABANDONED, loop.time())
+            raise
         finally:
             self._future_by_key.pop(job.key, None)
             self._fingerprint_by_key.pop(job.key, None)
