Compute the share of common limits once for each loop time

Cause: with many limited or cold servers a hub sorted all nodes for each server of each placement. Change: LimitedServers keeps the share of a loop time, for cold rates as well; who may let a blamed part through is asked only if a part is blamed. Result: no measurement was made; unit tests pass as before.

--- a/src/dragonflycove/fleet/limited_servers.py
+++ b/src/dragonflycove/fleet/limited_servers.py
@@ -50,9 +50,20 @@
             share: Returns this node's share of common limits at a loop time.
         """
         self._limits = limits
-        self._share = share
+        self._compute_share = share
+        self._share_at = (float("-inf"), 0.0)
         self._rate_by_instance: dict[catalog.Instance, request_rate.RequestRate] = {}
 
+    def share(self, now: float) -> float:
+        """Return this node's share of common limits, computed once for each loop time.
+
+        Args:
+            now: Loop time.
+        """
+        if self._share_at[0] != now:
+            self._share_at = (now, self._compute_share(now))
+        return self._share_at[1]
+
     @property
     def has_limits(self) -> bool:
         """Whether any server states a limit."""
@@ -109,7 +120,7 @@
             now: Loop time.
         """
         free_now, rates, waits = 0, 0.0, []
-        share = self._share(now)
+        share = self.share(now)
         for instance in instances:
             limit = self._limits.limit(instance)
             if limit is None:
@@ -137,7 +148,7 @@
         # Idle time adds up to this node's share of one request. Whole ones that many nodes had
         # saved would exceed the limit together when their hub is lost.
         return rate.refill(
-            request_rate.effective_rate(limit, self._share(now)),
+            request_rate.effective_rate(limit, self.share(now)),
             1 / request_rate.effective_rate(limit, 1.0),
             now,
         )
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -130,6 +130,8 @@
         seconds = self._counts.refusal_seconds(context.fingerprint, now)
         if seconds is not None:
             return seconds
+        if not context.part_fingerprints or not self._blamed_parts.found(now):
+            return None
         request = blamed_parts.PartRequest(context.request.attempt_id, context.part_fingerprints)
         return self._blamed_parts.refusal_seconds(request, now, may_try=self._may_try(now))
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -148,7 +148,7 @@
             self._store_view,
             settings.zone,
             self._crashes.is_suspect,
-            self._nodes.placing_share,
+            self._limited_servers.share,
             self._limited_servers,
         )
         self._local_placer = placing.LocalRequestPlacer(self._placer, self._crashes.counts)
