Don't save the parts in the store that many prompts share

Cause: while a part crashes servers, the parts beside it have two crashes again and again until the next answer, so that each hub wrote and deleted them several times a second. Change: parts that were answered before are left out of what hubs save; they are relearned in seconds. Evidence: the new test fails without the change, which saved both parts.

--- a/src/dragonflycove/gateway/crash_store.py
+++ b/src/dragonflycove/gateway/crash_store.py
@@ -109,7 +109,7 @@
             Whether the store executed all calls.
         """
         now = asyncio.get_running_loop().time()
-        counted = self._counts.counted_crashes(MIN_SAVED_CRASHES, now)
+        counted = self._counts.counted_crashes(MIN_SAVED_CRASHES, now, omits_answered_parts=True)
         unix_now = time.time()
         wanted = {
             (crash.fingerprint, crash.instance): crash_records.SavedCrash(
--- a/src/dragonflycove/quarantine/crash_counts.py
+++ b/src/dragonflycove/quarantine/crash_counts.py
@@ -238,14 +238,23 @@
             for crash in _crashes_of(name, suspicion)
         ]
 
-    def counted_crashes(self, min_count: int, now: float) -> list[Crash]:
+    def counted_crashes(
+        self, min_count: int, now: float, *, omits_answered_parts: bool = False
+    ) -> list[Crash]:
         """Return the crashes of fingerprints that have crashed several servers.
 
         Args:
             min_count: Crashes that count from which on a fingerprint is included.
             now: Loop time.
+            omits_answered_parts: Whether parts of prompts that were answered before are left out;
+                many prompts share them, and nearly all are cleared soon.
         """
-        by_fingerprint = [self._counted(int(name, 16), now) for name in self._suspicions.all(now)]
+        fingerprints = [int(name, 16) for name in self._suspicions.all(now)]
+        by_fingerprint = [
+            self._counted(one, now)
+            for one in fingerprints
+            if not (omits_answered_parts and one in self._answered_at_by_part)
+        ]
         return [
             crash for counted in by_fingerprint if len(counted) >= min_count for crash in counted
         ]
--- a/tests/quarantine/test_part_blame.py
+++ b/tests/quarantine/test_part_blame.py
@@ -147,6 +147,16 @@
     assert counts.crashes(200.0) == []
 
 
+def test_parts_that_many_prompts_share_are_not_saved_in_the_store() -> None:
+    counts = crash_counts.CrashCounts()
+    _answer(counts, 0.5, CALLER)
+    for number in range(3):
+        _crash(counts, number, 1.0 + number, CALLER, BAD)
+    saved = counts.counted_crashes(2, 4.0, omits_answered_parts=True)
+    assert {crash.fingerprint for crash in saved} == {BAD}
+    assert {crash.fingerprint for crash in counts.counted_crashes(2, 4.0)} == {BAD, CALLER}
+
+
 def test_many_parts_take_bounded_memory_and_do_not_displace_a_blamed_one() -> None:
     counts = crash_counts.CrashCounts()
     for number in range(3):
