--- a/src/dragonflycove/quarantine/blamed_parts.py
+++ b/src/dragonflycove/quarantine/blamed_parts.py
@@ -20,6 +20,9 @@
 """Time after which blame is found again though nothing was added; confirmations end, and crashes
 expire."""
 
+MIN_REVIEW_SECONDS = 0.05
+"""Minimum time between two reviews; one of a full table takes some 30 ms."""
+
 FIRST_TRIAL_SECONDS = 20.0
 """Time after the last crash from which one request with a blamed part may run."""
 
@@ -65,7 +68,8 @@
         Args:
             now: Loop time.
         """
-        if self._found_revision != self._counts.revision or now - self._found_at > REVIEW_SECONDS:
+        is_changed = self._found_revision != self._counts.revision
+        if now - self._found_at >= (MIN_REVIEW_SECONDS if is_changed else REVIEW_SECONDS):
             self._found = part_blame.find_blamed(self._counts.part_crashes(now), now)
             self._found_at = now
             self._found_revision = self._counts.revision
--- a/src/dragonflycove/quarantine/part_blame.py
+++ b/src/dragonflycove/quarantine/part_blame.py
@@ -83,14 +83,15 @@
     servers_by_part = {
         part: frozenset(crash.instance for crash in known.crashes)
         for part, known in by_part.items()
+        if len(known.crashes) >= MIN_CRASHED_SERVERS
     }
     blamed = []
     for was_answered in (False, True):
         enough = MIN_CRASHED_AFTER_ANSWER if was_answered else MIN_CRASHED_SERVERS
         candidates = {
             part
-            for part, known in by_part.items()
-            if (known.answered_at is not None) is was_answered
+            for part in servers_by_part
+            if (by_part[part].answered_at is not None) is was_answered
         }
         while True:
             most = max((servers_by_part[part] for part in candidates), key=len, default=frozenset())
