--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -147,9 +147,23 @@
             request=context.request.attempt_id,
             fingerprint=context.fingerprint_text,
             lost=self._counts.crash_count(context.fingerprint, now),
-            blamed_parts=sum(len(one.parts) for one in self._blamed_parts.found(now)),
+            blamed=",".join(self._blamed_ids(context, now)),
         )
 
+    def _blamed_ids(self, context: request_context.RequestContext, now: float) -> list[str]:
+        """Return the ids of the parts of a request for which it is refused."""
+        own = frozenset(context.part_fingerprints)
+        blamed = {
+            part for one in self._blamed_parts.found(now) if one.parts <= own for part in one.parts
+        }
+        return [
+            part_id
+            for part_id, part in zip(
+                context.request.shared_parts, context.part_fingerprints, strict=True
+            )
+            if part in blamed
+        ]
+
     def on_answered(self, context: request_context.RequestContext) -> None:
         """Clear a request of crashes, after a server has responded completely and with success.
 
