Select engines a second time only if some state limits

Change: that is done only while a limit is in force. Result: unit tests pass as before; the cost was not measured.

--- a/src/dragonflycove/fleet/placer.py
+++ b/src/dragonflycove/fleet/placer.py
@@ -252,7 +252,7 @@
         if not selection.has_free_slot:
             return self._wait_or_refuse(job, forecasts, spec, is_full=not job.excluded)
         grant = selection.choose()
-        if grant is None:
+        if grant is None and self._limited.has_limits:
             # Servers in need help only with prompts that don't fit on the others.
             grant = select(lambda instance: not self.is_cold(instance, now)).choose()
         if grant is None:
