Format the logged parts of a prompt in one place

Cause: two modules had the same bound and the same text. Change: RequestContext.parts_text; log lines are as before. Result: checks and the test of a waiting request pass.

--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -33,9 +33,6 @@
 CHECK_INTERVAL_SECONDS = 0.5
 """Interval at which the servers of such attempts are looked up in the store's records."""
 
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that the log names."""
-
 MAX_UNANSWERED = 2_000
 """Attempts kept in mind at once; the oldest are forgotten."""
 
@@ -295,7 +292,7 @@
             server=instance.server_id,
             born=instance.started_at_ms,
             end=end,
-            parts=",".join(context.request.shared_parts[:MAX_LOGGED_PARTS]),
+            parts=context.parts_text,
             lost=self._counts.crash_count(context.fingerprint, now),
         )
         self._exchange.report_crashes(crashes)
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -40,9 +40,6 @@
 WAITING_CHECK_SECONDS = 0.1
 """Interval at which a waiting request is checked for being known to crash servers."""
 
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that the log names."""
-
 MAX_ATTEMPTS_PER_REQUEST = 4
 """Maximum attempts of one request, refused ones included; the retry budget also limits them."""
 
@@ -164,7 +161,7 @@
             deadline=seconds,
             version=configuration.version,
             fingerprint=context.fingerprint_text,
-            parts=",".join(request.shared_parts[:MAX_LOGGED_PARTS]),
+            parts=context.parts_text,
         )
         return result.Ok(context)
 
--- a/src/dragonflycove/gateway/request_context.py
+++ b/src/dragonflycove/gateway/request_context.py
@@ -26,6 +26,10 @@
         ...
 
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that the log names."""
+
+
 class LocalNode(NamedTuple):
     """Host, incarnation and availability zone of this node."""
 
@@ -71,6 +75,11 @@
         """The fingerprint as logged, 16 hexadecimal digits."""
         return f"{self.fingerprint:016x}"
 
+    @property
+    def parts_text(self) -> str:
+        """Ids of the shared parts of its prompt as logged; the first `MAX_LOGGED_PARTS`."""
+        return ",".join(self.request.shared_parts[:MAX_LOGGED_PARTS])
+
     @property
     def organisation_name(self) -> str:
         """Name of the organisation; empty on a public route without a key."""
