Check the plans of all kinds of soak faults that are drawn apart

Cause: the soak's new kinds gave that function another name and form, and the test was not run with them. Change: the test draws each of the kinds, and checks as much as before and that each seed has its own plan.

--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -30,6 +30,10 @@
     assert first_plan == plan.draw_faults(random.Random(7), 30.0)
     assert first_plan != plan.draw_faults(random.Random(8), 30.0)
     drawn = {step.kind for step in plan.draw_faults(random.Random(1), 600.0)}
-    crashing = {step.kind for step in plan.draw_crashing_requests(random.Random(1), 600.0)}
-    assert drawn | crashing == set(plan.FaultKind)
-    assert not drawn & crashing
+    apart = {step.kind for kind in plan.DRAWN_APART for step in plan.draw_apart(1, kind, 600.0)}
+    assert apart == plan.DRAWN_APART
+    assert drawn | apart == set(plan.FaultKind)
+    assert not drawn & apart
+    for kind in plan.DRAWN_APART:
+        assert plan.draw_apart(7, kind, 30.0) == plan.draw_apart(7, kind, 30.0)
+        assert plan.draw_apart(7, kind, 30.0) != plan.draw_apart(8, kind, 30.0)
