Add failing tests of nodes that are cut off from all backend servers

Five nodes on loopback; the paths of some, most or all of them to the servers refuse, reset or hang.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -7,13 +7,16 @@
 import contextlib
 import enum
 import itertools
+import json
 import socket
-from typing import TYPE_CHECKING, NamedTuple
+import weakref
+from typing import TYPE_CHECKING, NamedTuple, NoReturn
 
 import h11
+import result
 
 from dragonflycove.fleet import catalog, host_settings, peer_messages
-from dragonflycove.gateway import daemon, forwarder, peer_codec
+from dragonflycove.gateway import connection_pool, daemon, forwarder, peer_codec
 from dragonflycove.platform import requests
 from dragonflycove.quarantine import part_blame
 from dragonflycove.standins.platform import server as platform_server
@@ -24,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from dragonflycove.transport import http1
+
 READY_TIMEOUT_SECONDS = 5.0
 """Timeout of a node's start, until it reports to be ready."""
 
@@ -51,6 +56,19 @@
     """It had only been cut off: its heartbeats go on, and the next requests run."""
 
 
+class CutMode(enum.Enum):
+    """What becomes of a node's connections to servers when it is cut off from all of them."""
+
+    REFUSED = "refused"
+    """Open connections live on, new ones are refused."""
+
+    RESET = "reset"
+    """Open connections are reset, new ones are refused."""
+
+    HANGING = "hanging"
+    """Nothing arrives any more on open connections, and new ones are never accepted."""
+
+
 class CallerResult(NamedTuple):
     """The response that a caller received, complete or not."""
 
@@ -183,6 +201,7 @@
         self._record_by_id: dict[str, dict[str, object]] = {}
         self._beating_ids: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._link_by_node: dict[int, ServerLink] = {}
 
     async def add_server(
         self, server_id: str, service: str = "svc", **options: float
@@ -304,12 +323,21 @@
         for node in self.nodes:
             _drop_datagrams(node, lambda _: False)
 
+    def cut_from_servers(self, number: int, mode: CutMode) -> None:
+        """Cut a node off from all servers; callers, the store and the other nodes still reach it."""
+        self._link_by_node[number].cut(mode)
+
+    def reconnect_to_servers(self, number: int) -> None:
+        """End such a cut."""
+        self._link_by_node[number].heal()
+
     async def restart_node(self, number: int) -> None:
         """End a node at once, as a kill does, and start it again on its host."""
         self.nodes[number].close()
         await asyncio.sleep(NODE_RESTART_SECONDS)
         node = daemon.Daemon(self.settings[number], "/nonexistent", metrics_port=ports.free_port())
         self.nodes[number] = node
+        self._link_by_node[number] = ServerLink(node)
         await node.start()
         await self.wait_ready(number)
 
@@ -345,6 +373,7 @@
         own = settings(f"n{len(self.nodes)}", store_address, zone)
         node = daemon.Daemon(own, "/nonexistent", metrics_port=ports.free_port())
         self.settings.append(own)
+        self._link_by_node[len(self.nodes)] = ServerLink(node)
         self.nodes.append(node)
         await node.start()
         await self.wait_ready(len(self.nodes) - 1)
@@ -356,6 +385,14 @@
         assert address is not None
         return (await exchange(address, b"GET", "/readyz", {})).status
 
+    async def directory(self, node: int = 0) -> list[str]:
+        """Return the addresses that a node's directory gives to callers."""
+        address = self.settings[node].directory_address
+        assert address is not None
+        response = await exchange(address, b"GET", "/resolve?name=x&region=r1&zone=z1", {})
+        addresses: list[str] = json.loads(response.body)["addresses"]
+        return addresses
+
     async def call(
         self,
         path: str,
@@ -421,6 +458,65 @@
         self.store.close()
 
 
+class ServerLink:
+    """The paths of one node to all backend servers, which can be cut."""
+
+    def __init__(self, node: daemon.Daemon) -> None:
+        """Put the link between a node and its connections to servers."""
+        self._pool = node._pool  # noqa: SLF001
+        self._take = self._pool.take
+        self._is_reachable = self._pool.is_reachable
+        self._taken: weakref.WeakSet[http1.Connection] = weakref.WeakSet()
+        self._mode: CutMode | None = None
+        self._pool.take = self._take_unless_cut  # type: ignore[method-assign]
+        self._pool.is_reachable = self._is_reachable_unless_cut  # type: ignore[method-assign]
+
+    def cut(self, mode: CutMode) -> None:
+        """Cut all paths."""
+        self._mode = mode
+        for connection in list(self._taken):
+            if mode is CutMode.RESET:
+                connection._writer.transport.abort()  # noqa: SLF001
+            elif mode is CutMode.HANGING:
+                _silence(connection)
+
+    def heal(self) -> None:
+        """End the cut; bytes that were lost stay lost."""
+        self._mode = None
+
+    async def _take_unless_cut(
+        self, address: catalog.Address, *, fresh: bool, connect_seconds: float
+    ) -> result.Result[http1.Connection, str]:
+        idle = self._pool._idle_by_address.get(address, [])  # noqa: SLF001
+        if self._mode is not None and (fresh or not idle):
+            if self._mode is not CutMode.HANGING:
+                return result.Err("connect_failed: refused")
+            await asyncio.sleep(min(connection_pool.CONNECT_TIMEOUT_SECONDS, connect_seconds))
+            return result.Err("connect_timeout")
+        taken = await self._take(address, fresh=fresh, connect_seconds=connect_seconds)
+        if isinstance(taken, result.Ok):
+            self._taken.add(taken.ok_value)
+        return taken
+
+    async def _is_reachable_unless_cut(self, address: catalog.Address) -> bool:
+        if self._mode is None:
+            return await self._is_reachable(address)
+        if self._mode is CutMode.HANGING:
+            await asyncio.sleep(connection_pool.REACHABILITY_TIMEOUT_SECONDS)
+        return False
+
+
+def _silence(connection: http1.Connection) -> None:
+    """Lose all further bytes of a connection in both directions, without a sign of it."""
+
+    async def never() -> NoReturn:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    connection._reader.read = lambda _: never()  # type: ignore[assignment] # noqa: SLF001
+    connection.send = lambda _: None  # type: ignore[method-assign]
+
+
 def _drop_datagrams(node: daemon.Daemon, is_dropped: Callable[[catalog.Address], bool]) -> None:
     """Let a node's peer socket drop the datagrams to some receivers."""
     peer_socket = node._peer_socket  # noqa: SLF001
--- /dev/null
+++ b/tests/gateway/test_unreached_servers.py
@@ -0,0 +1,222 @@
+"""Nodes that are cut off from all backend servers, but not from callers, store and other nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.gateway import deployment
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterable
+
+pytestmark = pytest.mark.asyncio
+
+NODES = 5
+"""Nodes of the fleet."""
+
+CONTACT_SECONDS = 3.0
+"""Time after the beginning of a cut from which its callers are served as well as others."""
+
+REFUSAL_SECONDS = 0.5
+"""Time within which a request is refused that can't be served."""
+
+RETURN_SECONDS = 1.5
+"""Time after the end of a cut from which a node sends to servers itself."""
+
+PATHS = ("/ask/fine", "/look/fine", "/post/fine")
+
+MODES = list(deployment.CutMode)
+
+
+@contextlib.asynccontextmanager
+async def _fleet(nodes: int = NODES) -> AsyncIterator[deployment.Deployment]:
+    async with deployment.deployed(nodes) as system:
+        for number in range(3, 5):
+            await system.add_server(f"e{number}")
+        await system.add_server("p3", "plain")
+        system.beat()
+        # Leaves kept connections at all nodes.
+        for number, path in itertools.product(range(nodes), PATHS):
+            await _call(system, path, number, f"w{number}{path}")
+        yield system
+
+
+async def _call(
+    system: deployment.Deployment, path: str, node: int, attempt: str, **options: int
+) -> deployment.CallerResult:
+    method = b"GET" if path.startswith("/look/") else b"POST"
+    body = b"" if method == b"GET" else attempt.encode()
+    return await system.call(path, node=node, attempt=attempt, body=body, method=method, **options)
+
+
+async def _ask(
+    system: deployment.Deployment, nodes: Iterable[int], seconds: float, prefix: str = "q"
+) -> list[deployment.CallerResult]:
+    """Send 20 requests a second of all kinds to nodes in turn; return the first responses."""
+    calls = []
+    turns = itertools.cycle(nodes)
+    paths = itertools.cycle(PATHS)
+    for number in range(int(seconds * 20)):
+        call = _call(system, next(paths), next(turns), f"{prefix}{number}")
+        calls.append(asyncio.ensure_future(call))
+        await asyncio.sleep(0.05)
+    return await asyncio.gather(*calls)
+
+
+def _served(responses: Iterable[deployment.CallerResult]) -> int:
+    return sum(one.status == 200 and one.is_complete for one in responses)
+
+
+@pytest.mark.parametrize("mode", MODES)
+async def test_callers_of_nodes_that_reach_no_server_are_served_at_the_first_attempt(
+    mode: deployment.CutMode,
+) -> None:
+    async with _fleet() as system:
+        for number in (0, 1):
+            system.cut_from_servers(number, mode)
+        begun = asyncio.get_running_loop().time()
+        await _ask(system, (0, 1), CONTACT_SECONDS, "before")
+        responses = await _ask(system, (0, 1), 4.0)
+        assert asyncio.get_running_loop().time() - begun < 9.0
+    assert _served(responses) == len(responses)
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("mode", MODES)
+async def test_requests_in_the_moment_of_a_cut_are_served_or_may_have_run(
+    mode: deployment.CutMode, path: str
+) -> None:
+    async with _fleet() as system:
+        system.cut_from_servers(0, mode)
+        calls = [_call(system, path, 0, f"m{number}") for number in range(4)]
+        responses = await asyncio.gather(*calls)
+        runs = [len(system.runs(f"m{number}")) for number in range(4)]
+    for response, count in zip(responses, runs, strict=True):
+        assert response.status in (200, 502, 504)
+        if path.startswith("/post/"):
+            assert count <= 1
+    if mode is deployment.CutMode.REFUSED:
+        assert _served(responses) == len(responses)
+
+
+@pytest.mark.parametrize("mode", MODES)
+async def test_most_nodes_that_reach_no_server_are_served_by_the_rest(
+    mode: deployment.CutMode,
+) -> None:
+    async with _fleet() as system:
+        for number in range(NODES - 1):
+            system.cut_from_servers(number, mode)
+        await _ask(system, range(NODES - 1), CONTACT_SECONDS, "before")
+        responses = await _ask(system, range(NODES), 4.0)
+    assert _served(responses) == len(responses)
+
+
+@pytest.mark.parametrize("mode", MODES)
+async def test_all_requests_are_refused_at_once_if_no_node_reaches_a_server(
+    mode: deployment.CutMode,
+) -> None:
+    async with _fleet() as system:
+        for number in range(NODES):
+            system.cut_from_servers(number, mode)
+        await _ask(system, range(NODES), CONTACT_SECONDS, "before")
+        loop = asyncio.get_running_loop()
+        for number, path in itertools.product(range(NODES), PATHS):
+            started_at = loop.time()
+            response = await _call(system, path, number, f"r{number}{path}")
+            assert response.status == 503
+            assert float(response.headers["retry-after"]) > 0
+            assert loop.time() - started_at < REFUSAL_SECONDS
+            assert not system.runs(f"r{number}{path}")
+
+
+@pytest.mark.parametrize("mode", [deployment.CutMode.RESET, deployment.CutMode.HANGING])
+async def test_a_stream_that_began_goes_on_when_its_node_loses_all_servers(
+    mode: deployment.CutMode,
+) -> None:
+    async with _fleet() as system:
+        for server in system.server_by_id.values():
+            server.events, server.event_seconds = 20, 0.05
+        asking = asyncio.ensure_future(_call(system, "/ask/long", 0, "s1", deadline_ms=9_000))
+        await system.wait_for_run("s1")
+        await asyncio.sleep(0.3)
+        system.cut_from_servers(0, mode)
+        response = await asking
+    assert response.status == 200
+    assert response.is_complete
+    events = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 21))
+    assert response.body == events
+
+
+async def test_a_call_that_may_have_run_is_not_sent_again_by_another_node() -> None:
+    async with _fleet() as system:
+        for _ in range(3):
+            system.cut_from_servers(0, deployment.CutMode.HANGING)
+            calls = [_call(system, "/post/once", 0, f"o{n}", deadline_ms=1_500) for n in range(8)]
+            responses = await asyncio.gather(*calls)
+            for number, response in enumerate(responses):
+                runs = system.runs(f"o{number}")
+                assert len(runs) <= 1
+                assert response.status == 200 or not runs or response.status in (502, 504)
+            for server in system.server_by_id.values():
+                server.runs.clear()
+            system.reconnect_to_servers(0)
+            await asyncio.sleep(RETURN_SECONDS)
+
+
+@pytest.mark.parametrize("mode", MODES)
+async def test_a_node_sends_itself_again_after_each_end_of_a_cut(mode: deployment.CutMode) -> None:
+    async with _fleet() as system:
+        for turn in range(3):
+            system.cut_from_servers(0, mode)
+            responses = await _ask(system, (0,), 2.0, f"cut{turn}-")
+            system.reconnect_to_servers(0)
+            await asyncio.sleep(RETURN_SECONDS)
+            others = [one._pool for one in system.nodes[1:]]  # noqa: SLF001
+            opened = sum(pool.opened for pool in others)
+            responses = await _ask(system, (0,), 1.0, f"back{turn}-")
+            assert _served(responses) == len(responses)
+            assert sum(pool.opened for pool in others) == opened
+
+
+async def test_servers_are_not_blamed_by_nodes_that_don_t_reach_them() -> None:
+    async with _fleet() as system:
+        for number in (0, 1, 2):
+            system.cut_from_servers(number, deployment.CutMode.RESET)
+        await _ask(system, (0, 1, 2), 3.0, "cut")
+        counts = [one._crashes.counts for one in system.nodes]  # noqa: SLF001
+        now = asyncio.get_running_loop().time()
+        assert not any(list(one.counted_crashes(1, now)) for one in counts)
+        for placer in (one._placer for one in system.nodes):  # noqa: SLF001
+            for server_id in system.server_by_id:
+                instance = deployment.catalog.Instance(server_id, 1)
+                assert not placer.health.is_suspect(instance, now)
+
+
+async def test_the_directory_leaves_out_nodes_that_reach_no_server_while_others_do() -> None:
+    async with _fleet() as system:
+        system.cut_from_servers(0, deployment.CutMode.REFUSED)
+        await _ask(system, (0,), 1.5)
+        for number in range(NODES):
+            listed = await system.directory(number)
+            assert str(system.settings[0].caller_address) not in listed
+            assert len(listed) == NODES - 1
+            assert await system.readiness(number) == 200
+        system.reconnect_to_servers(0)
+        await asyncio.sleep(RETURN_SECONDS)
+        assert len(await system.directory(1)) == NODES
+
+
+async def test_a_server_that_is_reached_keeps_its_node_from_using_others() -> None:
+    async with _fleet() as system:
+        for server_id in ("e1", "e2", "e3", "p1", "p2"):
+            system.server_by_id[server_id].close()
+        await _ask(system, (0,), 2.0, "before")
+        opened = [one._pool.opened for one in system.nodes[1:]]  # noqa: SLF001
+        responses = await _ask(system, (0,), 2.0)
+        assert [one._pool.opened for one in system.nodes[1:]] == opened  # noqa: SLF001
+    assert _served(responses) == len(responses)
