--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -385,6 +385,7 @@
                 end=outcome.end.value if outcome else "abandoned",
                 unhelpful=refusing_helper_id,
                 judged=server_outcome.value,
+                failure=outcome.failure if outcome else "",
                 first=outcome.first_event_seconds if outcome else 0.0,
                 events=progress.relayed_events,
                 seconds=now - context.received_at,
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -43,6 +43,9 @@
     first_event_seconds: float = 0.0
     """Time from the attempt's start to the first event or complete response; 0 before."""
 
+    failure: str = ""
+    """Why no connection could be opened; empty if one was open."""
+
 
 class AttemptPlan(NamedTuple):
     """Servers and timing of one attempt."""
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -103,7 +103,9 @@
         )
         if isinstance(taken, result.Err):
             return send_values.AttemptResult(
-                forwarding.AttemptEnd.NOT_SENT, server_health.Outcome.UNREACHABLE
+                forwarding.AttemptEnd.NOT_SENT,
+                server_health.Outcome.UNREACHABLE,
+                failure=taken.err_value,
             )
         connection = taken.ok_value
         seconds_left = context.deadline_at - loop.time()
