--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -52,7 +52,45 @@
     """Complete request body."""
 
 
-class PlatformServer:
+class Arrival(NamedTuple):
+    """A request that arrived, executed or not."""
+
+    sender_ip: str
+    """IP address that it came from."""
+
+    at: float
+    """Loop time at which its head arrived."""
+
+
+class RestRequest(NamedTuple):
+    """A response that turned a request away and stated a time of rest."""
+
+    sender_ip: str
+    """IP address that it was sent to."""
+
+    at: float
+    """Loop time at which it was sent."""
+
+    stated: str
+    """Value of `Retry-After`."""
+
+
+class ArrivalLog:
+    """The requests that a server got, and what it responded to those that it turned away."""
+
+    def __init__(self) -> None:
+        """Create an empty log."""
+        self.arrivals = 0
+        """Number of requests received, including refused ones but not reservations."""
+        self.arrival_times: list[float] = []
+        """Loop times of those requests."""
+        self.arrivals_by_sender: list[Arrival] = []
+        """Those requests with their senders."""
+        self.rest_requests: list[RestRequest] = []
+        """Responses that stated a time of rest."""
+
+
+class PlatformServer(ArrivalLog):
     """One simulated backend server."""
 
     endless_bytes = 0
@@ -61,6 +99,15 @@
     stated_limit = ""
     """Value of `Server-Limit` in all responses; empty for none."""
 
+    stated_rest = ""
+    """Value of `Retry-After` in responses to requests that are turned away; empty for none."""
+
+    turns_away = False
+    """Whether requests are turned away with 503, as by a server in need of rest."""
+
+    is_leaving = False
+    """Whether all responses say that the server leaves."""
+
     def __init__(self, server_id: str, *, events: int = 5, event_seconds: float = 0.01) -> None:
         """Create a server; `listen` starts it.
 
@@ -69,6 +116,7 @@
             events: Number of events of each stream.
             event_seconds: Time between two events.
         """
+        super().__init__()
         self.server_id = server_id
         """Id of the server."""
         self.events = events
@@ -79,10 +127,6 @@
         """Requests executed, in order of arrival."""
         self.faults: collections.deque[server_faults.Fault] = collections.deque()
         """Faults of the next requests, one each."""
-        self.arrivals = 0
-        """Number of requests received, including refused ones but not reservations."""
-        self.arrival_times: list[float] = []
-        """Loop times of those requests."""
         self.disconnected_runs = 0
         """Number of requests whose client disconnected or violated HTTP."""
         self.connections = 0
@@ -187,8 +231,10 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         is_reservation = head.target == b"/order"
         self.arrivals += not is_reservation
+        sender_ip = str(writer.get_extra_info("peername", ("",))[0])
         if not is_reservation:
             self.arrival_times.append(asyncio.get_running_loop().time())
+            self.arrivals_by_sender.append(Arrival(sender_ip, self.arrival_times[-1]))
         fault = self.faults.popleft() if self.faults and not is_reservation else None
         if fault is server_faults.Fault.EARLY_REFUSAL:
             writer.write(self._encode_response(headers, 413, b"too long", ["X-Not-Executed: 1"]))
@@ -248,8 +294,8 @@
         if fault is server_faults.Fault.MISDIRECTED or is_misdirected:
             writer.write(self._encode_response(run.headers, 421, b"", ["X-Instance-Id: other"]))
             return True
-        if fault is server_faults.Fault.REFUSED:
-            writer.write(self._encode_response(run.headers, 503, b"full", ["X-Not-Executed: 1"]))
+        if self.turns_away or fault is server_faults.Fault.REFUSED:
+            self._turn_away(run, writer)
             return True
         for helper in run.headers.get("x-helpers", "").split(","):
             address = helper.partition("/")[0]
@@ -280,6 +326,16 @@
             return await self._respond_stream(run, fault, reader, writer)
         return self._respond_plain(run, fault, writer)
 
+    def _turn_away(self, run: ExecutedRequest, writer: asyncio.StreamWriter) -> None:
+        """Refuse a request, with a time of rest if one is stated."""
+        header_lines = ["X-Not-Executed: 1"]
+        if self.stated_rest:
+            header_lines.append(f"Retry-After: {self.stated_rest}")
+            sender_ip = str(writer.get_extra_info("peername", ("",))[0])
+            at = asyncio.get_running_loop().time()
+            self.rest_requests.append(RestRequest(sender_ip, at, self.stated_rest))
+        writer.write(self._encode_response(run.headers, 503, b"full", header_lines))
+
     async def _stay_silent(self, reader: asyncio.StreamReader) -> bool:
         """Leave a connection of a crashed server without a response until it is closed."""
         await reader.read(1)
@@ -363,7 +419,7 @@
             *(() if is_unframed else ("Transfer-Encoding: chunked",)),
             f"X-Server-Stamp: {STAMP}.{self.server_id}",
             f"X-Attempt-Id: {run.attempt_id}",
-            *self._limit_lines(),
+            *self._state_lines(),
         ]
         writer.write("\r\n".join(header_lines).encode() + b"\r\n\r\n")
         parts = {
@@ -402,8 +458,10 @@
         writer.write(b"0\r\n\r\n")
         return True
 
-    def _limit_lines(self) -> list[str]:
-        return [f"Server-Limit: {self.stated_limit}"] if self.stated_limit else []
+    def _state_lines(self) -> list[str]:
+        """Return the headers that all responses carry at present."""
+        lines = [f"Server-Limit: {self.stated_limit}"] if self.stated_limit else []
+        return [*lines, "Server-Leaving: 1"] if self.is_leaving else lines
 
     def _encode_response(
         self,
@@ -418,7 +476,7 @@
             f"HTTP/1.1 {status} Status",
             f"Content-Length: {len(body)}",
             *extra_header_lines,
-            *self._limit_lines(),
+            *self._state_lines(),
         ]
         if signed:
             header_lines.append(f"X-Server-Stamp: {STAMP}.{self.server_id}")
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -90,12 +90,14 @@
     return catalog.Address("127.0.0.1", ports.free_port())
 
 
-def settings(name: str, store: catalog.Address, zone: str = "z1") -> host_settings.HostSettings:
+def settings(
+    name: str, store: catalog.Address, zone: str = "z1", ip: str = "127.0.0.1"
+) -> host_settings.HostSettings:
     """Return the settings of a node."""
-    peer_address = catalog.Address("127.0.0.1", ports.free_ports(1 + roster.RELAY_PORT_OFFSET))
+    peer_address = catalog.Address(ip, ports.free_ports(1 + roster.RELAY_PORT_OFFSET))
     return host_settings.HostSettings(
         host=name,
-        ip="127.0.0.1",
+        ip=ip,
         zone=zone,
         region="r1",
         region_by_zone={"z1": "r1", "z2": "r1"},
@@ -372,7 +374,8 @@
         """Start a node and wait until it is ready."""
         store_address = loopback()
         self.faults.append(await self.store.open_listener(store_address))
-        own = settings(f"n{len(self.nodes)}", store_address, zone)
+        number = len(self.nodes)
+        own = settings(f"n{number}", store_address, zone, f"127.0.1.{number + 1}")
         node = daemon.Daemon(own, "/nonexistent", metrics_port=ports.free_port())
         self.settings.append(own)
         self._link_by_node[len(self.nodes)] = ServerLink(node)
