--- a/tests/gateway/test_resting_servers.py
+++ b/tests/gateway/test_resting_servers.py
@@ -212,8 +212,11 @@
         nodes = [number for number in range(2) if system.settings[number].ip in told]
         address = str(system.address_by_id["e1"])
         headers = {"X-Token-Counts": "120000,100"}
-        for number in range(6):
-            await _call(system, "/review/long", nodes[number % len(nodes)], f"r{number}", headers)
+        calls = [
+            _call(system, "/review/long", nodes[number % len(nodes)], f"r{number}", headers)
+            for number in range(6)
+        ]
+        await asyncio.gather(*calls)
         helpers = [
             helper.partition("/")[0]
             for number in range(6)
