Leave servers alone that have asked this node for rest

Cause: Retry-After in a server's response was read nowhere; a server that refused was avoided for 0.1 s.

Change: the rest is kept per node and server's start (fleet/server_rests.py). The longest stated end counts. After it one request at a time finds out whether the server takes more; one that turns trials away is avoided for twice as long each time while there are others, since each trial costs a retry. If all servers rest, requests wait if that keeps them in time; the rest is refused at once and told when the first rest ends.

--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -31,6 +31,7 @@
     "larger_than_all_engines": "the prompt is larger than the KV cache of all engines together",
     "crashes_servers": "a server was lost each time this request or a part of its prompt ran",
     "server_limit": "all servers of the service stated limits, and no place was left in time",
+    "servers_rest": "all servers of the service wanted no requests from the node for a time",
     "servers_unreached": "no node that was asked reached a server of the service",
     "relay_busy": "the other node served as many relayed requests as it takes",
     "configuration_differs": "the other node's configuration was older or did not fit the request",
--- a/src/dragonflycove/fleet/work.py
+++ b/src/dragonflycove/fleet/work.py
@@ -32,6 +32,10 @@
 """Reason of the refusal of a request because all servers of its service have rate limits."""
 
 
+SERVERS_REST = "servers_rest"
+"""Reason of the refusal of a request because all servers of its service want rest."""
+
+
 class JobKey(NamedTuple):
     """Identifies one placement attempt of a request in the fleet."""
 
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -22,6 +22,7 @@
     retry_budget_share,
     roster,
     server_limits,
+    server_rests,
     store_view,
 )
 from dragonflycove.gateway import (
@@ -30,6 +31,7 @@
     control_endpoints,
     crash_guard,
     forwarder,
+    head_watch,
     limit_exchange,
     limit_watch,
     peer_placing,
@@ -150,6 +152,7 @@
             settings.store.address,
             self._reach.confirm,
         )
+        self._server_rests = server_rests.ServerRests()
         self._server_limits = server_limits.ServerLimits()
         self._limited_servers = limited_servers.LimitedServers(
             self._server_limits, self._nodes.placing_share
@@ -205,7 +208,11 @@
             self._pool,
             retry_budget,
             self._crashes.watch,
-            limit_watch.LimitWatch(self._server_limits, self._limit_exchange),
+            head_watch.HeadWatch(
+                limit_watch.LimitWatch(self._server_limits, self._limit_exchange),
+                self._server_rests,
+            ),
+            self._server_rests,
             self._reach,
             self._relay_sender,
             self._reservation_manager,
@@ -282,6 +289,7 @@
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
             "dragonflycove_suspect_requests": self._crashes.counts.suspect_count(now),
             "dragonflycove_limited_servers": len(self._server_limits),
+            "dragonflycove_resting_servers": len(self._server_rests),
             "dragonflycove_unreached_services": len(self._reach.unreached_services),
             "dragonflycove_relayed_requests": self._relay_sender.relayed,
             "dragonflycove_store_calls": self._store_follower.calls
@@ -414,6 +422,7 @@
             self._store_view.discard_expired(now)
             self._nodes.discard_expired(now)
             self._server_limits.discard_expired(now)
+            self._server_rests.discard_expired(now)
             self._limited_servers.discard_unlimited()
             logs.log_dropped_counts()
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from dragonflycove.fleet import catalog, forwarding, relaying, server_health, work
-from dragonflycove.gateway import crash_watch, request_context, send_values, sends
+from dragonflycove.gateway import crash_watch, request_context, rest_gate, send_values, sends
 from dragonflycove.quarantine import part_blame
 from dragonflycove.telemetry import logs
 
@@ -18,11 +18,11 @@
     import random
     from collections.abc import Callable
 
-    from dragonflycove.fleet import retry_budget_share, store_view
+    from dragonflycove.fleet import retry_budget_share, server_rests, store_view
     from dragonflycove.gateway import (
         callers,
         connection_pool,
-        limit_watch,
+        head_watch,
         reach_watch,
         relay_sends,
         reservations,
@@ -62,7 +62,8 @@
         pool: connection_pool.ConnectionPool,
         retry_budget: retry_budget_share.RetryBudgetShare,
         crashes: crash_watch.CrashWatch,
-        limits: limit_watch.LimitWatch,
+        heads: head_watch.HeadWatch,
+        rests: server_rests.ServerRests,
         reach: reach_watch.ReachWatch,
         relay_sender: relay_sends.RelaySender,
         reservation_manager: reservations.ReservationManager,
@@ -80,7 +81,8 @@
             pool: Connections to servers.
             retry_budget: This node's share of the retry budget.
             crashes: Notices servers that end while they run a request, and refuses such requests.
-            limits: Reads the rate limits that servers state.
+            heads: Hears what servers' responses state of the servers.
+            rests: Which servers want no requests from this node.
             reach: Finds out which services this node reaches no server of.
             relay_sender: Relays requests for these services to other nodes.
             reservation_manager: Reserves KV cache at engines.
@@ -94,7 +96,8 @@
         self._request_placer = request_placer
         self._retry_budget = retry_budget
         self._crashes = crashes
-        self._limits = limits
+        self._heads = heads
+        self._rest_gate = rest_gate.RestGate(rests, view, rng)
         self._reach = reach
         self._relay_sender = relay_sender
         self._reservation_manager = reservation_manager
@@ -282,17 +285,27 @@
             return final
         if self._reach.is_unreached(context.service):
             return _refuse_unreached(attempt_ends)
-        job = self._build_job(context, state.excluded, state.progress, now)
+        resting = await self._rest_gate.wait(context, state.excluded, state.progress)
+        if isinstance(resting, work.Refusal):
+            return self._respond_to_refusal(context, attempt_ends, resting)
+        job = self._build_job(context, [*state.excluded, *resting], state.progress, loop.time())
         decision = await self._place(context, job)
         if isinstance(decision, work.Refusal):
             return self._respond_to_refusal(context, attempt_ends, decision)
+        if not self._rest_gate.admit(decision, job.key):
+            # Its server has asked for rest while the request waited.
+            self._request_placer.on_end(job.key, server_health.Outcome.ABANDONED)
+            return None
         attempt = crash_watch.WatchedAttempt(decision.lead, context)
         outcome = await self._run_attempt(
             attempt, job, decision, response, state.progress, attempt_ends
         )
         end = await self._crashes.classify_end(attempt, outcome)
-        if end is forwarding.AttemptEnd.NOT_SENT and self._reach.is_unreached(context.service):
-            # The path failed, not the server; nothing was attempted.
+        is_untried = self._reach.is_unreached(context.service) or self._rest_gate.is_resting(
+            decision
+        )
+        if end is forwarding.AttemptEnd.NOT_SENT and is_untried:
+            # The path failed, not the server, or the server rests; nothing was attempted.
             return None
         state.excluded.append(outcome.refusing_helper_id or decision.lead.instance.server_id)
         if outcome.is_success:
@@ -525,11 +538,17 @@
                     attempt_ends, context.route
                 ),
                 predicted_seconds=grant.first_event_seconds,
-                may_send=lambda: self._crashes.refusal_seconds(context) is None,
+                may_send=lambda: (
+                    self._crashes.refusal_seconds(context) is None
+                    and not self._rest_gate.is_resting(grant)
+                ),
                 callbacks=send_values.ExchangeCallbacks(
                     on_sent=attempt.mark_sent,
-                    on_head=lambda head: self._limits.on_head(
-                        grant.lead.instance, head, attempt.sent_at or context.received_at
+                    on_head=lambda head: self._heads.on_head(
+                        grant.lead,
+                        head,
+                        attempt.sent_at or context.received_at,
+                        [part.server for part in grant.helpers],
                     ),
                     on_first_event=lambda: self._request_placer.on_first_event(job.key),
                     can_move=lambda: self._can_move(context, attempt_ends),
@@ -544,6 +563,7 @@
         finally:
             if reservation_set is not None:
                 self._reservation_manager.release(reservation_set)
+            self._rest_gate.end(grant, job.key)
             refusing_helper_id = outcome.refusing_helper_id if outcome else ""
             is_suspect = self._request_placer.on_end(job.key, server_outcome, refusing_helper_id)
             now = asyncio.get_running_loop().time()
@@ -594,8 +614,8 @@
         if refusal.reason == work.CRASHES_SERVERS:
             self._crashes.log_refusal(context)
             return forwarding.FinalResponse(503, refusal.reason, refusal.retry_after_seconds)
-        if refusal.reason == work.SERVER_LIMIT:
-            # The time is booked for this caller.
+        if refusal.reason in (work.SERVER_LIMIT, work.SERVERS_REST):
+            # The time is booked for this caller, or the servers have stated it.
             return forwarding.FinalResponse(503, refusal.reason, refusal.retry_after_seconds)
         base = max(MIN_RETRY_AFTER_SECONDS, refusal.retry_after_seconds)
         retry_after_seconds = base * (1 + RETRY_AFTER_JITTER_RATIO * self._rng.random())
