Stop using servers as soon as one of their responses says that they leave

Nodes went on sending to a server that had said Server-Leaving in each response, until its record in the store said so, which some servers never write.

Cause: the header was read nowhere, the same class as the unread Retry-After.

Change: it is read in the head of every response (streams, refusals, orders, late ones to earlier requests; not in a 421, which comes from another server), kept by the server's start (fleet/leaving_servers.py), told to all nodes at once and compared by digests (gateway/leaving_exchange.py). Placements and the check right before a request is sent leave such a server out; what runs there goes on. Only a new start ends it. What servers state of themselves is now one part of the daemon (gateway/server_statements.py).

--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -158,6 +158,9 @@
     retry_after_seconds: float | None = None
     """Time for which the sender wants no further request; None if not given or malformed."""
 
+    is_leaving: bool = False
+    """Whether the server states that it leaves."""
+
 
 class AttemptEnd(enum.Enum):
     """How one attempt at a server ended; decides on a retry."""
--- a/src/dragonflycove/fleet/peer_messages.py
+++ b/src/dragonflycove/fleet/peer_messages.py
@@ -301,6 +301,33 @@
     """Names of the services; empty if it reaches each."""
 
 
+class LeavingRecord(NamedTuple):
+    """A server that has said in a response that it leaves."""
+
+    instance: catalog.Instance
+    """The server."""
+
+    age_seconds: float
+    """Time since it last said so."""
+
+
+class LeavingReport(NamedTuple):
+    """Leaving servers that the sender knows: a new one, or a part of all."""
+
+    servers: tuple[LeavingRecord, ...]
+    """The servers."""
+
+    wants_all: bool
+    """Whether the sender requests all leaving servers that the receiver knows."""
+
+
+class LeavingDigest(NamedTuple):
+    """Hash of all leaving servers that the sender knows, to find nodes that lack some."""
+
+    digest: int
+    """The hash; 0 for none."""
+
+
 Message = (
     Report
     | Pulse
@@ -317,5 +344,7 @@
     | LimitReport
     | LimitDigest
     | ReachReport
+    | LeavingReport
+    | LeavingDigest
 )
 """Any message between nodes."""
--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import catalog
+from dragonflycove.fleet import catalog, leaving_servers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -69,8 +69,13 @@
 class StoreView:
     """The newest records that this node has received."""
 
-    def __init__(self) -> None:
-        """Create a view without records."""
+    def __init__(self, leaving: leaving_servers.LeavingServers | None = None) -> None:
+        """Create a view without records.
+
+        Args:
+            leaving: Servers that leave, whatever their records state; None for none.
+        """
+        self._leaving = leaving_servers.LeavingServers() if leaving is None else leaving
         self.configuration: catalog.Configuration | None = None
         """The configuration in force; None before the first one."""
         self.configuration_offset = -1
@@ -248,6 +253,7 @@
             and record.server.state is catalog.ServerState.READY
             and (record.usable_until is None or now < record.usable_until)
             and not self.is_evacuated(record.server.zone)
+            and not self._leaving.is_leaving(record.server.instance)
         ]
 
     def is_usable(self, instance: catalog.Instance, now: float) -> bool:
@@ -265,6 +271,7 @@
             and record.server.state is catalog.ServerState.READY
             and (record.usable_until is None or now < record.usable_until)
             and not self.is_evacuated(record.server.zone)
+            and not self._leaving.is_leaving(instance)
         )
 
     def on_heartbeat(self, server_id: str, written_after: float) -> None:
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -21,8 +21,6 @@
     placer,
     retry_budget_share,
     roster,
-    server_limits,
-    server_rests,
     store_view,
 )
 from dragonflycove.gateway import (
@@ -31,9 +29,6 @@
     control_endpoints,
     crash_guard,
     forwarder,
-    head_watch,
-    limit_exchange,
-    limit_watch,
     peer_placing,
     peer_reports,
     peer_socket,
@@ -45,6 +40,7 @@
     relay_sends,
     request_context,
     reservations,
+    server_statements,
     store_follower,
 )
 from dragonflycove.platform import members
@@ -137,9 +133,12 @@
         self._own = _own_member(settings, incarnation)
         self._nodes = roster.Roster(self._own)
         self._members = members.MemberList(settings.store.address)
-        self._store_view = store_view.StoreView()
         self._peer_socket = peer_socket.PeerSocket()
         self._pool = connection_pool.ConnectionPool(settings.ip)
+        self._statements = server_statements.ServerStatements(
+            self._nodes, self._pool, self._peer_socket
+        )
+        self._store_view = store_view.StoreView(self._statements.leaving)
         self._relay_pool = connection_pool.ConnectionPool(settings.ip)
         self._reach = reach_watch.ReachWatch(
             self._nodes, self._store_view, self._pool, self._peer_socket
@@ -152,13 +151,8 @@
             settings.store.address,
             self._reach.confirm,
         )
-        self._server_rests = server_rests.ServerRests()
-        self._server_limits = server_limits.ServerLimits()
         self._limited_servers = limited_servers.LimitedServers(
-            self._server_limits, self._nodes.placing_share
-        )
-        self._limit_exchange = limit_exchange.LimitExchange(
-            self._nodes, self._server_limits, self._peer_socket
+            self._statements.limits, self._nodes.placing_share
         )
         self._placer = placer.Placer(
             self._store_view,
@@ -188,7 +182,9 @@
             self._peer_socket,
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
-        self._reservation_manager = reservations.ReservationManager(self._pool)
+        self._reservation_manager = reservations.ReservationManager(
+            self._pool, self._statements.heads
+        )
         bounds = settings.bounds
         retry_budget = retry_budget_share.RetryBudgetShare(
             bounds.retry_ratio,
@@ -208,11 +204,8 @@
             self._pool,
             retry_budget,
             self._crashes.watch,
-            head_watch.HeadWatch(
-                limit_watch.LimitWatch(self._server_limits, self._limit_exchange),
-                self._server_rests,
-            ),
-            self._server_rests,
+            self._statements.heads,
+            self._statements.rests,
             self._reach,
             self._relay_sender,
             self._reservation_manager,
@@ -288,8 +281,7 @@
             "dragonflycove_active_requests": self._callers.active,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
             "dragonflycove_suspect_requests": self._crashes.counts.suspect_count(now),
-            "dragonflycove_limited_servers": len(self._server_limits),
-            "dragonflycove_resting_servers": len(self._server_rests),
+            **self._statements.gauges(),
             "dragonflycove_unreached_services": len(self._reach.unreached_services),
             "dragonflycove_relayed_requests": self._relay_sender.relayed,
             "dragonflycove_store_calls": self._store_follower.calls
@@ -330,7 +322,7 @@
             self._clean_up(),
             self._reports.run(),
             self._crashes.run(),
-            self._limit_exchange.run(),
+            self._statements.run(),
             self._reach.run(),
             self._announce(),
             self._find_nodes(),
@@ -421,8 +413,7 @@
             self._relay_pool.close_expired()
             self._store_view.discard_expired(now)
             self._nodes.discard_expired(now)
-            self._server_limits.discard_expired(now)
-            self._server_rests.discard_expired(now)
+            self._statements.discard_expired(now)
             self._limited_servers.discard_unlimited()
             logs.log_dropped_counts()
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -550,6 +550,7 @@
                         attempt.sent_at or context.received_at,
                         [part.server for part in grant.helpers],
                     ),
+                    on_crossed_head=lambda head: self._heads.on_any_head(grant.lead, head),
                     on_first_event=lambda: self._request_placer.on_first_event(job.key),
                     can_move=lambda: self._can_move(context, attempt_ends),
                 ),
--- a/src/dragonflycove/gateway/relay_sends.py
+++ b/src/dragonflycove/gateway/relay_sends.py
@@ -158,7 +158,9 @@
             connection = taken.ok_value
             exchange = _RelayExchange(
                 context,
-                send_values.ExchangeCallbacks(_ignore, _ignore_head, _ignore, can_move),
+                send_values.ExchangeCallbacks(
+                    _ignore, _ignore_head, _ignore_head, _ignore, can_move
+                ),
                 response,
                 progress,
                 connection,
--- a/src/dragonflycove/gateway/reservations.py
+++ b/src/dragonflycove/gateway/reservations.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog, work
-    from dragonflycove.gateway import connection_pool
+    from dragonflycove.gateway import connection_pool, head_watch
     from dragonflycove.transport import http1
 
 RESERVATION_TTL_SECONDS = 3.4
@@ -38,7 +38,7 @@
 class Reservation(NamedTuple):
     """KV cache reserved at one engine."""
 
-    address: catalog.Address
+    server: catalog.BackendServer
     """The engine."""
 
     reservation_id: str
@@ -64,12 +64,14 @@
 class ReservationManager:
     """Reserves, renews and releases KV cache for this node's requests."""
 
-    def __init__(self, pool: connection_pool.ConnectionPool) -> None:
+    def __init__(self, pool: connection_pool.ConnectionPool, heads: head_watch.HeadWatch) -> None:
         """Create a manager without reservations.
 
         Args:
             pool: Connections to engines.
+            heads: Hears what engines' responses state of the engines.
         """
+        self._heads = heads
         self._pool = pool
         self._release_tasks: set[asyncio.Task[None]] = set()
 
@@ -90,7 +92,7 @@
             if helper.reserved_tokens:
                 key = job.key
                 name = f"{key.host}.{key.incarnation}.{key.number}.{number}"
-                reservations.append(Reservation(address, name, helper.reserved_tokens))
+                reservations.append(Reservation(helper.server, name, helper.reserved_tokens))
                 helpers.append(requests.encode_helper(address, name))
             else:
                 helpers.append(requests.encode_helper(address, ""))
@@ -135,12 +137,12 @@
 
     async def _reserve(self, reservation: Reservation) -> int:
         request = engine_orders.reserve(
-            reservation.address,
+            reservation.server.address,
             reservation.reservation_id,
             reservation.tokens,
             RESERVATION_TTL_SECONDS,
         )
-        return await self._call_engine(reservation.address, request)
+        return await self._call_engine(reservation.server, request)
 
     async def _renew(self, reservations: tuple[Reservation, ...]) -> None:
         while True:
@@ -149,15 +151,18 @@
 
     async def _release(self, reservation: Reservation) -> None:
         for _ in range(MAX_RELEASE_ATTEMPTS):
-            request = engine_orders.release(reservation.address, reservation.reservation_id)
-            if await self._call_engine(reservation.address, request):
+            request = engine_orders.release(reservation.server.address, reservation.reservation_id)
+            if await self._call_engine(reservation.server, request):
                 return
         logs.warning(
-            "release_unanswered", engine=reservation.address, reservation=reservation.reservation_id
+            "release_unanswered",
+            engine=reservation.server.address,
+            reservation=reservation.reservation_id,
         )
 
-    async def _call_engine(self, address: catalog.Address, request: http1.Request) -> int:
+    async def _call_engine(self, server: catalog.BackendServer, request: http1.Request) -> int:
         """Send a request to an engine; returns the response's status, 0 if there is no response."""
+        address = server.address
         connection: http1.Connection | None = None
         try:
             async with asyncio.timeout(ENGINE_TIMEOUT_SECONDS):
@@ -171,8 +176,9 @@
                 response = await connection.read_response(MAX_RESPONSE_BYTES)
                 if isinstance(response, result.Err):
                     return 0
-                head, _ = response.ok_value
-                self._pool.put(address, connection, requests.decode_response_head(head))
+                head = requests.decode_response_head(response.ok_value[0])
+                self._heads.on_any_head(server, head)
+                self._pool.put(address, connection, head)
                 connection = None
                 return head.status
         except TimeoutError:
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -60,6 +60,9 @@
     on_head: Callable[[forwarding.ResponseHead], None]
     """Called with the head of the response to this request."""
 
+    on_crossed_head: Callable[[forwarding.ResponseHead], None]
+    """Called with the head of a late response to an earlier request on the connection."""
+
     on_first_event: Callable[[], None]
     """Called when the first event of a stream arrives."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -239,6 +239,7 @@
                 self._callbacks.on_head(head)
                 return result.Ok(head)
             logs.event("crossed_answer", request=own_id, other=head.attempt_id)
+            self._callbacks.on_crossed_head(head)
             while (chunk := await self._connection.read_body_chunk()) is not None:
                 if isinstance(chunk, result.Err):
                     return chunk
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -32,6 +32,7 @@
 _FAULTY_SERVER = b"at-server"
 _RATE_LIMIT = b"server-limit"
 _RETRY_AFTER = b"retry-after"
+_LEAVING = b"server-leaving"
 
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?|\.\d{1,12}")
 """A decimal number without sign or exponent."""
@@ -264,6 +265,7 @@
         faulty_address=_faulty_address(first_by_name.get(_FAULTY_SERVER)),
         rate_limit=_rate_limit(first_by_name.get(_RATE_LIMIT)),
         retry_after_seconds=_retry_after(first_by_name.get(_RETRY_AFTER)),
+        is_leaving=first_by_name.get(_LEAVING, b"").strip() == b"1",
     )
 
 
--- a/src/dragonflycove/telemetry/fleet_metrics.py
+++ b/src/dragonflycove/telemetry/fleet_metrics.py
@@ -45,6 +45,7 @@
     "dragonflycove_waiting_requests": "Requests that wait for room at this node",
     "dragonflycove_suspect_requests": "Requests, by fingerprint, that lost a server at this node",
     "dragonflycove_limited_servers": "Servers that state a limit of requests a second",
+    "dragonflycove_leaving_servers": "Servers that said in a response that they leave",
     "dragonflycove_resting_servers": "Servers that asked this node for rest",
     "dragonflycove_unreached_services": "Services of which this node reaches no server",
     "dragonflycove_relayed_requests": "Requests relayed to other nodes",
