Relay prompts whose reservations fail because their node reaches no server

A prompt that needs memory of several engines was refused at a node that had just lost its paths: its reservations got no response, which counted as an engine without room, and the hub left the engine out for all nodes.

A reservation without a response now leads to the same check as a lost connection. Three of three cases of the new test failed before (503); they pass.

--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -10,7 +10,14 @@
 import xxhash
 
 from dragonflycove.fleet import catalog, forwarding, relaying, server_health, work
-from dragonflycove.gateway import crash_watch, request_context, rest_gate, send_values, sends
+from dragonflycove.gateway import (
+    crash_watch,
+    request_context,
+    reservations,
+    rest_gate,
+    send_values,
+    sends,
+)
 from dragonflycove.quarantine import part_blame
 from dragonflycove.telemetry import logs
 
@@ -25,7 +32,6 @@
         head_watch,
         reach_watch,
         relay_sends,
-        reservations,
     )
     from dragonflycove.telemetry import fleet_metrics
 
@@ -524,10 +530,14 @@
         server_outcome = server_health.Outcome.ABANDONED
         reservation_set: reservations.ReservationSet | None = None
         outcome: send_values.AttemptResult | None = None
+        started_at = asyncio.get_running_loop().time()
         try:
             reserved = await self._reservation_manager.reserve(grant, job)
             if isinstance(reserved, result.Err):
                 server_outcome = server_health.Outcome.FULL
+                has_response = reserved.err_value is reservations.ReservationFailure.REFUSED
+                if not has_response and not await self._reach.confirm(context.service, started_at):
+                    server_outcome = server_health.Outcome.ABANDONED
                 outcome = send_values.AttemptResult(forwarding.AttemptEnd.NOT_SENT, server_outcome)
                 return outcome
             reservation_set = reserved.ok_value
@@ -555,7 +565,6 @@
                     can_move=lambda: self._can_move(context, attempt_ends),
                 ),
             )
-            started_at = asyncio.get_running_loop().time()
             outcome = await self._sender.send(context, plan, response, progress)
             server_outcome = await self._judge_server(context, outcome, started_at)
         except asyncio.CancelledError:
--- a/src/dragonflycove/gateway/reservations.py
+++ b/src/dragonflycove/gateway/reservations.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import TYPE_CHECKING, NamedTuple
 
 import result
@@ -35,6 +36,16 @@
 """Maximum attempts to release a reservation; then it is left to expire."""
 
 
+class ReservationFailure(enum.Enum):
+    """Why a reservation could not be made."""
+
+    REFUSED = "refused"
+    """An engine refused it."""
+
+    NO_RESPONSE = "no_response"
+    """An engine did not respond."""
+
+
 class Reservation(NamedTuple):
     """KV cache reserved at one engine."""
 
@@ -75,7 +86,9 @@
         self._pool = pool
         self._release_tasks: set[asyncio.Task[None]] = set()
 
-    async def reserve(self, grant: work.Grant, job: work.Job) -> result.Result[ReservationSet, str]:
+    async def reserve(
+        self, grant: work.Grant, job: work.Job
+    ) -> result.Result[ReservationSet, ReservationFailure]:
         """Reserve the KV cache that a placement needs, and begin to renew the reservations.
 
         Args:
@@ -83,7 +96,7 @@
             job: The request.
 
         Returns:
-            The reservations, or an error if one engine refused; then the others are released.
+            The reservations, or why one engine gave none; then the others are released.
         """
         reservations = []
         helpers = []
@@ -108,7 +121,9 @@
         if any(status != engine_orders.OK_STATUS for status in statuses):
             self.release(ReservationSet(tuple(reservations), (), None))
             logs.event("reservation_failed", job=key.number, statuses=statuses)
-            return result.Err("memory_not_free")
+            return result.Err(
+                ReservationFailure.REFUSED if all(statuses) else ReservationFailure.NO_RESPONSE
+            )
         renewal_task = asyncio.ensure_future(self._renew(tuple(reservations)))
         return result.Ok(ReservationSet(tuple(reservations), tuple(helpers), renewal_task))
 
--- a/tests/gateway/test_unreached_servers.py
+++ b/tests/gateway/test_unreached_servers.py
@@ -311,3 +311,41 @@
         calls = [_call(system, "/look/fine", 0, f"b{number}") for number in range(10)]
         assert _served(await asyncio.gather(*calls)) == 10
         assert counted() == before + 10
+
+
+@pytest.mark.parametrize("mode", MODES)
+async def test_a_prompt_with_reservations_is_relayed_when_its_node_loses_all_servers(
+    mode: deployment.CutMode,
+) -> None:
+    async with _fleet(3) as system:
+        await asyncio.sleep(RETURN_SECONDS)  # All nodes know all engines then.
+        system.cut_from_servers(0, mode)
+        headers = {"X-Token-Counts": "300000,100", "X-Model": "m"}
+        response = await system.call(
+            "/review/long", attempt="v1", headers=headers, body=b"1", deadline_ms=3_900
+        )
+    assert response.status == 200
+    assert response.is_complete
+    assert len(system.runs("v1")) == 1
+
+
+async def test_a_repeatable_request_goes_on_if_the_node_that_serves_it_is_cut_off_as_well() -> None:
+    async with _fleet() as system:
+        for server in system.server_by_id.values():
+            server.events, server.event_seconds = 30, 0.06
+        system.cut_from_servers(0, deployment.CutMode.RESET)
+        await _ask(system, (0,), 0.5, "before")
+        asking = asyncio.ensure_future(_call(system, "/ask/long", 0, "g1", deadline_ms=9_000))
+        await system.wait_for_run("g1")
+        await asyncio.sleep(0.5)
+        serving = [
+            number for number, one in enumerate(system.nodes) if one._relays._active  # noqa: SLF001
+        ]
+        for number in serving:
+            system.cut_from_servers(number, deployment.CutMode.RESET)
+        response = await asking
+    assert serving
+    assert response.status == 200
+    assert response.is_complete
+    events = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 31))
+    assert response.body == events
