Let repeatable requests go on elsewhere if the node that serves them loses its servers as well

The serving node may have sent such a request before its own paths were cut, so it answers 502, not 503; the node of the caller took that as final.

--- a/src/dragonflycove/gateway/relay_sends.py
+++ b/src/dragonflycove/gateway/relay_sends.py
@@ -107,7 +107,7 @@
                 events=progress.relayed_events,
             )
             if not self._may_offer_again(peer, context.service, outcome):
-                return outcome
+                return _without_own_refusal(outcome)
         refusal = forwarding.FinalResponse(
             503, relaying.SERVERS_UNREACHED, UNREACHED_RETRY_AFTER_SECONDS
         )
@@ -208,7 +208,9 @@
     def _first_event_timeout(self) -> float:
         route = self._context.route
         if route.kind is catalog.CallKind.STREAMING and route.is_resumable:
-            return forwarding.route_caller_timeout_seconds(route)
+            return forwarding.PLACEMENT_TIMEOUT_SHARE * forwarding.route_caller_timeout_seconds(
+                route
+            )
         seconds = forwarding.retry_timeout_seconds(route)
         return float("inf") if seconds is None else 2 * seconds + RESPONSE_MARGIN_SECONDS
 
@@ -229,6 +231,16 @@
         return send_values.AttemptResult(end, server_health.Outcome.ABANDONED, refusal=refusal)
 
 
+def _without_own_refusal(outcome: send_values.AttemptResult) -> send_values.AttemptResult:
+    """Return an outcome without a refusal that concerns the serving node alone.
+
+    The request may have run there, but a request that can be repeated may go on elsewhere.
+    """
+    if outcome.refusal is None or outcome.refusal.reason not in relaying.RETRIED_ELSEWHERE:
+        return outcome
+    return outcome._replace(refusal=None)
+
+
 def _ignore() -> None:
     """Ignore that a request was sent or an event arrived; the serving node records it."""
 
