Count servers as crashed if their whole service has ended, while others are reached

Whether a request crashed its server now depends on whether this node reaches any server, of whatever service.

--- a/src/dragonflycove/fleet/server_reach.py
+++ b/src/dragonflycove/fleet/server_reach.py
@@ -21,6 +21,9 @@
 FIRST_SAMPLED_SERVERS = 2
 """Servers that are probed first; mostly one of them accepts, and the others are left alone."""
 
+OTHER_SAMPLED_SERVERS = 4
+"""Servers of other services that are probed to tell dead servers from a cut of this node."""
+
 RECHECK_SERVERS = 3
 """Servers of an unreached service that are probed at each recheck."""
 
--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -256,6 +256,10 @@
             and not self._leaving.is_leaving(record.server.instance)
         ]
 
+    def services(self) -> set[str]:
+        """Return the names of all services that have records of servers."""
+        return {record.server.service for record in self._record_by_id.values() if record.server}
+
     def is_usable(self, instance: catalog.Instance, now: float) -> bool:
         """Whether an instance may get new requests.
 
--- a/src/dragonflycove/gateway/crash_guard.py
+++ b/src/dragonflycove/gateway/crash_guard.py
@@ -36,8 +36,8 @@
             pool: Connections to servers.
             view: Servers as this node knows them.
             store_address: Address of the store.
-            reaches: Finds out whether any server of a service accepts connections from this node,
-                now or since a loop time.
+            reaches: Finds out whether this node reaches any server, after one of a service was
+                lost at a loop time.
         """
         self.counts = crash_counts.CrashCounts()
         """Servers that requests have crashed."""
--- a/src/dragonflycove/gateway/crash_watch.py
+++ b/src/dragonflycove/gateway/crash_watch.py
@@ -90,8 +90,8 @@
             view: Servers as this node knows them.
             may_try: Returns whether this node lets requests with blamed parts through from time to
                 time, at a loop time.
-            reaches: Finds out whether any server of a service accepts connections from this node,
-                now or since a loop time; None if it always counts as doing so.
+            reaches: Finds out whether this node reaches any server, after one of a service was
+                lost at a loop time; None if it always counts as doing so.
         """
         self._reaches = reaches
         self._may_try = may_try
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -149,7 +149,7 @@
             self._pool,
             self._store_view,
             settings.store.address,
-            self._reach.confirm,
+            self._reach.confirm_link,
         )
         self._limited_servers = limited_servers.LimitedServers(
             self._statements.limits, self._nodes.placing_share
--- a/src/dragonflycove/gateway/reach_watch.py
+++ b/src/dragonflycove/gateway/reach_watch.py
@@ -91,6 +91,25 @@
             await asyncio.shield(self._start_check(service))
         return not self._reach.is_unreached(service)
 
+    async def confirm_link(self, service: str, since: float) -> bool:
+        """Find out whether this node reaches any server, after one of a service was lost.
+
+        If none of the service accepts connections while some of others do, its servers have ended.
+
+        Args:
+            service: The service.
+            since: Loop time from which on an accepted connection shows that it does.
+        """
+        if await self.confirm(service, since):
+            return True
+        others = [
+            server
+            for other in sorted(self._store_view.services() - {service})
+            for server in self._usable_servers(other)
+        ]
+        sample = server_reach.spread_over_zones(others)[: server_reach.OTHER_SAMPLED_SERVERS]
+        return await self._probe(sample) > 0
+
     def confirm_later(self, service: str) -> None:
         """Find out in the background whether this node reaches a service.
 
