Soak with nodes that reach no server

New connections of such a node are refused or hang, by a wrapper of its process; open ones live on, are reset or lose all their bytes, by the proxies.

--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import catalog
-from dragonflycove.measure.soak import crashes, limits, node_process, plan, proxy
+from dragonflycove.measure.soak import crashes, cut_node, limits, node_process, plan, proxy
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import server_faults
 from dragonflycove.standins.platform import store as platform_store
@@ -76,6 +76,7 @@
         self.runs: list[platform_server.ExecutedRequest] = []
         """Executed requests of all servers, in order of arrival."""
         self._proxies: dict[str, proxy.Proxy] = {}
+        self._silenced_ips: set[str] = set()
         self._born_by_id: dict[str, int] = {}
         self._server_count = 0
         self._version = 1
@@ -160,7 +161,8 @@
         server.on_crash = lambda: self._on_crash(server)
         await server.listen(catalog.Address(host, 8_080))
         link_proxy = proxy.Proxy(catalog.Address(host, 8_080))
-        await link_proxy.listen(catalog.Address(host, 8_081))
+        link_proxy.silenced_ips = self._silenced_ips
+        await link_proxy.listen(catalog.Address(host, cut_node.SERVER_PORT))
         self.servers[server_id] = server
         self._proxies[server_id] = link_proxy
         self._born_by_id[server_id] = self._born_by_id.get(server_id, number) + 1_000
@@ -291,6 +293,8 @@
     async def _apply_node_fault(self, planned: plan.PlannedFault) -> None:
         node = self._node_of(planned)
         match planned.kind:
+            case plan.FaultKind.NODE_REACHES_NO_SERVER:
+                await self._cut_from_servers(node, planned)
             case plan.FaultKind.NODE_KILL:
                 await self._restart(node, signal.SIGKILL)
             case plan.FaultKind.NODE_STOP:
@@ -303,6 +307,23 @@
                 node.write_settings()
                 node.signal(signal.SIGHUP)
 
+    async def _cut_from_servers(self, node: node_process.Node, planned: plan.PlannedFault) -> None:
+        mode = random.Random(planned.target_fraction).choice(list(cut_node.CutMode))
+        node.cut_from_servers(mode)
+        if mode is cut_node.CutMode.HANGING:
+            self._silenced_ips.add(node.ip)
+        elif mode is cut_node.CutMode.RESET:
+            self._reset_connections(node)
+        await asyncio.sleep(planned.seconds)
+        if node.end_cut() and node.ip in self._silenced_ips:
+            # Bytes were discarded, so that open connections are out of step.
+            self._silenced_ips.discard(node.ip)
+            self._reset_connections(node)
+
+    def _reset_connections(self, node: node_process.Node) -> None:
+        for link_proxy in self._proxies.values():
+            link_proxy.reset_from(node.ip)
+
     async def _apply_server_fault(self, planned: plan.PlannedFault) -> None:
         if not self.servers:
             return
--- a/src/dragonflycove/measure/soak/node_process.py
+++ b/src/dragonflycove/measure/soak/node_process.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import catalog
+from dragonflycove.measure.soak import cut_node
 
 if TYPE_CHECKING:
     import pathlib
@@ -44,6 +45,8 @@
         self.zone = f"z{number % 2}"
         self._folder = folder
         self._settings = folder / f"{self.name}.yaml"
+        self._cut_file = folder / f"{self.name}.cut"
+        self._cut_count = 0
         self._process: subprocess.Popen[bytes] | None = None
         self.store_address = catalog.Address(f"127.{block}.2.{number + 1}", 8_223)
         """Address at which only this node reaches the store, so that store faults can be per node."""
@@ -74,14 +77,27 @@
         """Start the process; it appends to the log of earlier ones."""
         self.write_settings()
         environment = dict(os.environ, DRAGONFLYCOVE_CONFIG=str(self._settings))
+        environment[cut_node.CUT_FILE_VARIABLE] = str(self._cut_file)
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "dragonflycove", "platform-node"],
+                [sys.executable, "-m", cut_node.__name__],
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def cut_from_servers(self, mode: cut_node.CutMode) -> None:
+        """Let new connections to servers fail; cuts may overlap, the last mode counts."""
+        self._cut_count += 1
+        self._cut_file.write_text(mode.value)
+
+    def end_cut(self) -> bool:
+        """End one cut; returns whether the servers are reached again."""
+        self._cut_count -= 1
+        if not self._cut_count:
+            self._cut_file.unlink()
+        return not self._cut_count
+
     def signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         if self.is_running and self._process is not None:
--- a/src/dragonflycove/measure/soak/plan.py
+++ b/src/dragonflycove/measure/soak/plan.py
@@ -85,9 +85,17 @@
     SERVER_LIMIT = "server_limit"
     """A server states a limit of requests a second."""
 
+    NODE_REACHES_NO_SERVER = "node_reaches_no_server"
+    """Cuts a node off from all servers; the next draw may cut another one beside it."""
+
 
 DRAWN_APART = frozenset(
-    {FaultKind.CRASHING_REQUEST, FaultKind.CRASHING_PART, FaultKind.SERVER_LIMIT}
+    {
+        FaultKind.CRASHING_REQUEST,
+        FaultKind.CRASHING_PART,
+        FaultKind.SERVER_LIMIT,
+        FaultKind.NODE_REACHES_NO_SERVER,
+    }
 )
 """Kinds with generators of their own, so that the other faults of a seed stay the same."""
 
--- a/src/dragonflycove/measure/soak/proxy.py
+++ b/src/dragonflycove/measure/soak/proxy.py
@@ -31,7 +31,10 @@
         """Whether bytes to the target are discarded."""
         self.drops_responses = False
         """Whether bytes from the target are discarded."""
+        self.silenced_ips: set[str] = set()
+        """Callers' IP addresses whose bytes are discarded in both directions."""
         self._writers: set[asyncio.StreamWriter] = set()
+        self._writers_by_ip: dict[str, set[asyncio.StreamWriter]] = {}
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: catalog.Address) -> None:
@@ -49,7 +52,14 @@
 
     def reset_all(self) -> None:
         """Reset all open connections."""
-        for writer in self._writers:
+        self._reset(self._writers)
+
+    def reset_from(self, ip: str) -> None:
+        """Reset the open connections from an IP address."""
+        self._reset(self._writers_by_ip.get(ip, set()))
+
+    def _reset(self, writers: set[asyncio.StreamWriter]) -> None:
+        for writer in writers:
             raw = writer.get_extra_info("socket")
             if raw is not None and raw.fileno() >= 0:
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -76,27 +86,36 @@
             return
         writers = {writer, target_writer}
         self._writers |= writers
+        ip = str(writer.get_extra_info("peername")[0])
+        self._writers_by_ip.setdefault(ip, set()).update(writers)
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, is_to_target=True),
-                self._forward(target_reader, writer, is_to_target=False),
+                self._forward(reader, target_writer, ip, is_to_target=True),
+                self._forward(target_reader, writer, ip, is_to_target=False),
             )
         except asyncio.CancelledError:
             # Cancelled at the end of the soak; asyncio would log the cancellation as an error.
             pass
         finally:
             self._writers -= writers
+            self._writers_by_ip[ip] -= writers
             for one in writers:
                 one.transport.abort()
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, is_to_target: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        ip: str,
+        *,
+        is_to_target: bool,
     ) -> None:
         with contextlib.suppress(OSError):  # Either end may reset; then the other is closed.
             while data := await reader.read(READ_BYTES):
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
-                if self.drops_requests if is_to_target else self.drops_responses:
+                is_dropped = self.drops_requests if is_to_target else self.drops_responses
+                if is_dropped or ip in self.silenced_ips:
                     continue
                 writer.write(data)
                 await writer.drain()
