Soak with servers that ask for rest, and with servers that say that they leave

Checked from the arrivals at each server by node: BUDGET in times of rest, DRAIN after a node was told; restarts, pauses and cuts excuse. The proxies connect from the callers' addresses, so that servers can tell nodes apart.

--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -9,7 +9,15 @@
 from typing import TYPE_CHECKING
 
 from dragonflycove.fleet import catalog
-from dragonflycove.measure.soak import crashes, cut_node, limits, node_process, plan, proxy
+from dragonflycove.measure.soak import (
+    crashes,
+    cut_node,
+    limits,
+    node_process,
+    plan,
+    proxy,
+    statements,
+)
 from dragonflycove.standins.platform import server as platform_server
 from dragonflycove.standins.platform import server_faults
 from dragonflycove.standins.platform import store as platform_store
@@ -31,6 +39,9 @@
 KEEP_ID_PROBABILITY = 0.3
 """Probability that a crashed server returns under the id that it had."""
 
+LEAVING_SECONDS = 5.0
+"""Minimum time from a server's first response that it leaves to its end."""
+
 FAULT_PROBABILITY = 0.3
 """Probability, per check, that a server without a pending fault gets a new one."""
 
@@ -70,6 +81,10 @@
         """The nodes in order of their numbers."""
         self.faults: list[platform_store.StoreFaults] = []
         """Faults of the store towards each node, in the order of `nodes`."""
+        self.statement_log = statements.StatementLog(
+            {node.ip: node.name for node in self.nodes}, self.crash_log.disturbances
+        )
+        """Servers that have asked for rest, or said that they leave."""
         self._sizes = sizes
         self.servers: dict[str, platform_server.PlatformServer] = {}
         """Running servers by id."""
@@ -240,6 +255,10 @@
                 await self._send_crashing_requests(planned)
             case plan.FaultKind.SERVER_LIMIT:
                 await self._state_limit(planned)
+            case plan.FaultKind.SERVER_REST:
+                await self._ask_for_rest(planned)
+            case plan.FaultKind.SERVER_LEAVING:
+                await self._leave(planned)
             case plan.FaultKind.ALL_KILL:
                 await asyncio.gather(*(self._restart(one, signal.SIGKILL) for one in self.nodes))
             case plan.FaultKind.CONFIGURATION:
@@ -272,6 +291,35 @@
         server.stated_limit = ""
         self.limit_log.add(server, limit, begin)
 
+    async def _ask_for_rest(self, planned: plan.PlannedFault) -> None:
+        if not self.servers:
+            return
+        server = list(self.servers.values())[int(planned.target_fraction * len(self.servers))]
+        if server.turns_away:
+            return
+        rng = random.Random(planned.target_fraction)
+        seconds = rng.uniform(statements.MIN_REST_SECONDS, statements.MAX_REST_SECONDS)
+        server.stated_rest = f"{seconds:.2f}"
+        server.turns_away = True
+        self.statement_log.resting.append(server)
+        await asyncio.sleep(planned.seconds / 2)
+        server.turns_away = False
+
+    async def _leave(self, planned: plan.PlannedFault) -> None:
+        if not self.servers:
+            return
+        server_id = list(self.servers)[int(planned.target_fraction * len(self.servers))]
+        server = self.servers[server_id]
+        if server.is_leaving:
+            return
+        server.is_leaving = True
+        self.statement_log.leaving.append((server, time.monotonic()))
+        await self.add_server(server_id.partition("-")[0])
+        await asyncio.sleep(max(LEAVING_SECONDS, planned.seconds / 2))
+        if self.servers.get(server_id) is server:
+            self.remove_server(server_id)
+            self.store.put("keyed.servers", server_id, None)
+
     async def _send_crashing_requests(self, planned: plan.PlannedFault) -> None:
         is_part = planned.kind is plan.FaultKind.CRASHING_PART
         resender = crashes.Resender(
--- a/src/dragonflycove/measure/soak/main.py
+++ b/src/dragonflycove/measure/soak/main.py
@@ -117,8 +117,8 @@
         await asyncio.sleep(RELEASE_SECONDS)
         running.check_leaks(checker)
         checker.check_executions(running.runs)
-        checker.violations += running.crash_log.violations()
-        checker.violations += running.limit_log.violations()
+        for log in (running.crash_log, running.limit_log, running.statement_log):
+            checker.violations += log.violations()
         if watch_task.done():
             watch_task.result()
     finally:
--- a/src/dragonflycove/measure/soak/plan.py
+++ b/src/dragonflycove/measure/soak/plan.py
@@ -88,6 +88,12 @@
     NODE_REACHES_NO_SERVER = "node_reaches_no_server"
     """Cuts a node off from all servers; the next draw may cut another one beside it."""
 
+    SERVER_REST = "server_rest"
+    """A server turns requests away and asks for rest."""
+
+    SERVER_LEAVING = "server_leaving"
+    """A server says in its responses that it leaves, and ends later; its record says nothing."""
+
 
 DRAWN_APART = frozenset(
     {
@@ -95,6 +101,8 @@
         FaultKind.CRASHING_PART,
         FaultKind.SERVER_LIMIT,
         FaultKind.NODE_REACHES_NO_SERVER,
+        FaultKind.SERVER_REST,
+        FaultKind.SERVER_LEAVING,
     }
 )
 """Kinds with generators of their own, so that the other faults of a seed stay the same."""
--- a/src/dragonflycove/measure/soak/proxy.py
+++ b/src/dragonflycove/measure/soak/proxy.py
@@ -79,14 +79,17 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        ip = str(writer.get_extra_info("peername")[0])
         try:
-            target_reader, target_writer = await asyncio.open_connection(*self._target)
+            # Connects from the caller's address, by which the server tells its callers apart.
+            target_reader, target_writer = await asyncio.open_connection(
+                *self._target, local_addr=(ip, 0)
+            )
         except OSError:
             writer.transport.abort()
             return
         writers = {writer, target_writer}
         self._writers |= writers
-        ip = str(writer.get_extra_info("peername")[0])
         self._writers_by_ip.setdefault(ip, set()).update(writers)
         try:
             await asyncio.gather(
