--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -81,9 +81,7 @@
         """The nodes in order of their numbers."""
         self.faults: list[platform_store.StoreFaults] = []
         """Faults of the store towards each node, in the order of `nodes`."""
-        self.statement_log = statements.StatementLog(
-            {node.ip: node.name for node in self.nodes}, self.crash_log.disturbances
-        )
+        self.statement_log = statements.StatementLog({node.ip: node.name for node in self.nodes})
         """Servers that have asked for rest, or said that they leave."""
         self._sizes = sizes
         self.servers: dict[str, platform_server.PlatformServer] = {}
@@ -241,6 +239,10 @@
         """Apply one fault and wait for its end."""
         begin = time.monotonic()
         await self._apply_kind(planned)
+        if planned.kind is plan.FaultKind.ALL_KILL:
+            self.statement_log.excuse("", begin, time.monotonic())
+        elif planned.kind.value.startswith("node"):
+            self.statement_log.excuse(self._node_of(planned).name, begin, time.monotonic())
         if planned.kind.value.startswith(("store", "history", "all")):
             disturbed = ""
         elif planned.kind.value.startswith("node"):
--- a/src/dragonflycove/measure/soak/statements.py
+++ b/src/dragonflycove/measure/soak/statements.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from dragonflycove.measure.soak import crashes
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Mapping
 
-    from dragonflycove.measure.soak import crashes
     from dragonflycove.standins.platform import server as platform_server
 
 NOTICE_SECONDS = 0.5
@@ -32,22 +33,29 @@
 class StatementLog:
     """The servers that have asked for rest or said that they leave."""
 
-    def __init__(
-        self, node_by_ip: Mapping[str, str], disturbances: Sequence[crashes.Disturbance]
-    ) -> None:
+    def __init__(self, node_by_ip: Mapping[str, str]) -> None:
         """Create an empty log.
 
         Args:
             node_by_ip: Names of the nodes by the addresses that they connect from.
-            disturbances: Spans in which nodes were disturbed; grows while the soak runs.
         """
         self._node_by_ip = node_by_ip
-        self._disturbances = disturbances
+        self._disturbances: list[crashes.Disturbance] = []
         self.resting: list[platform_server.PlatformServer] = []
         """Servers that have asked for rest."""
         self.leaving: list[tuple[platform_server.PlatformServer, float]] = []
         """Servers that have said that they leave, each with the time from which on."""
 
+    def excuse(self, node: str, begin: float, end: float) -> None:
+        """Record that a node was restarted, paused or cut off; faults of the store excuse nothing.
+
+        Args:
+            node: Name of the node; empty for all.
+            begin: Time of the monotonic clock.
+            end: Time of the monotonic clock.
+        """
+        self._disturbances.append(crashes.Disturbance(node, begin, end))
+
     def _is_excused(self, ip: str, begin: float, end: float) -> bool:
         """Whether a node was disturbed in a span of time, or shortly before."""
         return any(
