Refuse relayed requests from unknown nodes with a response instead of a reset

A node that has just started doesn't know all others yet, and reset their connections, which can't show that a request did not run: a call that must not repeat was answered 502. It is refused as not run now and goes to another node. The sender's address must be that of the node that it names.

--- a/src/dragonflycove/fleet/relaying.py
+++ b/src/dragonflycove/fleet/relaying.py
@@ -22,11 +22,14 @@
 CONFIGURATION_DIFFERS = "configuration_differs"
 """Reason of a refusal: the node's configuration is older, or has another route or organisation."""
 
+UNKNOWN_NODE = "unknown_node"
+"""Reason of a refusal: the node doesn't know the one that relays, as it may have just started."""
+
 STOPPING = "stopping"
 """Reason of a refusal: the node is stopping."""
 
 RETRIED_ELSEWHERE = frozenset(
-    {SERVERS_UNREACHED, RELAY_BUSY, CONFIGURATION_DIFFERS, STOPPING, "no_configuration", "no_route"}
+    {SERVERS_UNREACHED, RELAY_BUSY, CONFIGURATION_DIFFERS, UNKNOWN_NODE, STOPPING}
 )
 """Reasons that concern the refusing node alone; another one may serve the request."""
 
--- a/src/dragonflycove/fleet/roster.py
+++ b/src/dragonflycove/fleet/roster.py
@@ -173,15 +173,6 @@
             return status.member
         return None
 
-    def has_member_at(self, ip: str) -> bool:
-        """Whether a known node runs at an IP address.
-
-        Args:
-            ip: The address.
-        """
-        known = (status.member for status in self._status_by_host.values())
-        return any(member.peer_address.ip == ip for member in known)
-
     def mark_running(self, member: Member, now: float, *, is_ready: bool, is_leaving: bool) -> bool:
         """Record that a node runs, and its state; ignored for older incarnations.
 
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -67,6 +67,11 @@
         self.refusal_header: bytes | None = None
         """Header with the reason of a refusal, for other nodes; None for callers."""
 
+    @property
+    def sender_ip(self) -> str:
+        """IP address that the request came from; empty if the connection has ended."""
+        return str(self._writer.get_extra_info("peername", ("",))[0])
+
     async def write_complete(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes
     ) -> None:
@@ -159,16 +164,13 @@
         self,
         handler: Handler,
         limits: Callable[[], catalog.CallerLimits],
-        may_connect: Callable[[str], bool] = lambda _: True,
     ) -> None:
         """Create a listener that does not listen yet.
 
         Args:
             handler: Serves the requests.
             limits: Returns the limits of the configuration in force.
-            may_connect: Returns whether connections from an IP address are served.
         """
-        self._may_connect = may_connect
         self._handler = handler
         self._limits = limits
         self._server: asyncio.Server | None = None
@@ -191,11 +193,6 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        sender_ip = str(writer.get_extra_info("peername", ("",))[0])
-        if not self._may_connect(sender_ip):
-            logs.warning("connection_rejected", sender=sender_ip)
-            writer.transport.abort()
-            return
         http1.set_socket_options(writer)
         connection = _CallerConnection(self, self._handler, self._limits, reader, writer)
         self._connections.add(connection)
--- a/src/dragonflycove/gateway/relay_listener.py
+++ b/src/dragonflycove/gateway/relay_listener.py
@@ -37,7 +37,7 @@
 
         Args:
             settings: Settings of this node.
-            nodes: The other nodes; no one else may connect.
+            nodes: The other nodes; requests from anywhere else are refused.
             request_forwarder: Serves the requests.
             limits: Returns the callers' limits of the configuration in force.
         """
@@ -46,7 +46,7 @@
         self._nodes = nodes
         self._forwarder = request_forwarder
         self._limits = limits
-        self.connections = callers.CallerListener(self, self._relay_limits, self._is_node)
+        self.connections = callers.CallerListener(self, self._relay_limits)
         """Connections from other nodes."""
         self._active = 0
 
@@ -56,9 +56,6 @@
             max_header_bytes=limits.max_header_bytes + relay_codec.MAX_HEADER_BYTES
         )
 
-    def _is_node(self, ip: str) -> bool:
-        return self._nodes.has_member_at(ip)
-
     async def listen(self) -> None:
         """Begin to accept connections."""
         await self.connections.listen(self._address)
@@ -78,8 +75,10 @@
             await response.write_refusal(forwarding.FinalResponse(400, "not_relayed", None))
             return
         relayed = decoded.ok_value
-        if self._nodes.member(relayed.host, relayed.incarnation) is None:
-            await self._refuse(response, relaying.CONFIGURATION_DIFFERS)
+        member = self._nodes.member(relayed.host, relayed.incarnation)
+        if member is None or member.peer_address.ip != response.sender_ip:
+            logs.warning("relayed_request_rejected", why="unknown node", sender=response.sender_ip)
+            await self._refuse(response, relaying.UNKNOWN_NODE)
             return
         if self._active >= self._max_active:
             await self._refuse(response, relaying.RELAY_BUSY)
