Split admission and exchanges out of the forwarder and the sender

Code is moved as it was: request_admission.py resolves requests by the configuration, exchanges.py runs a request and its response on one connection, to a server or to another node.

--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -38,6 +38,7 @@
     reach_watch,
     relay_listener,
     relay_sends,
+    request_admission,
     request_context,
     reservations,
     server_statements,
@@ -197,9 +198,11 @@
         self._relay_sender = relay_sends.RelaySender(
             self._nodes, self._reach, self._relay_pool, self._metrics, rng
         )
+        self._admission = request_admission.RequestAdmission(self._store_view, rng)
         self._forwarder = forwarder.Forwarder(
             local_node,
             self._store_view,
+            self._admission,
             hub_placer,
             self._pool,
             retry_budget,
@@ -355,7 +358,7 @@
         logs.event("stopping", active=self._callers.active, grace=grace)
         relays = self._relays.connections
         self._callers.is_stopping = relays.is_stopping = True
-        self._forwarder.accept_streams_until = started_at + ACCEPT_STREAMS_SECONDS
+        self._admission.accept_streams_until = started_at + ACCEPT_STREAMS_SECONDS
         self._reports.announce_leaving()
         while loop.time() < started_at + grace:
             callers_notified = loop.time() >= started_at + min(MIN_DRAIN_SECONDS, grace)
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -7,9 +7,8 @@
 from typing import TYPE_CHECKING
 
 import result
-import xxhash
 
-from dragonflycove.fleet import catalog, forwarding, relaying, server_health, work
+from dragonflycove.fleet import forwarding, relaying, server_health, work
 from dragonflycove.gateway import (
     crash_watch,
     request_context,
@@ -18,7 +17,6 @@
     send_values,
     sends,
 )
-from dragonflycove.quarantine import part_blame
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -32,18 +30,13 @@
         head_watch,
         reach_watch,
         relay_sends,
+        request_admission,
     )
     from dragonflycove.telemetry import fleet_metrics
 
 MIN_ATTEMPT_SECONDS = 0.03
 """Time to the deadline below which no attempt starts; no server responds faster."""
 
-DEFAULT_DEADLINE_SECONDS = 10.0
-"""Deadline of a request that has no deadline header."""
-
-FINAL_RESPONSE_MARGIN_SECONDS = 0.05
-"""Time before the route's timeout at which the final response is written."""
-
 MIN_RETRY_AFTER_SECONDS = 0.1
 """Minimum retry-after of a refusal."""
 
@@ -64,6 +57,7 @@
         self,
         local_node: request_context.LocalNode,
         view: store_view.StoreView,
+        admission: request_admission.RequestAdmission,
         request_placer: request_context.RequestPlacer,
         pool: connection_pool.ConnectionPool,
         retry_budget: retry_budget_share.RetryBudgetShare,
@@ -83,6 +77,7 @@
         Args:
             local_node: This node.
             view: Configuration and servers as this node knows them.
+            admission: Resolves requests by the configuration, or refuses them.
             request_placer: Places requests on servers.
             pool: Connections to servers.
             retry_budget: This node's share of the retry budget.
@@ -95,10 +90,11 @@
             metrics: Records response times.
             servers_age: Returns the age of the server state, seconds.
             count_senders: Returns how many nodes share the retry budget at a loop time.
-            rng: Chooses among weighted services and adds jitter to retry-after.
+            rng: Adds jitter to retry-after and spreads the returns of refused callers.
         """
         self._local_node = local_node
         self._store_view = view
+        self._admission = admission
         self._request_placer = request_placer
         self._retry_budget = retry_budget
         self._crashes = crashes
@@ -113,9 +109,6 @@
         self._count_senders = count_senders
         self._sender = sends.Sender(pool, view, metrics, reach.on_opened)
         self._job_numbers = itertools.count(1)
-        self._organisations = (-1, dict[str, catalog.Organisation]())
-        self.accept_streams_until = float("inf")
-        """Loop time after which new streams are refused; inf unless this node is stopping."""
 
     async def serve(
         self, request: forwarding.CallerRequest, response: callers.CallerResponse
@@ -126,7 +119,7 @@
             request: The request.
             response: The response to it.
         """
-        await self._serve_admitted(request, self._admit(request), response)
+        await self._serve_admitted(request, self._admission.admit(request), response)
 
     async def serve_relayed(
         self,
@@ -141,7 +134,9 @@
             relayed: What the other node tells of it.
             response: The response to the other node.
         """
-        await self._serve_admitted(request, self._admit_relayed(request, relayed), response)
+        await self._serve_admitted(
+            request, self._admission.admit_relayed(request, relayed), response
+        )
 
     async def _serve_admitted(
         self,
@@ -161,106 +156,6 @@
             raise
         self._metrics.record_total(context.ok_value.route.kind, loop.time() - started_at)
 
-    def _admit(
-        self, request: forwarding.CallerRequest
-    ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
-        """Resolve a request's route, organisation, service and deadline, or refuse it."""
-        configuration = self._store_view.configuration
-        if configuration is None:
-            return result.Err(forwarding.FinalResponse(503, "no_configuration", 0.5))
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
-            return result.Err(forwarding.FinalResponse(404, "no_route", None))
-        organisation = configuration.organisation_by_key.get(request.key or "")
-        if organisation is None and configuration.needs_keys and not route.is_public:
-            return result.Err(forwarding.FinalResponse(401, "unknown_key", None))
-        services = [name for name, _ in route.weights_by_service]
-        weights = [weight for _, weight in route.weights_by_service]
-        service = self._rng.choices(services, weights)[0] if sum(weights) else services[0]
-        return self._build_context(request, configuration, route, service, organisation, None)
-
-    def _admit_relayed(
-        self, request: forwarding.CallerRequest, relayed: relaying.RelayedRequest
-    ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
-        """Resolve the route of a request that another node has accepted, or refuse it.
-
-        It is refused by an older configuration, and where this node's configuration would not lead
-        to the same service for the same organisation.
-        """
-        configuration = self._store_view.configuration
-        differs = forwarding.FinalResponse(
-            503, relaying.CONFIGURATION_DIFFERS, MIN_RETRY_AFTER_SECONDS
-        )
-        if configuration is None or configuration.version < relayed.configuration_version:
-            return result.Err(differs)
-        route = configuration.find_route(request.host, request.path)
-        if route is None or relayed.service not in dict(route.weights_by_service):
-            return result.Err(differs)
-        organisation = self._find_organisation(configuration, relayed.organisation)
-        has_unknown_organisation = organisation is None and relayed.organisation is not None
-        needs_key = configuration.needs_keys and not route.is_public
-        if has_unknown_organisation or (needs_key and organisation is None):
-            return result.Err(differs)
-        return self._build_context(
-            request, configuration, route, relayed.service, organisation, relayed
-        )
-
-    def _find_organisation(
-        self, configuration: catalog.Configuration, name: str | None
-    ) -> catalog.Organisation | None:
-        """Return an organisation by its name; None if there is none."""
-        if self._organisations[0] != configuration.version:
-            by_name = {one.name: one for one in configuration.organisation_by_key.values()}
-            self._organisations = (configuration.version, by_name)
-        return None if name is None else self._organisations[1].get(name)
-
-    def _build_context(
-        self,
-        request: forwarding.CallerRequest,
-        configuration: catalog.Configuration,
-        route: catalog.Route,
-        service: str,
-        organisation: catalog.Organisation | None,
-        relayed: relaying.RelayedRequest | None,
-    ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
-        """Determine a request's deadline and fingerprints; refuse a new stream while stopping."""
-        now = asyncio.get_running_loop().time()
-        if route.kind is catalog.CallKind.STREAMING and now > self.accept_streams_until:
-            return result.Err(
-                forwarding.FinalResponse(503, relaying.STOPPING, MIN_RETRY_AFTER_SECONDS)
-            )
-        requested_seconds = request.deadline_seconds
-        deadline = DEFAULT_DEADLINE_SECONDS if requested_seconds is None else requested_seconds
-        seconds = min(deadline, route.timeout_seconds - FINAL_RESPONSE_MARGIN_SECONDS)
-        name = organisation.name if organisation else ""
-        context = request_context.RequestContext(
-            request=request,
-            route=route,
-            service=service,
-            organisation=organisation,
-            received_at=now - (relayed.waited_seconds if relayed else 0.0),
-            deadline_at=now + seconds,
-            fingerprint=request.content_hash ^ hash_text(name),
-            part_fingerprints=tuple(map(part_blame.part_fingerprint, request.shared_parts)),
-            relayed=relayed,
-        )
-        logs.event(
-            "received",
-            request=request.attempt_id,
-            route=route.name,
-            kind=route.kind.value,
-            service=service,
-            organisation=name,
-            tokens=request.prompt_tokens,
-            resumes_after=request.last_event_number,
-            deadline=seconds,
-            version=configuration.version,
-            fingerprint=context.fingerprint_text,
-            parts=context.parts_text,
-            relayed_by=relayed.host if relayed else "",
-        )
-        return result.Ok(context)
-
     async def _run_attempts(
         self, context: request_context.RequestContext, response: callers.CallerResponse
     ) -> None:
@@ -680,12 +575,3 @@
     if all(end in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
         return forwarding.FinalResponse(503, relaying.SERVERS_UNREACHED, MIN_RETRY_AFTER_SECONDS)
     return forwarding.FinalResponse(502, relaying.SERVERS_UNREACHED, None)
-
-
-def hash_text(text: str) -> int:
-    """Return a 64-bit hash of a text that is equal in all processes.
-
-    Args:
-        text: The text.
-    """
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/src/dragonflycove/gateway/relay_sends.py
+++ b/src/dragonflycove/gateway/relay_sends.py
@@ -9,7 +9,7 @@
 import result
 
 from dragonflycove.fleet import catalog, forwarding, peer_reach, relaying, roster, server_health
-from dragonflycove.gateway import relay_codec, send_values, sends
+from dragonflycove.gateway import exchanges, relay_codec, send_values
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
 
@@ -64,7 +64,7 @@
         self._pool = pool
         self._metrics = metrics
         self._rng = rng
-        self._buffered = sends.BufferedBytes()
+        self._buffered = exchanges.BufferedBytes()
         self._relayed_count_by_host: collections.Counter[str] = collections.Counter()
         self.relayed = 0
         """Requests that were sent to other nodes so far."""
@@ -202,7 +202,7 @@
         return outcome.end is forwarding.AttemptEnd.NOT_EXECUTED
 
 
-class _RelayExchange(sends.Exchange):
+class _RelayExchange(exchanges.Exchange):
     """A request and its response on a connection to another node."""
 
     def _first_event_timeout(self) -> float:
--- /dev/null
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -0,0 +1,158 @@
+"""Admits requests: route, organisation, service and deadline by the configuration in force."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import result
+import xxhash
+
+from dragonflycove.fleet import catalog, forwarding, relaying
+from dragonflycove.gateway import request_context
+from dragonflycove.quarantine import part_blame
+from dragonflycove.telemetry import logs
+
+if TYPE_CHECKING:
+    import random
+
+    from dragonflycove.fleet import store_view
+
+DEFAULT_DEADLINE_SECONDS = 10.0
+"""Deadline of a request that has no deadline header."""
+
+FINAL_RESPONSE_MARGIN_SECONDS = 0.05
+"""Time before the route's timeout at which the final response is written."""
+
+RETRY_AFTER_SECONDS = 0.1
+"""Retry-after of a refusal that concerns this node alone."""
+
+
+class RequestAdmission:
+    """Resolves requests by this node's configuration, or refuses them."""
+
+    def __init__(self, view: store_view.StoreView, rng: random.Random) -> None:
+        """Create an admission.
+
+        Args:
+            view: Configuration as this node knows it.
+            rng: Chooses among weighted services.
+        """
+        self._store_view = view
+        self._rng = rng
+        self._organisations = (-1, dict[str, catalog.Organisation]())
+        self.accept_streams_until = float("inf")
+        """Loop time after which new streams are refused; inf unless this node is stopping."""
+
+    def admit(
+        self, request: forwarding.CallerRequest
+    ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
+        """Resolve a request's route, organisation, service and deadline, or refuse it.
+
+        Args:
+            request: The request.
+        """
+        configuration = self._store_view.configuration
+        if configuration is None:
+            return result.Err(forwarding.FinalResponse(503, "no_configuration", 0.5))
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            return result.Err(forwarding.FinalResponse(404, "no_route", None))
+        organisation = configuration.organisation_by_key.get(request.key or "")
+        if organisation is None and configuration.needs_keys and not route.is_public:
+            return result.Err(forwarding.FinalResponse(401, "unknown_key", None))
+        services = [name for name, _ in route.weights_by_service]
+        weights = [weight for _, weight in route.weights_by_service]
+        service = self._rng.choices(services, weights)[0] if sum(weights) else services[0]
+        return self._build_context(request, configuration, route, service, organisation, None)
+
+    def admit_relayed(
+        self, request: forwarding.CallerRequest, relayed: relaying.RelayedRequest
+    ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
+        """Resolve the route of a request that another node has accepted, or refuse it.
+
+        It is refused by an older configuration, and where this node's configuration would not lead
+        to the same service for the same organisation.
+
+        Args:
+            request: The request, without the caller's key.
+            relayed: What the other node tells of it.
+        """
+        configuration = self._store_view.configuration
+        differs = forwarding.FinalResponse(503, relaying.CONFIGURATION_DIFFERS, RETRY_AFTER_SECONDS)
+        if configuration is None or configuration.version < relayed.configuration_version:
+            return result.Err(differs)
+        route = configuration.find_route(request.host, request.path)
+        if route is None or relayed.service not in dict(route.weights_by_service):
+            return result.Err(differs)
+        organisation = self._find_organisation(configuration, relayed.organisation)
+        has_unknown_organisation = organisation is None and relayed.organisation is not None
+        needs_key = configuration.needs_keys and not route.is_public
+        if has_unknown_organisation or (needs_key and organisation is None):
+            return result.Err(differs)
+        return self._build_context(
+            request, configuration, route, relayed.service, organisation, relayed
+        )
+
+    def _find_organisation(
+        self, configuration: catalog.Configuration, name: str | None
+    ) -> catalog.Organisation | None:
+        """Return an organisation by its name; None if there is none."""
+        if self._organisations[0] != configuration.version:
+            by_name = {one.name: one for one in configuration.organisation_by_key.values()}
+            self._organisations = (configuration.version, by_name)
+        return None if name is None else self._organisations[1].get(name)
+
+    def _build_context(
+        self,
+        request: forwarding.CallerRequest,
+        configuration: catalog.Configuration,
+        route: catalog.Route,
+        service: str,
+        organisation: catalog.Organisation | None,
+        relayed: relaying.RelayedRequest | None,
+    ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
+        """Determine a request's deadline and fingerprints; refuse a new stream while stopping."""
+        now = asyncio.get_running_loop().time()
+        if route.kind is catalog.CallKind.STREAMING and now > self.accept_streams_until:
+            return result.Err(forwarding.FinalResponse(503, relaying.STOPPING, RETRY_AFTER_SECONDS))
+        requested_seconds = request.deadline_seconds
+        deadline = DEFAULT_DEADLINE_SECONDS if requested_seconds is None else requested_seconds
+        seconds = min(deadline, route.timeout_seconds - FINAL_RESPONSE_MARGIN_SECONDS)
+        name = organisation.name if organisation else ""
+        context = request_context.RequestContext(
+            request=request,
+            route=route,
+            service=service,
+            organisation=organisation,
+            received_at=now - (relayed.waited_seconds if relayed else 0.0),
+            deadline_at=now + seconds,
+            fingerprint=request.content_hash ^ hash_text(name),
+            part_fingerprints=tuple(map(part_blame.part_fingerprint, request.shared_parts)),
+            relayed=relayed,
+        )
+        logs.event(
+            "received",
+            request=request.attempt_id,
+            route=route.name,
+            kind=route.kind.value,
+            service=service,
+            organisation=name,
+            tokens=request.prompt_tokens,
+            resumes_after=request.last_event_number,
+            deadline=seconds,
+            version=configuration.version,
+            fingerprint=context.fingerprint_text,
+            parts=context.parts_text,
+            relayed_by=relayed.host if relayed else "",
+        )
+        return result.Ok(context)
+
+
+def hash_text(text: str) -> int:
+    """Return a 64-bit hash of a text that is equal in all processes.
+
+    Args:
+        text: The text.
+    """
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -16,7 +16,7 @@
 import result
 
 from dragonflycove.fleet import catalog, host_settings, peer_messages, roster
-from dragonflycove.gateway import connection_pool, daemon, forwarder, peer_codec
+from dragonflycove.gateway import connection_pool, daemon, peer_codec, request_admission
 from dragonflycove.platform import requests
 from dragonflycove.quarantine import part_blame
 from dragonflycove.standins.platform import server as platform_server
@@ -298,7 +298,7 @@
     def tell_crashes(self, path: str, server_ids: list[str], node: int = 0) -> None:
         """Tell a node, as another one, that a request has crashed some servers."""
         request = requests.decode_request(b"POST", path.encode(), (), b"")
-        fingerprint = request.content_hash ^ forwarder.hash_text("org")
+        fingerprint = request.content_hash ^ request_admission.hash_text("org")
         self._tell(fingerprint, [(one, 0.0) for one in server_ids], node)
 
     def tell_part_crashes(self, part: str, server_ids: list[str], node: int = 0) -> None:
