Let streams that began wait until some node reaches a server again

The serving node answered 502 because of attempts that the first node had made; each node speaks for its own attempts now, so that its refusal is known as not run.

test_a_stream_that_began_outlives_a_short_cut_of_all_nodes failed before, and passes.

--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -46,6 +46,9 @@
 WAITING_CHECK_SECONDS = 0.1
 """Interval at which a waiting request is checked for being known to crash servers."""
 
+UNREACHED_PAUSE_SECONDS = 0.1
+"""Pause before a stream that began is offered again to nodes that may reach servers by then."""
+
 MAX_ATTEMPTS_PER_REQUEST = 4
 """Maximum attempts of one request, refused ones included; the retry budget also limits them."""
 
@@ -181,11 +184,11 @@
         loop = asyncio.get_running_loop()
         attempt_ends = state.attempt_ends
         now = loop.time()
-        final = self._check_attempt_allowed(context, attempt_ends, now)
+        final = self._check_attempt_allowed(context, state, now)
         if final is not None:
             return final
         if self._reach.is_unreached(context.service):
-            return _refuse_unreached(attempt_ends)
+            return _refuse_unreached(state.own_attempt_ends)
         resting = await self._rest_gate.wait(context, state.excluded, state.progress)
         if isinstance(resting, work.Refusal):
             return self._respond_to_refusal(context, attempt_ends, resting)
@@ -266,6 +269,9 @@
             state.progress,
             lambda: self._can_move(context, state.attempt_ends),
         )
+        if _is_worth_waiting(context, state, outcome, loop.time()):
+            await asyncio.sleep(UNREACHED_PAUSE_SECONDS)
+            return None
         final = self._end_attempt(context, state, outcome, outcome.end)
         is_proven = all(end in forwarding.PROVEN_NOT_EXECUTED for end in state.attempt_ends)
         if outcome.refusal is not None and (outcome.refusal.status != 503 or is_proven):
@@ -305,13 +311,14 @@
     def _check_attempt_allowed(
         self,
         context: request_context.RequestContext,
-        attempt_ends: list[forwarding.AttemptEnd],
+        state: send_values.RequestState,
         now: float,
     ) -> forwarding.FinalResponse | None:
         """Return the final response if no further attempt is allowed, else None.
 
         An allowed retry is charged to the retry budget, unless the previous attempt sent nothing.
         """
+        attempt_ends = state.attempt_ends
         if now + MIN_ATTEMPT_SECONDS > context.deadline_at:
             return forwarding.final_response(attempt_ends, deadline_passed=True)
         refusal_seconds = self._crashes.refusal_seconds(context)
@@ -565,12 +572,28 @@
         await response.write_refusal(final)
 
 
+def _is_worth_waiting(
+    context: request_context.RequestContext,
+    state: send_values.RequestState,
+    outcome: send_values.AttemptResult,
+    now: float,
+) -> bool:
+    """Whether a stream that began waits until some node reaches its servers; else it is cut off."""
+    if outcome.refusal is None or outcome.refusal.reason != relaying.SERVERS_UNREACHED:
+        return False
+    if outcome.refusal.status != 503 or not state.progress.relayed_events:
+        return False
+    caller_timeout = forwarding.route_caller_timeout_seconds(context.route)
+    gives_up_at = state.progress.last_event_at + forwarding.PLACEMENT_TIMEOUT_SHARE * caller_timeout
+    return now + UNREACHED_PAUSE_SECONDS < min(gives_up_at, context.deadline_at)
+
+
 def _refuse_unreached(
     attempt_ends: list[forwarding.AttemptEnd],
 ) -> forwarding.FinalResponse:
     """Return the response to a relayed request for a service that this node doesn't reach either.
 
-    It states that nothing ran only if that is proven.
+    It states that nothing ran here only if that is proven; the other node knows its own attempts.
     """
     if all(end in forwarding.PROVEN_NOT_EXECUTED for end in attempt_ends):
         return forwarding.FinalResponse(503, relaying.SERVERS_UNREACHED, MIN_RETRY_AFTER_SECONDS)
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -107,7 +107,8 @@
         self.attempt_ends = list(
             map(forwarding.AttemptEnd, relayed.attempt_ends if relayed else ())
         )
-        """How the attempts ended."""
+        """How the attempts ended, those made by the node that relays the request first."""
+        self._inherited_count = len(self.attempt_ends)
         self.excluded = list(relayed.excluded if relayed else ())
         """Ids of servers that must not get the request again."""
         self.fallback: FallbackResponse | None = None
@@ -115,6 +116,11 @@
         self.is_delivered = False
         """Whether the complete response was passed on."""
 
+    @property
+    def own_attempt_ends(self) -> list[forwarding.AttemptEnd]:
+        """How the attempts of this node ended."""
+        return self.attempt_ends[self._inherited_count :]
+
 
 class StreamProgress:
     """Position in a caller's stream over all attempts."""
--- a/tests/gateway/test_unreached_servers.py
+++ b/tests/gateway/test_unreached_servers.py
@@ -349,3 +349,22 @@
     assert response.is_complete
     events = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 31))
     assert response.body == events
+
+
+async def test_a_stream_that_began_outlives_a_short_cut_of_all_nodes() -> None:
+    async with _fleet(3) as system:
+        for server in system.server_by_id.values():
+            server.events, server.event_seconds = 30, 0.05
+        asking = asyncio.ensure_future(_call(system, "/ask/long", 0, "h1", deadline_ms=9_000))
+        await system.wait_for_run("h1")
+        await asyncio.sleep(0.3)
+        for number in range(3):
+            system.cut_from_servers(number, deployment.CutMode.RESET)
+        await asyncio.sleep(0.8)
+        for number in range(3):
+            system.reconnect_to_servers(number)
+        response = await asking
+    assert response.status == 200
+    assert response.is_complete
+    events = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 31))
+    assert response.body == events
