--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -328,7 +328,9 @@
                 return forwarding.FinalResponse(503, work.CRASHES_SERVERS, refusal_seconds)
             return forwarding.FinalResponse(502, work.CRASHES_SERVERS, None)
         if not attempt_ends:
-            self._retry_budget.on_request(context.service, now)
+            if not state.is_counted:
+                self._retry_budget.on_request(context.service, now)
+            state.is_counted = True
             return None
         if (
             not forwarding.has_attempt_left(attempt_ends, context.route)
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -115,6 +115,8 @@
         """The last complete failure response of a server, if any."""
         self.is_delivered = False
         """Whether the complete response was passed on."""
+        self.is_counted = False
+        """Whether the request was counted towards the retry budget."""
 
     @property
     def own_attempt_ends(self) -> list[forwarding.AttemptEnd]:
