Judge servers of long streams by paths of the last moment

An accepted connection from the beginning of a long stream counted as evidence that its node still reaches servers, so that the server of a stream that a cut broke became a suspect. Found while reading; evidence older than 0.2 s doesn't count now.

--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -46,6 +46,9 @@
 WAITING_CHECK_SECONDS = 0.1
 """Interval at which a waiting request is checked for being known to crash servers."""
 
+REACH_EVIDENCE_SECONDS = 0.2
+"""Age up to which an accepted connection shows that this node reaches a service."""
+
 UNREACHED_PAUSE_SECONDS = 0.1
 """Pause before a stream that began is offered again to nodes that may reach servers by then."""
 
@@ -508,8 +511,11 @@
         """
         if outcome.server_outcome not in server_health.CONNECTION_FAILURES:
             return outcome.server_outcome
-        if asyncio.get_running_loop().time() < context.deadline_at:
-            is_reached = await self._reach.confirm(context.service, started_at)
+        now = asyncio.get_running_loop().time()
+        if now < context.deadline_at:
+            # The cut may have begun long after a stream.
+            since = max(started_at, now - REACH_EVIDENCE_SECONDS)
+            is_reached = await self._reach.confirm(context.service, since)
         else:
             # The final response must not wait for it.
             self._reach.confirm_later(context.service)
