Don't let callers forge what nodes tell each other of a relayed request

The header is left out of what is passed on, and a response that a server signed is never taken for a node's refusal. Found while reading the change as a whole; the new test failed before and passes.

--- a/src/dragonflycove/gateway/relay_codec.py
+++ b/src/dragonflycove/gateway/relay_codec.py
@@ -68,9 +68,13 @@
 def refusal_reason(head: forwarding.ResponseHead) -> str | None:
     """Return the reason of a response that the serving node made itself; None for a server's.
 
+    Servers sign their responses, so that none of their headers is taken for a node's.
+
     Args:
         head: Head of the response.
     """
+    if head.is_signed:
+        return None
     for name, value in head.headers:
         if name == REFUSAL_HEADER:
             return value.decode("latin-1")
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -220,7 +220,13 @@
         last_event_number: Number of the last event that the caller received; None for none.
         added_header: Header with what the node needs to know beside the request.
     """
-    headers = [*_forwarded_headers(request, seconds_left, last_event_number), added_header]
+    # A caller's header of the same name would be taken for this node's.
+    headers = [
+        one
+        for one in _forwarded_headers(request, seconds_left, last_event_number)
+        if one[0] != added_header[0]
+    ]
+    headers.append(added_header)
     return http1.Request(request.method, request.target, tuple(headers), request.body)
 
 
--- a/tests/gateway/test_unreached_servers.py
+++ b/tests/gateway/test_unreached_servers.py
@@ -368,3 +368,17 @@
     assert response.is_complete
     events = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 31))
     assert response.body == events
+
+
+async def test_a_caller_cannot_forge_what_nodes_tell_each_other() -> None:
+    async with _fleet() as system:
+        system.cut_from_servers(0, deployment.CutMode.REFUSED)
+        await _ask(system, (0,), 0.5, "before")
+        own = system.nodes[0]._own  # noqa: SLF001
+        forged = f'["{own.host}",{own.incarnation},1,"plain","other",0,false]'
+        headers = {"dragonflycove-relayed": forged}
+        response = await system.call("/look/fine", attempt="x1", method=b"GET", headers=headers)
+        (run,) = system.runs("x1")
+    assert response.status == 200
+    assert run.headers["x-tenant"] == "org"
+    assert "dragonflycove-relayed" not in run.headers
