Reject relayed requests with unknown ends of attempts as they are decoded

Ends of attempts travelled as text and were converted later, so that a header of another release would have raised an error in the middle of a request. They are decoded with the header now, and a header that can't be read is answered 400.

--- a/src/dragonflycove/fleet/relaying.py
+++ b/src/dragonflycove/fleet/relaying.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+# Headers between nodes are decoded by this type at run time.
+from dragonflycove.fleet import forwarding  # noqa: TC001
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Mapping, Sequence
@@ -58,8 +61,8 @@
     has_started: bool
     """Whether the caller has received events of the response."""
 
-    attempt_ends: tuple[str, ...] = ()
-    """How the request's attempts at servers have ended so far; values of `AttemptEnd`."""
+    attempt_ends: tuple[forwarding.AttemptEnd, ...] = ()
+    """How the request's attempts at servers have ended so far."""
 
     excluded: tuple[str, ...] = ()
     """Ids of servers that must not get it again."""
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -262,7 +262,7 @@
             organisation=context.organisation.name if context.organisation else None,
             waited_seconds=loop.time() - waiting_since,
             has_started=has_started,
-            attempt_ends=tuple(end.value for end in state.attempt_ends),
+            attempt_ends=tuple(state.attempt_ends),
             excluded=tuple(state.excluded),
         )
         outcome = await self._relay_sender.send(
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -104,9 +104,7 @@
         relayed = context.relayed
         self.progress = StreamProgress(context.request.last_event_number)
         """Position in the caller's stream."""
-        self.attempt_ends = list(
-            map(forwarding.AttemptEnd, relayed.attempt_ends if relayed else ())
-        )
+        self.attempt_ends = list(relayed.attempt_ends if relayed else ())
         """How the attempts ended, those made by the node that relays the request first."""
         self._inherited_count = len(self.attempt_ends)
         self.excluded = list(relayed.excluded if relayed else ())
