Let test runs that go on at the same time use different addresses

Nodes and the soak use a block of loopback addresses by process now, and a port counts as free if nothing uses it on any address, for TCP and UDP.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -8,6 +8,7 @@
 import enum
 import itertools
 import json
+import os
 import socket
 import weakref
 from typing import TYPE_CHECKING, NamedTuple, NoReturn
@@ -39,6 +40,9 @@
 NODE_RESTART_SECONDS = 0.1
 """Time from a node's end to its next start."""
 
+NODE_BLOCK = 100 + os.getpid() % 120
+"""Second byte of the nodes' addresses; runs that go on at the same time mostly have different ones."""
+
 HEARTBEAT_SECONDS = 0.5
 """Time between two heartbeats of a server."""
 
@@ -375,7 +379,7 @@
         store_address = loopback()
         self.faults.append(await self.store.open_listener(store_address))
         number = len(self.nodes)
-        own = settings(f"n{number}", store_address, zone, f"127.0.1.{number + 1}")
+        own = settings(f"n{number}", store_address, zone, f"127.{NODE_BLOCK}.1.{number + 1}")
         node = daemon.Daemon(own, "/nonexistent", metrics_port=ports.free_port())
         self.settings.append(own)
         self._link_by_node[len(self.nodes)] = ServerLink(node)
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -19,7 +19,7 @@
 
 
 def free_port() -> int:
-    """Return a port of 127.0.0.1 that nothing listens on; each call returns another one."""
+    """Return a port that nothing listens on; each call returns another one."""
     for port in itertools.islice(_ports, LAST_PORT - FIRST_PORT):
         if _is_free(port):
             return port
@@ -36,9 +36,11 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as candidate:
-        try:
-            candidate.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
+    """Whether nothing uses a port, on any local address, for TCP or UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as candidate:
+            try:
+                candidate.bind(("", port))
+            except OSError:
+                return False
+    return True
--- a/tests/processes/test_platform_soak.py
+++ b/tests/processes/test_platform_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 
 import pytest
@@ -10,6 +11,9 @@
 from dragonflycove.measure.soak import main as soak_main
 from dragonflycove.measure.soak import plan
 
+BLOCK = 220 + os.getpid() % 30
+"""Second byte of all loopback addresses; runs that go on at the same time mostly differ."""
+
 SEED = 1
 """Seed of the run in CI; other seeds are run by hand."""
 
@@ -19,7 +23,7 @@
 
 @pytest.mark.processes
 def test_a_short_soak_violates_no_invariant() -> None:
-    soak = soak_main.SoakSettings(SEED, SECONDS, sizes=(3, 3, 2), callers=6, block=19)
+    soak = soak_main.SoakSettings(SEED, SECONDS, sizes=(3, 3, 2), callers=6, block=BLOCK)
     verdict = asyncio.run(soak_main.run_soak(soak))
     assert verdict.violations == []
     assert verdict.response_count_by_status[200] > 100
