Probe a silent first engine instead of giving it up while others hold KV cache for its prompt

Change: after 1.2 s of silence the node asks the first engine for its load report, each 0.9 s; three calls without a response, or another start, end the attempt (liveness/lead_liveness.py, gateway/lead_watch.py). Calls to engines are one part now (gateway/engine_calls.py). The limit is gone; the timeouts of all other prompts hold.

test_reservations_are_released_soon_if_the_lead_died checked the old limit (under 4 s at a prediction of 1.74 s); it is replaced by tests/liveness, which holds the 4 s for any time of death, release included, and by the two cases of tests/gateway/test_long_prefills.py over sockets.

--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -25,12 +25,6 @@
 A long prompt that is moved is prefilled again from its start, by several engines.
 """
 
-RESERVATION_TIMEOUT_SECONDS = 3.4
-"""Timeout for the first event while engines hold KV cache reservations for the request.
-
-The platform's specification allows 4 s between a request's end and the release of its KV cache.
-"""
-
 MAX_TIMEOUT_SHARE = 0.7
 """Upper limit of the timeouts, as a share of the caller's timeout."""
 
@@ -211,29 +205,19 @@
     """Time after which the caller may resend; None for no `Retry-After` header."""
 
 
-def first_event_timeout_seconds(
-    route: catalog.Route, predicted_seconds: float, *, has_reservations: bool = False
-) -> float:
+def first_event_timeout_seconds(route: catalog.Route, predicted_seconds: float) -> float:
     """Return how long to wait for a stream's first event before another server is tried.
 
     Args:
         route: The route.
         predicted_seconds: Predicted time to the first event.
-        has_reservations: Whether helpers have reserved KV cache for the request, which must be
-            released soon if the lead engine has died.
     """
     wanted = FIRST_EVENT_TIMEOUT_FACTOR * predicted_seconds + FIRST_EVENT_TIMEOUT_MARGIN_SECONDS
     caller_timeout = route_caller_timeout_seconds(route)
-    timeout = min(
+    return min(
         max(wanted, MIN_FIRST_EVENT_TIMEOUT_SHARE * caller_timeout),
         MAX_TIMEOUT_SHARE * caller_timeout,
     )
-    if has_reservations:
-        reservation_timeout = max(
-            RESERVATION_TIMEOUT_SECONDS, predicted_seconds + FIRST_EVENT_TIMEOUT_MARGIN_SECONDS
-        )
-        timeout = min(timeout, reservation_timeout)
-    return timeout
 
 
 def placement_timeout_seconds(
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -28,7 +28,9 @@
     connection_pool,
     control_endpoints,
     crash_guard,
+    engine_calls,
     forwarder,
+    lead_watch,
     peer_placing,
     peer_reports,
     peer_socket,
@@ -183,9 +185,8 @@
             self._peer_socket,
         )
         self._transfers = peer_transfer.TransferServer(self._store_follower)
-        self._reservation_manager = reservations.ReservationManager(
-            self._pool, self._statements.heads
-        )
+        calls = engine_calls.EngineCalls(self._pool, self._statements.heads)
+        self._reservation_manager = reservations.ReservationManager(calls)
         bounds = settings.bounds
         retry_budget = retry_budget_share.RetryBudgetShare(
             bounds.retry_ratio,
@@ -212,6 +213,7 @@
             self._reach,
             self._relay_sender,
             self._reservation_manager,
+            lead_watch.LeadWatch(calls),
             self._metrics,
             self._servers_age,
             self._nodes.senders.count,
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
         callers,
         connection_pool,
         head_watch,
+        lead_watch,
         reach_watch,
         relay_sends,
         request_admission,
@@ -73,6 +75,7 @@
         reach: reach_watch.ReachWatch,
         relay_sender: relay_sends.RelaySender,
         reservation_manager: reservations.ReservationManager,
+        leads: lead_watch.LeadWatch,
         metrics: fleet_metrics.FleetMetrics,
         servers_age: Callable[[], float],
         count_senders: Callable[[float], int],
@@ -93,6 +96,7 @@
             reach: Finds out which services this node reaches no server of.
             relay_sender: Relays requests for these services to other nodes.
             reservation_manager: Reserves KV cache at engines.
+            leads: Notices engines that die while others hold KV cache for their requests.
             metrics: Records response times.
             servers_age: Returns the age of the server state, seconds.
             count_senders: Returns how many nodes share the retry budget at a loop time.
@@ -109,6 +113,7 @@
         self._reach = reach
         self._relay_sender = relay_sender
         self._reservation_manager = reservation_manager
+        self._leads = leads
         self._rng = rng
         self._metrics = metrics
         self._servers_age = servers_age
@@ -455,6 +460,13 @@
                     attempt_ends, context.route
                 ),
                 predicted_seconds=grant.first_event_seconds,
+                wait_until_lost=(
+                    functools.partial(
+                        self._leads.wait_until_lost, grant.lead, context.request.attempt_id
+                    )
+                    if reservation_set.reservations
+                    else None
+                ),
                 may_send=lambda: (
                     self._crashes.refusal_seconds(context) is None
                     and not self._rest_gate.is_resting(grant)
--- a/src/dragonflycove/gateway/reservations.py
+++ b/src/dragonflycove/gateway/reservations.py
@@ -12,13 +12,12 @@
 
 import result
 
+from dragonflycove.gateway import engine_calls
 from dragonflycove.platform import engine_orders, requests
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog, work
-    from dragonflycove.gateway import connection_pool, head_watch
-    from dragonflycove.transport import http1
 
 RESERVATION_TTL_SECONDS = 3.4
 """Lifetime of a reservation; the specification bounds it to 4 s for a dead node's reservations."""
@@ -26,12 +25,6 @@
 RENEW_INTERVAL_SECONDS = 0.9
 """Time between renewals; three fit into a reservation's lifetime, so two in a row may be lost."""
 
-ENGINE_TIMEOUT_SECONDS = 0.6
-"""Timeout of a call to an engine; a running one responds within milliseconds."""
-
-MAX_RESPONSE_BYTES = 65_536
-"""Maximum size of an engine's response to an order; they have some hundred bytes."""
-
 MAX_RELEASE_ATTEMPTS = 4
 """Maximum attempts to release a reservation; then it is left to expire."""
 
@@ -75,15 +68,13 @@
 class ReservationManager:
     """Reserves, renews and releases KV cache for this node's requests."""
 
-    def __init__(self, pool: connection_pool.ConnectionPool, heads: head_watch.HeadWatch) -> None:
+    def __init__(self, calls: engine_calls.EngineCalls) -> None:
         """Create a manager without reservations.
 
         Args:
-            pool: Connections to engines.
-            heads: Hears what engines' responses state of the engines.
+            calls: Calls to engines.
         """
-        self._heads = heads
-        self._pool = pool
+        self._calls = calls
         self._release_tasks: set[asyncio.Task[None]] = set()
 
     async def reserve(
@@ -147,7 +138,7 @@
             seconds: Maximum wait; reservations that are not released by then expire.
         """
         if self._release_tasks:
-            timeout = max(0.0, min(ENGINE_TIMEOUT_SECONDS, seconds))
+            timeout = max(0.0, min(engine_calls.ENGINE_TIMEOUT_SECONDS, seconds))
             await asyncio.wait(set(self._release_tasks), timeout=timeout)
 
     async def _reserve(self, reservation: Reservation) -> int:
@@ -157,7 +148,8 @@
             reservation.tokens,
             RESERVATION_TTL_SECONDS,
         )
-        return await self._call_engine(reservation.server, request)
+        response = await self._calls.call(reservation.server, request)
+        return response.status if response else 0
 
     async def _renew(self, reservations: tuple[Reservation, ...]) -> None:
         while True:
@@ -167,37 +159,10 @@
     async def _release(self, reservation: Reservation) -> None:
         for _ in range(MAX_RELEASE_ATTEMPTS):
             request = engine_orders.release(reservation.server.address, reservation.reservation_id)
-            if await self._call_engine(reservation.server, request):
+            if await self._calls.call(reservation.server, request) is not None:
                 return
         logs.warning(
             "release_unanswered",
             engine=reservation.server.address,
             reservation=reservation.reservation_id,
         )
-
-    async def _call_engine(self, server: catalog.BackendServer, request: http1.Request) -> int:
-        """Send a request to an engine; returns the response's status, 0 if there is no response."""
-        address = server.address
-        connection: http1.Connection | None = None
-        try:
-            async with asyncio.timeout(ENGINE_TIMEOUT_SECONDS):
-                taken = await self._pool.take(
-                    address, fresh=False, connect_seconds=ENGINE_TIMEOUT_SECONDS
-                )
-                if isinstance(taken, result.Err):
-                    return 0
-                connection = taken.ok_value
-                connection.send(request)
-                response = await connection.read_response(MAX_RESPONSE_BYTES)
-                if isinstance(response, result.Err):
-                    return 0
-                head = requests.decode_response_head(response.ok_value[0])
-                self._heads.on_any_head(server, head)
-                self._pool.put(address, connection, head)
-                connection = None
-                return head.status
-        except TimeoutError:
-            return 0
-        finally:
-            if connection is not None:
-                connection.close()
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -7,7 +7,7 @@
 from dragonflycove.fleet import event_stream, forwarding
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from dragonflycove.fleet import server_health, work
     from dragonflycove.gateway import request_context
@@ -85,6 +85,12 @@
     predicted_seconds: float
     """Predicted time to the first event."""
 
+    wait_until_lost: Callable[[], Coroutine[None, None, None]] | None
+    """Returns once the server, silent from the call on, no longer runs the request.
+
+    None if other engines hold no KV cache for it, so that nothing is lost by waiting.
+    """
+
     may_send: Callable[[], bool]
     """Returns whether the request may still be sent, right before it is."""
 
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import result
 
@@ -12,13 +12,15 @@
 from dragonflycove.platform import requests
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from dragonflycove.fleet import store_view
     from dragonflycove.gateway import callers, connection_pool, request_context
     from dragonflycove.telemetry import fleet_metrics
     from dragonflycove.transport import http1
 
+_T = TypeVar("_T")
+
 
 class Sender:
     """Sends requests to backend servers and relays their responses."""
@@ -138,13 +140,25 @@
     def _first_event_timeout(self) -> float:
         route = self._context.route
         if route.kind is catalog.CallKind.STREAMING and route.is_resumable:
-            return forwarding.first_event_timeout_seconds(
-                route,
-                self._plan.predicted_seconds,
-                has_reservations=any(part.reserved_tokens for part in self._plan.grant.helpers),
-            )
+            return forwarding.first_event_timeout_seconds(route, self._plan.predicted_seconds)
         return forwarding.retry_timeout_seconds(route) or float("inf")
 
+    async def _read_with_timeout(
+        self, seconds: float, read_operation: Awaitable[result.Result[_T, object]]
+    ) -> result.Result[_T, forwarding.AttemptEnd]:
+        """Wait as usual, and end the attempt as well if the server is lost meanwhile."""
+        reading = super()._read_with_timeout(seconds, read_operation)
+        if self._plan.wait_until_lost is None:
+            return await reading
+        read = asyncio.ensure_future(reading)
+        lost = asyncio.ensure_future(self._plan.wait_until_lost())
+        try:
+            await asyncio.wait({read, lost}, return_when=asyncio.FIRST_COMPLETED)
+            return read.result() if read.done() else result.Err(forwarding.AttemptEnd.TIMEOUT)
+        finally:
+            read.cancel()
+            lost.cancel()
+
     def _handle_not_executed(self, head: forwarding.ResponseHead) -> send_values.AttemptResult:
         for part in self._plan.grant.helpers:
             if part.server.address == head.faulty_address:
--- /dev/null
+++ b/src/dragonflycove/liveness/__init__.py
@@ -0,0 +1,1 @@
+"""Decides whether a silent backend server still runs."""
--- a/src/dragonflycove/platform/engine_orders.py
+++ b/src/dragonflycove/platform/engine_orders.py
@@ -32,6 +32,9 @@
     reservation_ids: tuple[str, ...]
     """Ids of the KV cache reservations that the engine holds."""
 
+    started_at_ms: int
+    """Unix milliseconds of the engine's start; 0 if not given."""
+
 
 def reserve(
     address: catalog.Address, reservation_id: str, tokens: int, expiry_seconds: float
@@ -102,6 +105,7 @@
             used_kv_cache_tokens=int(fields["kv_used"]),
             slowdown=float(fields.get("pace", 1.0)),
             reservation_ids=tuple(str(entry["id"]) for entry in fields.get("tickets") or ()),
+            started_at_ms=int(fields.get("born") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
