Reject messages between nodes whose type number is no type

A datagram with the type number -1 was decoded as the last type of the union, and -2 as the one before: the number indexed a tuple. Nothing sends such numbers today; a later build that numbers its types otherwise, or bytes from elsewhere, could let a node take one message for another.

Change: only integers from 0 to the last type are accepted; booleans are none. Of the numbers in tests/gateway/test_peer_codec.py, -1 with the fields of the last type was decoded before; the others failed by their fields.

--- a/src/dragonflycove/gateway/peer_codec.py
+++ b/src/dragonflycove/gateway/peer_codec.py
@@ -44,6 +44,9 @@
         version, type_number, content = cbor2.loads(data)
         if version != FORMAT_VERSION:
             return result.Err(f"format version {version} is not supported")
+        # `True` is an `int` as well, and a number below zero would count from the end.
+        if type(type_number) is not int or not 0 <= type_number < len(_TYPES):
+            return result.Err(f"type {type_number!r} is not known")
         return result.Ok(msgspec.convert(content, type=_TYPES[type_number]))
-    except (ValueError, TypeError, IndexError, EOFError, cbor2.CBORDecodeError) as error:
+    except (ValueError, TypeError, EOFError, cbor2.CBORDecodeError) as error:
         return result.Err(f"message can't be decoded: {error!r}")
