--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,11 @@
 OVERLAP_SECONDS = 0.6
 """Time from the new server's entry to the removal of the old one's."""
 
-SERVES_SECONDS = 8.0
-"""Time for which an old server goes on serving after its entry was removed."""
+UNANNOUNCED_ONE_IN = 3
+"""One server in so many never reports `draining`; the others do, and are removed as they exit."""
+
+SERVES_SECONDS = (3.0, 8.0)
+"""Times for which an old server goes on serving, drawn evenly; `drain_ms` is 2 s."""
 
 RESTART_SECONDS = 1.0
 """Time from one node's SIGTERM to the next node's."""
@@ -43,7 +46,9 @@
     def __init__(self, world: w.World) -> None:
         self._world = world
         self._used = len(world.servers)
+        self._count = 0
         self.removed_at: dict[str, float] = {}
+        self.unannounced = 0
         self.late: list[Late] = []
 
     async def run(self, ends_at: float) -> None:
@@ -67,18 +72,28 @@
         world.servers[new.id] = new
         world.begin_heartbeats(new)
         await asyncio.sleep(OVERLAP_SECONDS)
-        world.end_heartbeats(old)
-        acknowledged_at = world.store.put("keyed.servers", old.id, None)
+        self._count += 1
+        is_unannounced = self._count % UNANNOUNCED_ONE_IN == 0
+        self.unannounced += is_unannounced
+        if is_unannounced:
+            world.end_heartbeats(old)
+        world.states[old.id] = "draining"
+        entry = None if is_unannounced else old.entry("draining")
+        acknowledged_at = world.store.put("keyed.servers", old.id, entry)
         assert acknowledged_at is not None
         self.removed_at[old.id] = acknowledged_at
-        world.record(f"acknowledged: the entry of server {old.id} is removed")
+        change = "removed" if is_unannounced else "draining"
+        world.record(f"acknowledged: the entry of server {old.id} is {change}")
         old.on_arrival = lambda at, attempt, ip: self._on_arrival(old, at, attempt, ip)
-        await asyncio.sleep(SERVES_SECONDS)
+        await asyncio.sleep(random.choice(SERVES_SECONDS))
+        if not is_unannounced:
+            world.end_heartbeats(old)
+            world.store.put("keyed.servers", old.id, None)
         old.end()
         world.record(f"server {old.id} exits")
 
     def _on_arrival(self, server: w.Server, at: float, attempt: str, ip: str) -> None:
-        """Note a request that reaches a removed server from a node in touch after the bound."""
+        """Note a request that reaches a leaving server from a node in touch after the bound."""
         node = next(one for one in self._world.nodes if one.ip == ip)
         is_in_touch = (
             not node.is_stopping and at - node.started_at > w.BOUNDS["contact_ms"] / 1000 + 0.5
@@ -110,7 +125,7 @@
     if os.environ.get("TROUBLE") != "0":
         tasks.append(asyncio.ensure_future(restart_in_turn(world, ends_at - 10)))
     await asyncio.gather(*tasks)
-    await asyncio.sleep(SERVES_SECONDS)
+    await asyncio.sleep(max(SERVES_SECONDS))
     await world.clients.stop()
     await traffic
     return judge(world, replacements)
@@ -133,8 +148,8 @@
         )
     world.record(
         f"{len(late)} requests reached {len({one.server.id for one in late})} of "
-        f"{len(replacements.removed_at)} removed servers later than drain_ms, from nodes in touch; "
-        "bound 0"
+        f"{len(replacements.removed_at)} leaving servers ({replacements.unannounced} unannounced) "
+        "later than drain_ms, from nodes in touch; bound 0"
     )
     return BROKEN if late else HELD
 
