--- a/src/dragonflycove/gateway/peer_sync.py
+++ b/src/dragonflycove/gateway/peer_sync.py
@@ -80,6 +80,8 @@
             logs.warning("transfer_failed", side="client", node=member.host, why=fetched.err_value)
             return
         response = fetched.ok_value
+        positions = (self._follower.operators, self._follower.servers)
+        offsets_before = [position.next_offset for position in positions]
         self._follower.merge(self._follower.operators, response.operators)
         self._follower.merge(self._follower.servers, response.servers)
         logs.event(
@@ -87,4 +89,8 @@
             node=member.host,
             operators=len(response.operators.records),
             servers=len(response.servers.records),
+            operators_from=offsets_before[0],
+            operators_to=positions[0].next_offset,
+            servers_from=offsets_before[1],
+            servers_to=positions[1].next_offset,
         )
