Don't skip deletions that a node learns of through one that has listed the store

Cause: a node that starts lists the newest record of each key, so it holds no record of a key that was deleted before the listing, but reads on from the listing's end. Another node that has not read the deletion yet fetched the newer records from it, and took over its read position, past the deletion. In the same way a node took over the other's freshness without fetching anything when their revisions were equal, as the revision after a listing was that of the newest listed record and left out deletions after it. The operators' topic went the same way, so a zone could stay evacuated; so did a running node that lists all keys because the store has deleted its history.

Change: a position in a topic (gateway/topic_position.py) knows from which offset on deletions are known to it. A node that is asked for the records after an earlier offset sends its records without a position. The asking node then asks once for all keys, and takes those that are missing as deleted. A request now names the last known offset, not the last change. A revision never exceeds the read position and counts the end of a listing as a change, so equal revisions mean equal views; topics are compared one by one, and a fetched revision is adopted, so the same records are no longer fetched with each report.

Ruled out: the grace after an outage of the store (the log has no server_gone at all for the lost servers), and a heartbeat that restores the entry (none was written).

--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -82,10 +82,6 @@
         """Offset of its record; -1 before the first one."""
         self._evacuation_by_zone: dict[str, tuple[int, bool]] = {}
         self._record_by_id: dict[str, ServerRecord] = {}
-        self.server_revision = -1
-        """Highest offset of a server's record that changed the view."""
-        self.operator_revision = -1
-        """Highest offset of an operators' record that changed the view."""
         self._alive_at_by_instance: dict[catalog.Instance, float] = {}
         self.synced_at = float("-inf")
         """Loop time up to which the servers' records are known; -inf before the first read."""
@@ -108,7 +104,6 @@
             return False
         self.configuration = configuration
         self.configuration_offset = offset
-        self.operator_revision = max(self.operator_revision, offset)
         return True
 
     def apply_evacuation(self, zone: str, evacuated: bool, offset: int) -> bool:
@@ -126,7 +121,6 @@
         if offset <= known_offset:
             return False
         self._evacuation_by_zone[zone] = (offset, evacuated)
-        self.operator_revision = max(self.operator_revision, offset)
         return evacuated != was_evacuated
 
     def apply_server(
@@ -152,7 +146,6 @@
             self._record_by_id[server_id] = record._replace(offset=offset)
             return False
         self._record_by_id[server_id] = ServerRecord(server, offset, now, None)
-        self.server_revision = max(self.server_revision, offset)
         return True
 
     def _drop_server(
@@ -166,8 +159,6 @@
         if not changed and record is not None and record.usable_until is not None:
             usable_until = record.usable_until
         self._record_by_id[server_id] = ServerRecord(server, offset, now, usable_until)
-        if changed:
-            self.server_revision = max(self.server_revision, offset)
         return changed
 
     def _usable_until(self, now: float) -> float:
--- a/src/dragonflycove/gateway/peer_sync.py
+++ b/src/dragonflycove/gateway/peer_sync.py
@@ -8,7 +8,7 @@
 import result
 
 from dragonflycove.fleet import peer_messages
-from dragonflycove.gateway import peer_transfer
+from dragonflycove.gateway import peer_transfer, topic_position
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -37,12 +37,12 @@
         Args:
             now: Loop time.
         """
-        store_view = self._follower.view
+        operators, servers = self._follower.operators, self._follower.servers
         return peer_messages.Freshness(
-            store_view.operator_revision,
-            round(now - self._follower.operators.fresh_as_of, 3),
-            store_view.server_revision,
-            round(now - self._follower.servers.fresh_as_of, 3),
+            operators.revision,
+            round(now - operators.fresh_as_of, 3),
+            servers.revision,
+            round(now - servers.fresh_as_of, 3),
         )
 
     def compare(self, member: roster.Member, theirs: peer_messages.Freshness, now: float) -> None:
@@ -53,44 +53,65 @@
             theirs: Newest offsets and ages of its records.
             now: Loop time.
         """
-        store_view = self._follower.view
-        is_behind = (
-            theirs.operator_revision > store_view.operator_revision
-            or theirs.server_revision > store_view.server_revision
-            or (self._follower.is_incomplete and theirs.operator_revision >= 0)
+        is_behind = False
+        for position, revision, age in (
+            (self._follower.operators, theirs.operator_revision, theirs.operator_age_seconds),
+            (self._follower.servers, theirs.server_revision, theirs.server_age_seconds),
+        ):
+            if revision > position.revision:
+                is_behind = True
+            elif position.next_offset is not None:
+                self._follower.mark_fresh(position, now - age - TRANSIT_SECONDS)
+        if is_behind and (self._pull_task is None or self._pull_task.done()):
+            self._pull_task = asyncio.ensure_future(self._pull(member, theirs))
+
+    async def _pull(self, member: roster.Member, theirs: peer_messages.Freshness) -> None:
+        """Fetch what another node knows; all keys of the topics that it doesn't know since then."""
+        request = peer_transfer.Request(
+            peer_transfer.TopicRequest(self._follower.operators.newest_known),
+            peer_transfer.TopicRequest(self._follower.servers.newest_known),
         )
-        if is_behind:
-            if self._pull_task is None or self._pull_task.done():
-                self._pull_task = asyncio.ensure_future(self._pull(member))
+        are_complete = await self._fetch(member, request, theirs)
+        if are_complete is None or all(are_complete):
             return
-        self._follower.mark_fresh(
-            now - theirs.operator_age_seconds - TRANSIT_SECONDS,
-            now - theirs.server_age_seconds - TRANSIT_SECONDS,
+        whole = peer_transfer.TopicRequest(topic_position.NOTHING_KNOWN)
+        await self._fetch(
+            member,
+            peer_transfer.Request(
+                request.operators if are_complete[0] else whole,
+                request.servers if are_complete[1] else whole,
+            ),
+            theirs,
         )
 
-    async def _pull(self, member: roster.Member) -> None:
-        store_view = self._follower.view
-        fetch_all = self._follower.is_incomplete
-        request = peer_transfer.Request(
-            peer_transfer.TopicRequest(-1 if fetch_all else store_view.operator_revision),
-            peer_transfer.TopicRequest(-1 if fetch_all else store_view.server_revision),
-        )
+    async def _fetch(
+        self, member: roster.Member, request: peer_transfer.Request, theirs: peer_messages.Freshness
+    ) -> tuple[bool, bool] | None:
+        """Fetch and apply records; returns which topics are complete, None after a failure."""
         fetched = await peer_transfer.fetch(member.peer_address, request)
         if isinstance(fetched, result.Err):
             logs.warning("transfer_failed", side="client", node=member.host, why=fetched.err_value)
-            return
+            return None
         response = fetched.ok_value
-        positions = (self._follower.operators, self._follower.servers)
-        offsets_before = [position.next_offset for position in positions]
-        self._follower.merge(self._follower.operators, response.operators)
-        self._follower.merge(self._follower.servers, response.servers)
+        operators, servers = self._follower.operators, self._follower.servers
+        operators_from, servers_from = operators.next_offset, servers.next_offset
+        are_complete = (
+            self._follower.merge(
+                operators, request.operators, response.operators, theirs.operator_revision
+            ),
+            self._follower.merge(
+                servers, request.servers, response.servers, theirs.server_revision
+            ),
+        )
         logs.event(
             "transferred",
             node=member.host,
             operators=len(response.operators.records),
             servers=len(response.servers.records),
-            operators_from=offsets_before[0],
-            operators_to=positions[0].next_offset,
-            servers_from=offsets_before[1],
-            servers_to=positions[1].next_offset,
+            operators_from=operators_from,
+            operators_to=operators.next_offset,
+            servers_from=servers_from,
+            servers_to=servers.next_offset,
+            complete=all(are_complete),
         )
+        return are_complete
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from dragonflycove.fleet import catalog
-    from dragonflycove.gateway import store_follower
+    from dragonflycove.gateway import store_follower, topic_position
 
 TRANSFER_TIMEOUT_SECONDS = 1.0
 """Timeout of a complete transfer; a configuration of some hundred routes takes milliseconds."""
@@ -41,7 +41,10 @@
     """Request for the new records of one topic."""
 
     after: int
-    """Offset of the newest record that the requesting node has; -1 for none."""
+    """Offset up to which the requesting node knows all records.
+
+    -1 requests the newest records of all keys; the requesting node takes missing keys as deleted.
+    """
 
 
 class TopicResponse(NamedTuple):
@@ -51,7 +54,10 @@
     """Newest record of each key whose offset is above the requested one."""
 
     next_offset: int | None
-    """Offset that the sender reads next; None if it has never listed the topic."""
+    """Offset that the sender reads next.
+
+    None if it has never listed the topic, or doesn't know all deletions after the requested offset.
+    """
 
     age_seconds: float
     """Time since the sender last knew that the topic held nothing newer."""
@@ -119,17 +125,27 @@
 
     def _respond(self, request: Request) -> Response:
         return Response(
-            _build_topic_response(self._follower.operators, request.operators),
-            _build_topic_response(self._follower.servers, request.servers),
+            build_topic_response(self._follower.operators, request.operators),
+            build_topic_response(self._follower.servers, request.servers),
         )
 
 
-def _build_topic_response(
-    position: store_follower.TopicPosition, request: TopicRequest
+def build_topic_response(
+    position: topic_position.TopicPosition, request: TopicRequest
 ) -> TopicResponse:
+    """Respond to a request for the new records of a topic.
+
+    Args:
+        position: What this node knows of the topic.
+        request: The request.
+
+    Returns:
+        The newest record of each key whose offset is above the requested one.
+    """
     newer = [record for record in position.record_by_key.values() if record.offset > request.after]
     age = asyncio.get_running_loop().time() - position.fresh_as_of
-    return TopicResponse(tuple(newer), position.next_offset, age)
+    next_offset = position.next_offset if position.covers(request.after) else None
+    return TopicResponse(tuple(newer), next_offset, age)
 
 
 async def fetch(address: catalog.Address, request: Request) -> result.Result[Response, str]:
--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -7,6 +7,7 @@
 
 import result
 
+from dragonflycove.gateway import topic_position
 from dragonflycove.platform import records, store
 from dragonflycove.telemetry import logs
 
@@ -30,42 +31,6 @@
 """Time by which a response of the store may lag behind; the specification has stale reads of 3 s."""
 
 
-class TopicPosition:
-    """Read position in one topic of the store, and its newest records."""
-
-    def __init__(self, topic: str) -> None:
-        """Create the position of a topic of which nothing has been read.
-
-        Args:
-            topic: Name of the topic.
-        """
-        self.topic = topic
-        """Name of the topic."""
-        self.next_offset: int | None = None
-        """Offset to read from next; None before the first listing of all keys."""
-        self.fresh_as_of = float("-inf")
-        """Loop time up to which all records of the topic are known; -inf before the first read."""
-        self.record_by_key: dict[str, store.Record] = {}
-        """Newest record of each key, for transfer to other nodes."""
-        self.read_at = float("-inf")
-        """Loop time of this node's last read; records at `next_offset` were written after it."""
-
-    def keep_newest(self, record: store.Record) -> bool:
-        """Keep a record unless one of the same key with an offset at least as high is kept.
-
-        Args:
-            record: The record.
-
-        Returns:
-            Whether the record was kept.
-        """
-        current = self.record_by_key.get(record.key)
-        if current is not None and current.offset >= record.offset:
-            return False
-        self.record_by_key[record.key] = record
-        return True
-
-
 class StoreFollower:
     """Keeps the store view up to date with the store."""
 
@@ -91,9 +56,9 @@
         self._max_age = max_age
         self._consecutive_failures = 0
         self._outage_started_at = 0.0
-        self.operators = TopicPosition(records.OPERATOR_TOPIC)
+        self.operators = topic_position.TopicPosition(records.OPERATOR_TOPIC)
         """Position in the topic of operators' records."""
-        self.servers = TopicPosition(records.SERVER_TOPIC)
+        self.servers = topic_position.TopicPosition(records.SERVER_TOPIC)
         """Position in the topic of servers' records."""
 
     @property
@@ -107,7 +72,7 @@
             for position in (self.operators, self.servers):
                 group.create_task(self._follow(position))
 
-    async def _follow(self, position: TopicPosition) -> None:
+    async def _follow(self, position: topic_position.TopicPosition) -> None:
         loop = asyncio.get_running_loop()
         while True:
             age = loop.time() - position.fresh_as_of
@@ -121,42 +86,44 @@
             # While the store is unavailable, reads keep the same interval, which bounds the calls.
             await asyncio.sleep(max(MIN_POLL_SECONDS, max_age_seconds - (loop.time() - started_at)))
 
-    async def _read_once(self, position: TopicPosition, started_at: float) -> bool:
+    async def _read_once(self, position: topic_position.TopicPosition, started_at: float) -> bool:
         """Read the new records of a topic; returns whether the store responded."""
-        if position.next_offset is None:
+        if position.next_offset is None or position.needs_listing:
             return await self._read_all(position, started_at)
         client = self._client_by_topic[position.topic]
         read = await client.read(position.topic, position.next_offset)
         if isinstance(read, result.Err):
             if read.err_value is store.Failure.EXPIRED:
                 logs.event("history_gone", topic=position.topic, offset=position.next_offset)
-                position.next_offset = None
+                position.needs_listing = True
                 return await self._read_all(position, started_at)
             self._on_failure(position, read.err_value)
             return False
         self._on_success()
         batch = read.ok_value
         if batch.end >= position.next_offset:
-            self._mark_topic_fresh(position, started_at)
+            self.mark_fresh(position, started_at)
             self.apply(position, batch.records)
             if position is self.servers:
                 for record in batch.records:
                     self.view.on_heartbeat(record.key, position.read_at - STALE_READ_SECONDS)
             position.read_at = started_at
-            position.next_offset = max(position.next_offset, batch.next_offset)
+            position.advance(batch.next_offset)
         return True
 
-    async def _read_all(self, position: TopicPosition, started_at: float) -> bool:
+    async def _read_all(self, position: topic_position.TopicPosition, started_at: float) -> bool:
         listed = await self._client_by_topic[position.topic].read_newest(position.topic)
         if isinstance(listed, result.Err):
             self._on_failure(position, listed.err_value)
             return False
         self._on_success()
         listing = listed.ok_value
-        self._mark_topic_fresh(position, started_at)
+        self.mark_fresh(position, started_at)
         self.apply(position, listing.records)
-        self._drop_missing(position, listing)
-        position.next_offset = listing.end
+        self._drop_missing(position, listing.records, listing.end)
+        # Pages are no snapshot: records after the end may precede changes that are not known yet.
+        self._note_offsets(position, listing.records, listing.end)
+        position.restart_from_listing(listing.end)
         position.read_at = started_at
         logs.event(
             "listed",
@@ -167,19 +134,25 @@
         )
         return True
 
-    def _drop_missing(self, position: TopicPosition, listing: store.Listing) -> None:
-        present = [record.key for record in listing.records if record.value is not None]
+    def _drop_missing(
+        self,
+        position: topic_position.TopicPosition,
+        listed: Iterable[store.Record],
+        end: int,
+    ) -> None:
+        """Drop the keys that a list of all keys, complete before an offset, doesn't contain."""
+        present = [record.key for record in listed if record.value is not None]
         now = asyncio.get_running_loop().time()
         if position is self.servers:
-            for server_id in self.view.drop_missing_servers(present, listing.end, now):
-                position.keep_newest(store.Record(server_id, None, listing.end - 1))
+            for server_id in self.view.drop_missing_servers(present, end, now):
+                position.keep_newest(store.Record(server_id, None, end - 1))
                 logs.event("server_gone", server=server_id, cause="not_listed")
         else:
             zones = [zone for key in present if (zone := records.evacuated_zone(key))]
-            for zone in self.view.drop_missing_zones(zones, listing.end):
+            for zone in self.view.drop_missing_zones(zones, end):
                 logs.event("zone_back", zone=zone, cause="not_listed")
 
-    def _on_failure(self, position: TopicPosition, failure: store.Failure) -> None:
+    def _on_failure(self, position: topic_position.TopicPosition, failure: store.Failure) -> None:
         self._consecutive_failures += 1
         now = asyncio.get_running_loop().time()
         if self._consecutive_failures == MIN_OUTAGE_FAILURES:
@@ -197,42 +170,65 @@
             logs.event("store_regained", seconds=now - self._outage_started_at)
         self._consecutive_failures = 0
 
-    @property
-    def is_incomplete(self) -> bool:
-        """Whether all keys of some topic have never been listed."""
-        return self.operators.next_offset is None or self.servers.next_offset is None
-
-    def mark_fresh(self, operators_at: float, servers_at: float) -> None:
-        """Record that the view was current at a time; called when another node confirms it.
+    def mark_fresh(self, position: topic_position.TopicPosition, as_of: float) -> None:
+        """Record up to when a topic is known; must be called before its new records are applied.
 
         Args:
-            operators_at: Loop time at which the operators' topic held nothing newer.
-            servers_at: Loop time at which the servers' topic held nothing newer.
+            position: The topic.
+            as_of: Loop time at which it held nothing newer than what is known.
         """
-        self._mark_topic_fresh(self.operators, operators_at)
-        self._mark_topic_fresh(self.servers, servers_at)
-
-    def _mark_topic_fresh(self, position: TopicPosition, as_of: float) -> None:
-        """Record up to when a topic is known; must be called before its new records are applied."""
         position.fresh_as_of = max(position.fresh_as_of, as_of)
         if position is self.servers:
             self.view.on_synced(as_of, asyncio.get_running_loop().time())
 
-    def merge(self, position: TopicPosition, response: peer_transfer.TopicResponse) -> None:
+    def merge(
+        self,
+        position: topic_position.TopicPosition,
+        requested: peer_transfer.TopicRequest,
+        response: peer_transfer.TopicResponse,
+        revision: int,
+    ) -> bool:
         """Apply the records of a topic that another node has sent.
 
         Args:
             position: The topic.
-            response: Its records and their age.
+            requested: The request that they respond to.
+            response: The records and their age.
+            revision: The other node's revision when its records were requested.
+
+        Returns:
+            Whether they complete the topic up to the other node's position. Otherwise that node
+            doesn't know all deletions since this one's, and the position stays.
         """
         now = asyncio.get_running_loop().time()
-        if response.next_offset is not None:
-            self._mark_topic_fresh(position, now - response.age_seconds - TRANSFER_TRANSIT_SECONDS)
+        end = response.next_offset
+        if end is not None:
+            self.mark_fresh(position, now - response.age_seconds - TRANSFER_TRANSIT_SECONDS)
         self.apply(position, sorted(response.records, key=lambda record: record.offset))
-        if response.next_offset is not None:
-            position.next_offset = max(position.next_offset or 0, response.next_offset)
+        # Two changes of a key may have cancelled out, which other nodes have seen one of.
+        self._note_offsets(position, response.records, revision + 1)
+        if end is None:
+            return False
+        position.note_change(revision)
+        if requested.after != topic_position.NOTHING_KNOWN:
+            position.advance(end)
+        elif position.next_offset is None or end > position.next_offset:
+            self._drop_missing(position, response.records, end)
+            position.restart_from_listing(end)
+        return True
+
+    def _note_offsets(
+        self, position: topic_position.TopicPosition, read: Iterable[store.Record], start: int
+    ) -> None:
+        """Count records from an offset on as changes, whether or not they changed the view."""
+        position.note_change(
+            max(
+                (record.offset for record in read if record.offset >= start),
+                default=topic_position.NOTHING_KNOWN,
+            )
+        )
 
-    def apply(self, position: TopicPosition, read: Iterable[store.Record]) -> None:
+    def apply(self, position: topic_position.TopicPosition, read: Iterable[store.Record]) -> None:
         """Apply records to the store view, except those that are older than the kept ones.
 
         Args:
@@ -243,32 +239,39 @@
             if not position.keep_newest(record):
                 continue
             if position is self.servers:
-                self._apply_server_record(record)
+                is_changed = self._apply_server_record(record)
             else:
-                self._apply_operator_record(record)
+                is_changed = self._apply_operator_record(record)
+            if is_changed:
+                position.note_change(record.offset)
 
-    def _apply_operator_record(self, record: store.Record) -> None:
+    def _apply_operator_record(self, record: store.Record) -> bool:
+        """Apply an operators' record; returns whether it changed the view."""
         zone = records.evacuated_zone(record.key)
         if zone is not None:
             is_out = record.value is not None
             if self.view.apply_evacuation(zone, is_out, record.offset):
                 logs.event("zone_out" if is_out else "zone_back", zone=zone, offset=record.offset)
-            return
+                return True
+            return False
         if record.key != records.CONFIGURATION_KEY or record.value is None:
-            return
+            return False
         decoded = records.decode_configuration(record.value)
         if isinstance(decoded, result.Err):
             logs.warning("configuration_unreadable", offset=record.offset, why=decoded.err_value)
-            return
-        if self.view.apply_configuration(decoded.ok_value, record.offset):
-            logs.event(
-                "configuration_in_force",
-                version=decoded.ok_value.version,
-                offset=record.offset,
-                routes=len(decoded.ok_value.route_by_host_prefix),
-            )
+            return False
+        if not self.view.apply_configuration(decoded.ok_value, record.offset):
+            return False
+        logs.event(
+            "configuration_in_force",
+            version=decoded.ok_value.version,
+            offset=record.offset,
+            routes=len(decoded.ok_value.route_by_host_prefix),
+        )
+        return True
 
-    def _apply_server_record(self, record: store.Record) -> None:
+    def _apply_server_record(self, record: store.Record) -> bool:
+        """Apply a server's record; returns whether it changed the view."""
         now = asyncio.get_running_loop().time()
         server = None
         if record.value is not None:
@@ -278,7 +281,7 @@
             else:
                 server = decoded.ok_value
         if not self.view.apply_server(record.key, server, record.offset, now):
-            return
+            return False
         logs.event(
             "server_changed" if server else "server_gone",
             server=record.key,
@@ -288,3 +291,4 @@
             zone=server.zone if server else "",
             cold=server.cold_seconds if server else 0.0,
         )
+        return True
