Forget evacuations that a listing lacks, for other nodes too

What callers would see: a zone that was taken back gets no requests from a node that starts, or that asks for all keys, until the next evacuation of it.

Cause: a node that lists all keys because the store has deleted its history ends the evacuations that are missing in the listing, but kept their records, and sent them to other nodes. For servers it has kept a deletion instead.

The two tests added fail without the change (one on each way: a running node, and one that starts and takes all keys from the other), and pass with it.

--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -150,6 +150,8 @@
         else:
             zones = [zone for key in present if (zone := records.evacuated_zone(key))]
             for zone in self.view.drop_missing_zones(zones, end):
+                key = records.EVACUATION_PREFIX + zone
+                position.keep_newest(store.Record(key, None, end - 1))
                 logs.event("zone_back", zone=zone, cause="not_listed")
 
     def _on_failure(self, position: topic_position.TopicPosition, failure: store.Failure) -> None:
--- a/tests/gateway/test_store_transfers.py
+++ b/tests/gateway/test_store_transfers.py
@@ -96,3 +96,31 @@
         system.store.compact_topic("keyed.servers")
         system.faults[TELLER].clear()
         await _until(lambda: _usable(system, LEARNER, "plain") == {"p1", "p2"})
+
+
+async def test_the_end_of_an_evacuation_is_not_lost_beside_a_node_whose_history_expired() -> None:
+    """A node that lists all keys drops the evacuations that it holds for other nodes."""
+    async with _lagging_learner() as system:
+        system.faults[TELLER].refusal_status = 503
+        await asyncio.sleep(0.1)
+        system.store.put("keyed.op", "evacuate/z2", None)
+        system.store.put("keyed.op", "config", deployment.configuration(version=2))
+        system.store.compact_topic("keyed.op")
+        system.faults[TELLER].clear()
+        await _until(lambda: not _is_evacuated(system, TELLER))
+        await _until(lambda: not _is_evacuated(system, LEARNER))
+
+
+async def test_an_evacuation_that_ended_unread_stays_ended_for_nodes_that_restart() -> None:
+    """The same for a node that takes all keys from the one that has listed them."""
+    async with _lagging_learner() as system:
+        system.faults[TELLER].refusal_status = 503
+        await asyncio.sleep(0.1)
+        system.store.put("keyed.op", "evacuate/z2", None)
+        system.store.put("keyed.op", "config", deployment.configuration(version=2))
+        system.store.compact_topic("keyed.op")
+        system.faults[TELLER].clear()
+        await _until(lambda: not _is_evacuated(system, TELLER))
+        await system.restart_node(LEARNER)
+        await asyncio.sleep(APPLY_SECONDS)
+        assert not _is_evacuated(system, LEARNER)
