Don't count a partial read of the store as up to date

What callers would see: after an outage of the store or a suspension, with more than 1,024 records unread, a node (and all nodes that adopt its freshness) takes changes, removals and evacuations as read up to 1.3 s before it has read them.

Cause: the store returns at most 1,024 records a read, but each read marked the topic as known up to its start. The grace for servers whose registrations expired in an outage starts with the first partial read, as before.

--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -209,17 +209,26 @@
     def on_synced(self, as_of: float, now: float) -> None:
         """Record up to when the servers' records are known.
 
+        Args:
+            as_of: Loop time up to which the records are known.
+            now: Loop time.
+        """
+        self.on_read(as_of, now)
+        self.synced_at = max(self.synced_at, as_of)
+
+    def on_read(self, as_of: float, now: float) -> None:
+        """Record that servers' records arrive, all or only the oldest unknown ones.
+
         If neither the store nor a peer confirmed them for `MIN_OUTAGE_SECONDS`, then the store was
         unavailable or this process was suspended. Registrations of running servers may have expired
         meanwhile, so servers deleted just after that stay usable for a grace period.
 
         Args:
-            as_of: Loop time up to which the records are known.
+            as_of: Loop time of the records' source.
             now: Loop time.
         """
         if as_of - self.synced_at > MIN_OUTAGE_SECONDS and self.synced_at > float("-inf"):
             self._outage_ended_at = now
-        self.synced_at = max(self.synced_at, as_of)
 
     def is_evacuated(self, zone: str) -> bool:
         """Whether a zone is evacuated, so that its servers get no requests.
--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -102,7 +102,10 @@
         self._on_success()
         batch = read.ok_value
         if batch.end >= position.next_offset:
-            self.mark_fresh(position, started_at)
+            if batch.next_offset >= batch.end:
+                self.mark_fresh(position, started_at)
+            elif position is self.servers:
+                self.view.on_read(started_at, asyncio.get_running_loop().time())
             self.apply(position, batch.records)
             if position is self.servers:
                 for record in batch.records:
