Don't apply records of a late response that precede the read position

What callers would see: requests go to a removed server, or a zone stays evacuated, until the key is written again.

Cause: while a read of the store is under way, a list of all keys from another node can move the read position past its records. The read still applied them; those of keys that were deleted meanwhile met no newer record, as the list leaves deleted keys out.

The test added fails without the change and passes with it.

--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -234,14 +234,17 @@
         )
 
     def apply(self, position: topic_position.TopicPosition, read: Iterable[store.Record]) -> None:
-        """Apply records to the store view, except those that are older than the kept ones.
+        """Apply records to the store view, except those that are older than what is known.
+
+        A response may arrive after a later one has moved the position; its records may be of keys
+        that were deleted since, of which nothing is kept.
 
         Args:
             position: Their topic.
             read: The records, in the order of their offsets.
         """
         for record in read:
-            if not position.keep_newest(record):
+            if position.is_known(record.offset) or not position.keep_newest(record):
                 continue
             if position is self.servers:
                 is_changed = self._apply_server_record(record)
--- a/src/dragonflycove/gateway/topic_position.py
+++ b/src/dragonflycove/gateway/topic_position.py
@@ -56,6 +56,14 @@
         """Offset up to which all records are known; -1 before the first listing of all keys."""
         return NOTHING_KNOWN if self.next_offset is None else self.next_offset - 1
 
+    def is_known(self, offset: int) -> bool:
+        """Whether a record precedes the read position, so that it or a newer one has been applied.
+
+        Args:
+            offset: Offset of the record.
+        """
+        return not self.needs_listing and self.next_offset is not None and offset < self.next_offset
+
     def keep_newest(self, record: store.Record) -> bool:
         """Keep a record unless one of the same key with an offset at least as high is kept.
 
--- a/tests/gateway/test_store_follower.py
+++ b/tests/gateway/test_store_follower.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
+import result
 
 from dragonflycove.fleet import store_view
-from dragonflycove.gateway import store_follower
+from dragonflycove.gateway import peer_transfer, store_follower
+from dragonflycove.platform import store as store_client
 from dragonflycove.standins.platform import store as platform_store
 from tests.gateway import deployment
 
@@ -36,3 +39,43 @@
         assert position.fresh_as_of == now + 2.0
     finally:
         store.close()
+
+
+class SlowClient:
+    """Stands for the client of the store; its responses arrive when the test lets them."""
+
+    def __init__(self, batch: store_client.Batch) -> None:
+        self._batch = batch
+        self.is_answered = asyncio.Event()
+
+    async def read(self, *_: object) -> result.Result[store_client.Batch, store_client.Failure]:
+        await self.is_answered.wait()
+        return result.Ok(self._batch)
+
+    async def read_newest(
+        self, _: str
+    ) -> result.Result[store_client.Listing, store_client.Failure]:
+        return result.Ok(store_client.Listing((), 0))
+
+
+async def test_a_late_response_does_not_restore_a_server_whose_removal_is_known() -> None:
+    """Another node's list of all keys, without the removed one, overtakes a read of the store."""
+    entry = {"service": "svc", "address": "127.0.0.1:1", "zone": "z1", "version": "v1"}
+    entry |= {"slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1}
+    written = store_client.Record("s1", json.dumps(entry).encode(), 0)
+    client = SlowClient(store_client.Batch((written,), 3, 1))
+    follower = store_follower.StoreFollower(
+        deployment.loopback(), store_view.StoreView(), lambda: 1.0
+    )
+    follower._client_by_topic["keyed.servers"] = client  # type: ignore[assignment] # noqa: SLF001
+    position = follower.servers
+    now = asyncio.get_running_loop().time()
+    await follower._read_once(position, now)  # noqa: SLF001
+    late = asyncio.ensure_future(follower._read_once(position, now))  # noqa: SLF001
+    await asyncio.sleep(0)
+    all_keys = peer_transfer.TopicResponse((), 3, 0.0)
+    assert follower.merge(position, peer_transfer.TopicRequest(-1), all_keys, 2)
+    client.is_answered.set()
+    assert await late
+    assert follower.view.usable_servers("svc", now) == []
+    assert position.next_offset == 3
