Count each evacuation record as a change of a node's view

What callers would see: a zone that was taken back gets no requests from some nodes.

The node then reads the deletion without a change, and another one that still shows the zone as evacuated takes over its freshness.

--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -254,14 +254,14 @@
                 position.note_change(record.offset)
 
     def _apply_operator_record(self, record: store.Record) -> bool:
-        """Apply an operators' record; returns whether it changed the view."""
+        """Apply an operators' record; returns whether it may have changed another node's view."""
         zone = records.evacuated_zone(record.key)
         if zone is not None:
             is_out = record.value is not None
             if self.view.apply_evacuation(zone, is_out, record.offset):
                 logs.event("zone_out" if is_out else "zone_back", zone=zone, offset=record.offset)
-                return True
-            return False
+            # Also if the zone's state stays: a page of a listing may already have lacked the key.
+            return True
         if record.key != records.CONFIGURATION_KEY or record.value is None:
             return False
         decoded = records.decode_configuration(record.value)
--- a/tests/gateway/test_store_agreement.py
+++ b/tests/gateway/test_store_agreement.py
@@ -17,7 +17,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-SEEDS = 30
+SEEDS = (*range(30), 1_012, 1_179, 2_261)
+"""The last ones found faults that the others did not."""
+
 STEPS = 400
 NODES = 3
 SERVER_KEYS = ("s0", "s1", "s2")
@@ -278,7 +280,7 @@
                 assert is_gone, f"{node.member.host}: {key}, {offset}"
 
 
-@pytest.mark.parametrize("seed", range(SEEDS))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_node_takes_its_view_for_newer_than_it_is(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
