Don't let one odd record end the loading of crash records

What callers would see: after a restart a node loads no crash records, and its tasks that count crashes and tell them to others end and start again for good, so requests that crash servers go on reaching them.

Cause: a number in a record that is too large for a float raises OverflowError, which the decoder did not expect. In the store's own responses, numbers out of range, entries of another type and deep nesting ended the reading task; it is restarted, but a listing failed as a whole without counting as a failed read.

Times that are not finite are rejected too: they never expired.

--- a/src/dragonflycove/platform/crash_records.py
+++ b/src/dragonflycove/platform/crash_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import cbor2
@@ -19,6 +20,10 @@
 """Topic with one record for each fingerprint and start of a server."""
 
 
+_MALFORMED = (ValueError, TypeError, OverflowError, EOFError, cbor2.CBORDecodeError)
+"""Exceptions by which decoding a malformed record can end."""
+
+
 class SavedCrash(NamedTuple):
     """A server that ended while it ran a request."""
 
@@ -96,7 +101,9 @@
             fingerprint, started_at_ms, server_id = record.key.split("/", 2)
             instance = catalog.Instance(server_id, int(started_at_ms))
             unix_seconds = float(cbor2.loads(record.value))
+            if not math.isfinite(unix_seconds):
+                raise ValueError(f"time of a crash: {unix_seconds}")
             crashes.append(SavedCrash(int(fingerprint, 16), instance, unix_seconds))
-        except (ValueError, TypeError, EOFError, cbor2.CBORDecodeError) as error:
+        except _MALFORMED as error:
             logs.warning("crash_record_unreadable", key=record.key, why=repr(error))
     return crashes
--- a/src/dragonflycove/platform/store.py
+++ b/src/dragonflycove/platform/store.py
@@ -32,6 +32,10 @@
 """Length prefix of a record, in bytes."""
 
 
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
+"""Exceptions by which decoding a malformed response can end."""
+
+
 class Failure(enum.Enum):
     """Why a call to the store failed."""
 
@@ -147,7 +151,7 @@
                     after = entry["key"]
                 first_end = int(page["end"]) if first_end is None else first_end
                 has_more = bool(page.get("has_more"))
-            except (KeyError, TypeError, ValueError):
+            except _MALFORMED:
                 return result.Err(Failure.MALFORMED)
             if not has_more:
                 return result.Ok(Listing(tuple(records.values()), first_end))
@@ -236,7 +240,7 @@
 def _decode_offset(body: bytes) -> result.Result[int, Failure]:
     try:
         return result.Ok(int(json.loads(body)["offset"]))
-    except (KeyError, TypeError, ValueError):
+    except _MALFORMED:
         return result.Err(Failure.MALFORMED)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import cbor2
 import pytest
 import result
 
 from dragonflycove.fleet import catalog
-from dragonflycove.platform import members, store
+from dragonflycove.platform import crash_records, members, store
 from dragonflycove.standins.platform import store as platform_store
 from tests.fleet import test_roster
 from tests.gateway import deployment
@@ -119,3 +120,56 @@
     for text in ("1.2.3.4", ":5", "a:b"):
         with pytest.raises(ValueError, match=r".+"):
             catalog.parse_address(text)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xff",
+        b"\x81" * 10_000 + b"\x00",
+        cbor2.dumps(10**400),
+        cbor2.dumps(float("inf")),
+        cbor2.dumps(float("nan")),
+        cbor2.dumps([1.0]),
+        b"\x9b\x7f\xff\xff\xff\xff\xff\xff\xff",
+    ],
+    ids=["deletion", "no_cbor", "deep", "large", "infinite", "nan", "list", "long"],
+)
+async def test_an_odd_crash_record_does_not_hide_the_others(value: bytes) -> None:
+    """Loading failed for good with one number too large, and so did the counting of crashes."""
+    saved = crash_records.SavedCrash(7, catalog.Instance("s1", 1), 1e9)
+    async with StoreAndClient() as fixture:
+        recorded = crash_records.CrashRecords(fixture.address)
+        await recorded.save([saved])
+        for key in ("00000000000000ff/1/s2", "00000000000000ff/x/s2", "zz/1/s2", "0f", ""):
+            fixture.store.append(crash_records.TOPIC, platform_store.Record(key, value))
+        assert (await recorded.read()).unwrap() == [saved]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"entries": [{"key": "a", "value": "", "offset": 1e999}], "end": 1}',
+        b'{"entries": [], "end": 1e999}',
+        b'{"entries": [], "end": NaN}',
+        b'{"entries": ["a"], "end": 1}',
+        b'{"entries": 5, "end": 1}',
+        b'{"entries": [{"key": "a", "value": 5, "offset": 1}], "end": 1}',
+        b'{"entries": ' + b"[" * 100_000,
+        b"[" * 100_000,
+        b"[]",
+        b"5",
+        b"\xff",
+    ],
+)
+async def test_a_listing_that_can_not_be_read_is_a_failure(
+    body: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def exchange(*_: object) -> result.Result[bytes, store.Failure]:
+        return result.Ok(body)
+
+    client = store.StoreClient(deployment.loopback())
+    monkeypatch.setattr(client, "_exchange", exchange)
+    assert (await client.read_newest("keyed.op")).unwrap_err() is store.Failure.MALFORMED
+    assert (await client.append("keyed.op", "k", b"")).unwrap_err() is store.Failure.MALFORMED
