Don't take a repeated refusal for that of a later request

What callers would see: "not run, try again" (503, 429) for an idempotent call or a resumable stream that a server runs.

Cause: a faulty server writes an earlier refusal once more on a kept connection. One with the earlier request's id is dropped as crossed, but one without an id was taken for the response to the request in flight, which counts as proof that it did not run. So was one with the id of the same request, when a caller sends it again under that id.

Change: on a kept connection a response without an id proves nothing, whatever its status; the attempt ends as one without a response, and is retried where the route allows it. A request isn't sent again on a connection on which the server has refused it.

--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -172,7 +172,7 @@
     """No byte of the request was sent."""
 
     STALE = "stale"
-    """A reused connection was closed before any byte of a response; the request may have run."""
+    """A reused connection brought no response of its own; the request may have run."""
 
     BROKEN = "broken"
     """The connection was closed or the response was malformed; the request may have run."""
--- a/src/dragonflycove/gateway/exchanges.py
+++ b/src/dragonflycove/gateway/exchanges.py
@@ -27,6 +27,9 @@
 MAX_CROSSED_RESPONSES = 16
 """Responses to earlier requests that may precede a response on its connection."""
 
+MAX_REFUSALS_PER_CONNECTION = 64
+"""Refusals from which on a connection is not reused; bounds the ids that are kept of them."""
+
 DISCARD_TIMEOUT_SECONDS = 0.5
 """Timeout for discarding the rest of an unused response, so that its connection can be reused."""
 
@@ -165,6 +168,10 @@
                 return read
             head = requests.decode_response_head(read.ok_value)
             own_id = self._context.request.attempt_id
+            if head.attempt_id is None and own_id and self._is_reused_connection:
+                # It may repeat the response to an earlier request of the connection.
+                logs.event("unidentified_response", request=own_id, status=head.status)
+                return result.Err("unidentified_response")
             if head.attempt_id is None or head.attempt_id == own_id:
                 self._callbacks.on_head(head)
                 return result.Ok(head)
@@ -271,7 +278,11 @@
         )
 
     async def _discard_body(self, head: forwarding.ResponseHead) -> None:
-        """Read and drop the rest of a response, so that its connection can be reused."""
+        """Read and drop the rest of a refusal, so that its connection can be reused."""
+        refused_ids = self._connection.refused_request_ids
+        refused_ids.add(self._context.request.attempt_id)
+        if len(refused_ids) > MAX_REFUSALS_PER_CONNECTION:
+            return
         try:
             async with asyncio.timeout(DISCARD_TIMEOUT_SECONDS):
                 body = await self._read_body()
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -74,11 +74,7 @@
         """
         server = plan.grant.lead
         loop = asyncio.get_running_loop()
-        taken = await self._pool.take(
-            server.address,
-            fresh=plan.needs_fresh_connection,
-            connect_seconds=max(0.01, context.deadline_at - loop.time()),
-        )
+        taken = await self._take_connection(context, server.address, plan.needs_fresh_connection)
         if isinstance(taken, result.Err):
             return send_values.AttemptResult(
                 forwarding.AttemptEnd.NOT_SENT,
@@ -112,6 +108,21 @@
             if not exchange.is_pooled:
                 connection.close()
 
+    async def _take_connection(
+        self, context: request_context.RequestContext, address: catalog.Address, is_fresh: bool
+    ) -> result.Result[http1.Connection, str]:
+        """Take a connection on which the server has not refused this request before."""
+        while True:
+            seconds_left = context.deadline_at - asyncio.get_running_loop().time()
+            taken = await self._pool.take(
+                address, fresh=is_fresh, connect_seconds=max(0.01, seconds_left)
+            )
+            if isinstance(taken, result.Err):
+                return taken
+            if context.request.attempt_id not in taken.ok_value.refused_request_ids:
+                return taken
+            taken.ok_value.close()
+
 
 class _ServerExchange(exchanges.Exchange):
     """A request and its response on a connection to a backend server."""
--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -150,6 +150,8 @@
         """
         self.completed_responses = 0
         """Number of responses that were read to their end."""
+        self.refused_request_ids: set[str] = set()
+        """Ids of requests that the server has refused on it, and may refuse once more unasked."""
 
     @classmethod
     async def open(
