Pass on only the rest of a stream when it is resumed

What callers would see: in a stream that broke off and went on at another server, the text of an error that came with a 2xx status or stood among unnumbered events; or a stream that ended as complete with 204, or after repeated events.

Cause: the response to the resumption was relayed like a first one. Events without a number were always passed on, and any signed 2xx response that ended well ended the caller's stream.

Change: the response that continues a stream has the status and media type that the stream began with; its events have numbers (comments are passed on); and a run that has events ends no earlier than the caller's position. Otherwise the attempt counts as broken, and the stream is resumed elsewhere or cut off. What the first server of a stream sends is passed on as before.

--- a/src/dragonflycove/fleet/event_stream.py
+++ b/src/dragonflycove/fleet/event_stream.py
@@ -29,6 +29,11 @@
     raw: bytes
     """Its bytes, including the empty line at the end."""
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no field, only comments and empty lines."""
+        return all(line.startswith(b":") for line in self.raw.splitlines() if line)
+
 
 class EventOrder(enum.Enum):
     """How an event's number relates to the last one that the caller has received."""
@@ -113,3 +118,30 @@
             return EventOrder.GAP
         self.last_number = event.number
         return EventOrder.NEXT
+
+
+class ResumedRun:
+    """Checks that a later run of a stream is its rest, and no error that looks like events."""
+
+    def __init__(self) -> None:
+        """Create without events."""
+        self._last_number: int | None = None
+
+    def accepts(self, event: Event) -> bool:
+        """Whether an event may be part of the rest: it has a number, or is only a comment.
+
+        Args:
+            event: The next event of the run.
+        """
+        if event.number is None:
+            return event.is_comment
+        self._last_number = event.number
+        return True
+
+    def is_complete(self, position: StreamPosition) -> bool:
+        """Whether the run has got as far as the caller; a run without events may be an empty rest.
+
+        Args:
+            position: The caller's position.
+        """
+        return self._last_number is None or self._last_number == position.last_number
--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -156,6 +156,24 @@
     """Whether the server states that it leaves."""
 
 
+def continues_stream(first: ResponseHead, head: ResponseHead) -> bool:
+    """Whether a response may be the rest of a stream that began with another one.
+
+    Args:
+        first: Head that the stream began with.
+        head: Head of the response of the next server.
+    """
+    return (head.status, _content_type(head)) == (first.status, _content_type(first))
+
+
+def _content_type(head: ResponseHead) -> bytes:
+    """Return the media type in lower case, without its parameters; empty if there is none."""
+    for name, value in head.headers:
+        if name == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return b""
+
+
 class AttemptEnd(enum.Enum):
     """How one attempt at a server ended; decides on a retry."""
 
--- a/src/dragonflycove/gateway/exchanges.py
+++ b/src/dragonflycove/gateway/exchanges.py
@@ -88,6 +88,7 @@
         self._started_at = asyncio.get_running_loop().time()
         self._is_reused_connection = connection.completed_responses > 0
         self._first_event_seconds = 0.0
+        self._resumed_run = event_stream.ResumedRun() if progress.first_head is not None else None
         self.is_pooled = False
         """Whether the connection was returned to the pool."""
 
@@ -217,9 +218,7 @@
             return self._handle_not_executed(head)
         is_success = 200 <= head.status < 300
         if is_success and (not head.is_signed or head.is_encoded):
-            return send_values.AttemptResult(
-                forwarding.AttemptEnd.BROKEN, server_health.Outcome.SERVER_ERROR
-            )
+            return _broken_by_server()
         if is_success and self._context.route.kind is catalog.CallKind.STREAMING:
             return await self._relay_stream(head)
         body = await self._read_with_timeout(float("inf"), self._read_body())
@@ -244,9 +243,7 @@
         seconds = asyncio.get_running_loop().time() - self._started_at
         if head.status in _STATUSES_READ_AS_NOT_EXECUTED:
             # The request may have run, but relaying this status would tell the caller it did not.
-            return send_values.AttemptResult(
-                forwarding.AttemptEnd.BROKEN, server_health.Outcome.SERVER_ERROR
-            )
+            return _broken_by_server()
         fallback = send_values.FallbackResponse(head, body)
         if head.status >= 500:
             return send_values.AttemptResult(
@@ -255,9 +252,7 @@
                 fallback=fallback,
             )
         if self._response.is_started:
-            return send_values.AttemptResult(
-                forwarding.AttemptEnd.BROKEN, server_health.Outcome.SERVER_ERROR
-            )
+            return _broken_by_server()
         if 200 <= head.status < 300:
             self._on_response(seconds)
         await self._response.write_complete(head.status, head.headers, body)
@@ -297,6 +292,9 @@
 
     async def _relay_stream(self, head: forwarding.ResponseHead) -> send_values.AttemptResult:
         """Relay a stream event by event until it ends or fails."""
+        first_head = self._progress.first_head
+        if first_head is not None and not forwarding.continues_stream(first_head, head):
+            return _broken_by_server()
         splitter = event_stream.EventSplitter()
         loop = asyncio.get_running_loop()
         timeout_seconds = self._first_event_timeout()
@@ -326,17 +324,23 @@
                 self._callbacks.on_first_event()
             self._last_event_at = now
             if not await self._relay_events(head, events):
-                return send_values.AttemptResult(
-                    forwarding.AttemptEnd.BROKEN, server_health.Outcome.SERVER_ERROR
-                )
+                return _broken_by_server()
             self._reading_since = loop.time()
             if self._context.route.is_resumable:
                 timeout_seconds = self._gap_timeout()
+        return await self._end_stream(head, splitter)
+
+    async def _end_stream(
+        self, head: forwarding.ResponseHead, splitter: event_stream.EventSplitter
+    ) -> send_values.AttemptResult:
+        """End the caller's stream after the end of the server's, if that is complete."""
         if splitter.has_partial_event:
             return self._classify_loss(forwarding.AttemptEnd.BROKEN, response_started=True)
+        if self._resumed_run and not self._resumed_run.is_complete(self._progress.position):
+            return _broken_by_server()
         self._return_connection(head)
         if not self._response.is_started:
-            await self._response.start_stream(head.status, head.headers, b"")
+            await self._start_stream(head, b"")
         await self._response.end_stream()
         return send_values.AttemptResult(
             forwarding.AttemptEnd.DELIVERED,
@@ -356,6 +360,9 @@
         new_events = []
         is_contiguous = True
         for event in events:
+            if self._resumed_run and not self._resumed_run.accepts(event):
+                is_contiguous = False
+                break
             step = self._progress.position.advance(event)
             if step is event_stream.EventOrder.GAP:
                 is_contiguous = False
@@ -369,5 +376,16 @@
             if self._response.is_started:
                 await self._response.write_stream(data)
             else:
-                await self._response.start_stream(head.status, head.headers, data)
+                await self._start_stream(head, data)
         return is_contiguous
+
+    async def _start_stream(self, head: forwarding.ResponseHead, data: bytes) -> None:
+        self._progress.first_head = head
+        await self._response.start_stream(head.status, head.headers, data)
+
+
+def _broken_by_server() -> send_values.AttemptResult:
+    """Return the outcome of an attempt whose response can't be used."""
+    return send_values.AttemptResult(
+        forwarding.AttemptEnd.BROKEN, server_health.Outcome.SERVER_ERROR
+    )
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -177,3 +177,5 @@
         """Events relayed to the caller."""
         self.last_event_at = float("-inf")
         """Loop time at which the last event was relayed; -inf before the first."""
+        self.first_head: forwarding.ResponseHead | None = None
+        """Head that the caller's response began with; None before that."""
