--- a/review/standins-2/standins2.py
+++ b/review/standins-2/standins2.py
@@ -27,7 +27,8 @@
 from dragonflycove.fleet import catalog  # noqa: E402
 from dragonflycove.standins.platform import store as platform_store  # noqa: E402
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# An exception ends Python with 1, so `run.sh` turns 11 into 1 and all else into 2.
+HELD, BROKEN, NOT_RUN = 0, 11, 2
 SERVER_PORT, CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT, STORE_PORT = (
     8080,
     8227,
