--- a/review/standins-2/standins2.py
+++ b/review/standins-2/standins2.py
@@ -524,12 +524,11 @@
     }
 
 
-def main(folder: str, play, seconds: float = 110.0) -> None:  # type: ignore[no-untyped-def]
+def main(folder: str, play, is_troubled: bool, seconds: float = 110.0) -> None:  # type: ignore
     """Run a case: `play(world, is_troubled)` returns whether the rule was broken."""
     import tempfile
 
     here = pathlib.Path(folder).resolve()
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def run(work: pathlib.Path) -> int:
         try:
