--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -48,8 +48,24 @@
 }
 """Cause of a failure by the logged reason of the final response."""
 
+_CAUSE_BY_CHECK = {
+    "syntax": "the bytes on the connection are no HTTP request",
+    "head_size": "the head of the request exceeds the limit",
+    "body_size": "the body of the request exceeds the limit",
+    "incomplete": "the request did not arrive in time",
+}
+"""Cause of a denial by the logged check, where no line with a reason follows."""
+
 FAILURE_EVENTS = frozenset(
-    {"refused", "failed", "stream_cut", "caller_gone", "bytes_refused", "slow_caller_ended"}
+    {
+        "denied",
+        "refused",
+        "failed",
+        "stream_cut",
+        "caller_gone",
+        "bytes_refused",
+        "slow_caller_ended",
+    }
 )
 """Log events that record the end of a request without a complete response."""
 
@@ -195,7 +211,12 @@
     if event == "caller_gone":
         return f"the caller disconnected after {fields.get('seconds', '?')} s"
     reason = fields.get("reason", "")
-    why = _CAUSE_BY_REASON.get(reason) or _CAUSE_BY_END.get(reason) or reason
+    why = (
+        _CAUSE_BY_REASON.get(reason)
+        or _CAUSE_BY_END.get(reason)
+        or _CAUSE_BY_CHECK.get(fields.get("check", ""))
+        or reason
+    )
     status = f" with {fields['status']}" if "status" in fields else ""
     return f"{event}{status}: {why}" if why else f"{event}{status}"
 
@@ -213,7 +234,7 @@
 def _describe_missing_events(request_fields: list[dict[str, str]]) -> str:
     events = [fields.get("event") for fields in request_fields]
     missing = []
-    if "received" not in events and not {"refused", "failed"} & set(events):
+    if "received" not in events and not {"denied", "refused", "failed"} & set(events):
         missing.append("received")
     if events.count("sent") > events.count("send_ended"):
         missing.append("send_ended")
--- a/src/dragonflycove/fleet/catalog.py
+++ b/src/dragonflycove/fleet/catalog.py
@@ -178,6 +178,9 @@
     idle_seconds: float = 15.0
     """Time after which an idle connection is closed."""
 
+    version: int = 0
+    """Version of the configuration that states them; 0 for the defaults."""
+
 
 class Organisation(NamedTuple):
     """An organisation that sends requests."""
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -12,7 +12,7 @@
 
 from dragonflycove.fleet import forwarding, relaying
 from dragonflycove.fleet.memory import byte_account
-from dragonflycove.gateway import caller_outputs, caller_responses, request_bodies
+from dragonflycove.gateway import caller_outputs, caller_responses, denials, request_bodies
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
@@ -243,6 +243,8 @@
         self._max_idle_seconds = 0.0
         self._idle_since = asyncio.get_running_loop().time()
         self._request_id = ""
+        self._served_requests = 0
+        self._read_bytes = 0
         self._response: caller_responses.CallerResponse | None = None
 
     def log_unanswered(self, cause: UnansweredCause) -> None:
@@ -283,7 +285,7 @@
             try:
                 request = await self._read_request()
             except h11.RemoteProtocolError as error:
-                await self._reject_malformed(error.error_status_hint)
+                await self._reject_malformed(error)
                 return
             except request_bodies.BytesRefusedError as error:
                 await self._refuse_for_bytes(error)
@@ -343,6 +345,7 @@
         """Read a complete request; None if the connection ended or stayed idle too long."""
         self._is_idle = True
         self._request_id = ""
+        self._read_bytes = len(self._parser.trailing_data[0])
         self._response = None
         head: h11.Request | None = None
         body = request_bodies.RequestBody(lambda: self._limits().max_body_bytes, self._held)
@@ -352,6 +355,7 @@
                 event = self._parser.next_event()
                 if isinstance(event, h11.Request):
                     head = event
+                    self._request_id = requests.read_attempt_id(head.headers)
                     await body.begin(head)
                     self._send_continue()
                 elif isinstance(event, h11.Data):
@@ -376,6 +380,7 @@
                     if self._is_idle:
                         self._parser = self._new_parser()
                     self._parser.receive_data(data)
+                    self._read_bytes += len(data)
                     self._is_idle = self._is_idle and not data
         finally:
             if is_counted:
@@ -445,6 +450,7 @@
         A caller that disconnects cancels its request.
         """
         self._is_idle = self._is_new = False
+        self._served_requests += 1
         self._listener.active += 1
         response = caller_responses.CallerResponse(
             self._parser,
@@ -576,9 +582,16 @@
             self._parser.receive_data(data)
         await asyncio.Event().wait()
 
-    async def _reject_malformed(self, status: int) -> None:
+    async def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         """Respond to a malformed or incomplete request, and close the connection."""
-        logs.warning("request_rejected", status=status)
+        status = error.error_status_hint
+        denials.log_by_parser(
+            self._request_id,
+            error,
+            version=self._limits().version,
+            served_requests=self._served_requests,
+            read_bytes=self._read_bytes,
+        )
         if self._held is not None:
             self._held.end_request()
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -224,7 +224,9 @@
         self._relay_sender = relay_sends.RelaySender(
             self._nodes, self._reach, self._relay_pool, self._metrics, rng
         )
-        self._admission = request_admission.RequestAdmission(self._store_view, rng)
+        self._admission = request_admission.RequestAdmission(
+            self._store_view, rng, self._configuration_age
+        )
         self._forwarder = forwarder.Forwarder(
             local_node,
             self._store_view,
@@ -309,6 +311,9 @@
         rank = self._nodes.hub_rank(asyncio.get_running_loop().time())
         return self._node_read_age if rank < 0 else HUB_READ_AGES_SECONDS[rank]
 
+    def _configuration_age(self) -> float:
+        return asyncio.get_running_loop().time() - self._store_follower.operators.fresh_as_of
+
     def _servers_age(self) -> float:
         return asyncio.get_running_loop().time() - self._store_follower.servers.fresh_as_of
 
@@ -317,7 +322,7 @@
         now = asyncio.get_running_loop().time()
         configuration = self._store_view.configuration
         return {
-            "dragonflycove_operators_age_seconds": now - self._store_follower.operators.fresh_as_of,
+            "dragonflycove_operators_age_seconds": self._configuration_age(),
             "dragonflycove_servers_age_seconds": now - self._store_follower.servers.fresh_as_of,
             "dragonflycove_configuration_version": configuration.version if configuration else 0,
             "dragonflycove_servers": self._store_view.server_count,
--- a/src/dragonflycove/gateway/relay_listener.py
+++ b/src/dragonflycove/gateway/relay_listener.py
@@ -69,6 +69,7 @@
                 limits.header_timeout_seconds, default.header_timeout_seconds
             ),
             idle_seconds=max(limits.idle_seconds, default.idle_seconds),
+            version=limits.version,
         )
 
     async def listen(self) -> None:
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -9,12 +9,13 @@
 import xxhash
 
 from dragonflycove.fleet import catalog, forwarding, relaying
-from dragonflycove.gateway import request_context
+from dragonflycove.gateway import denials, request_context
 from dragonflycove.quarantine import part_blame
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from dragonflycove.fleet import store_view
 
@@ -31,13 +32,21 @@
 class RequestAdmission:
     """Resolves requests by this node's configuration, or refuses them."""
 
-    def __init__(self, view: store_view.StoreView, rng: random.Random) -> None:
+    def __init__(
+        self,
+        view: store_view.StoreView,
+        rng: random.Random,
+        configuration_age: Callable[[], float],
+    ) -> None:
         """Create an admission.
 
         Args:
             view: Configuration as this node knows it.
             rng: Chooses among weighted services.
+            configuration_age: Returns the time, seconds, for which newer versions may exist that
+                this node doesn't know.
         """
+        self._configuration_age = configuration_age
         self._store_view = view
         self._rng = rng
         self._organisations = (-1, dict[str, catalog.Organisation]())
@@ -59,15 +68,35 @@
             return result.Err(forwarding.FinalResponse(503, "no_configuration", 0.5))
         route = configuration.find_route(request.host, request.path)
         if route is None:
-            return result.Err(forwarding.FinalResponse(404, "no_route", None))
+            return self._deny(request, denials.Check.ROUTE, configuration.version)
         organisation = configuration.organisation_by_key.get(request.key or "")
         if organisation is None and configuration.needs_keys and not route.is_public:
-            return result.Err(forwarding.FinalResponse(401, "unknown_key", None))
+            return self._deny(request, denials.Check.KEY, configuration.version)
         services = [name for name, _ in route.weights_by_service]
         weights = [weight for _, weight in route.weights_by_service]
         service = self._rng.choices(services, weights)[0] if sum(weights) else services[0]
         return self._build_context(request, configuration, route, service, organisation, None)
 
+    def _deny(
+        self, request: forwarding.CallerRequest, check: denials.Check, version: int
+    ) -> result.Err[forwarding.FinalResponse]:
+        """Turn a request away that doesn't fit the configuration in force."""
+        is_route = check is denials.Check.ROUTE
+        final = (
+            forwarding.FinalResponse(404, "no_route", None)
+            if is_route
+            else forwarding.FinalResponse(401, "unknown_key", None)
+        )
+        denials.log_by_configuration(
+            request.attempt_id,
+            final.status,
+            check,
+            version,
+            self._configuration_age(),
+            request.host if is_route else request.key or "",
+        )
+        return result.Err(final)
+
     def admit_relayed(
         self, request: forwarding.CallerRequest, relayed: relaying.RelayedRequest
     ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
--- a/src/dragonflycove/platform/records.py
+++ b/src/dragonflycove/platform/records.py
@@ -100,7 +100,7 @@
         service_by_name={service.name: service for service in services},
         organisation_by_key=organisation_by_key,
         needs_keys="tenants" in fields,
-        limits=_limits(fields.get("limits") or {}),
+        limits=_limits(fields.get("limits") or {}, _integer(fields["version"])),
     )
 
 
@@ -155,7 +155,7 @@
     )
 
 
-def _limits(fields: dict[str, Any]) -> catalog.CallerLimits:
+def _limits(fields: dict[str, Any], version: int) -> catalog.CallerLimits:
     default = catalog.CallerLimits()
     return catalog.CallerLimits(
         max_header_bytes=_integer(fields.get("max_header_bytes", default.max_header_bytes)),
@@ -165,6 +165,7 @@
         )
         * _MS,
         idle_seconds=_number(fields.get("idle_timeout_ms", default.idle_seconds / _MS)) * _MS,
+        version=version,
     )
 
 
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -137,6 +137,21 @@
     return None
 
 
+def read_attempt_id(headers: Iterable[tuple[bytes, bytes]]) -> str:
+    """Return the attempt id of a request.
+
+    Args:
+        headers: Its headers; names in lower case.
+
+    Returns:
+        The id; empty if there is none.
+    """
+    for name, value in headers:
+        if name == _ATTEMPT_ID:
+            return value.decode("latin-1")
+    return ""
+
+
 def _shared_parts(value: bytes) -> tuple[str, ...]:
     """Return the ids of a prompt's parts without the last, which belongs to the request alone."""
     ids = [part.partition(b":")[0].strip().lower() for part in value.split(b",")[:-1]]
--- a/src/dragonflycove/telemetry/log_limits.py
+++ b/src/dragonflycove/telemetry/log_limits.py
@@ -18,6 +18,7 @@
 
 URGENT_KINDS = frozenset(
     {
+        "denied",
         "refused",
         "failed",
         "stream_cut",
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -42,6 +42,17 @@
             ],
             "failed with 502: the connection to the server broke",
         ),
+        (
+            ["event=denied request=r1 status=413 check=body_size version=3"],
+            "denied with 413: the body of the request exceeds the limit",
+        ),
+        (
+            [
+                "event=denied request=r1 status=401 check=key version=3 age=0.7",
+                "event=failed request=r1 status=401 reason=unknown_key",
+            ],
+            "failed with 401: the API key belongs to no organisation of the configuration",
+        ),
         (["event=caller_gone request=r1 seconds=0.7"], "the caller disconnected after 0.7 s"),
         (
             [SENT, "event=send_ended request=r1 server=s1 end=delivered seconds=1.5"],
