--- a/src/dragonflycove/gateway/exchanges.py
+++ b/src/dragonflycove/gateway/exchanges.py
@@ -244,6 +244,15 @@
         if head.status in _STATUSES_READ_AS_NOT_EXECUTED:
             # The request may have run, but relaying this status would tell the caller it did not.
             return _broken_by_server()
+        if 300 <= head.status < 500 and not head.is_signed:
+            # Passed on, it would be this node's own verdict on the request.
+            logs.event(
+                "unsigned_denial",
+                request=self._context.request.attempt_id,
+                status=head.status,
+                address=self._address,
+            )
+            return _broken_by_server()
         fallback = send_values.FallbackResponse(head, body)
         if head.status >= 500:
             return send_values.AttemptResult(
