--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -24,6 +24,7 @@
 _CAUSE_BY_REASON = {
     "no_configuration": "the node had not received a configuration yet",
     "no_route": "no route of the configuration in force matches the host and path",
+    "configuration_outdated": "the node's configuration was too old to deny the request",
     "unknown_key": "the API key belongs to no organisation of the configuration in force",
     "no_server": "no usable server of the service was known",
     "no_room_in_time": "the engines had no capacity for the request within its deadline",
--- a/src/dragonflycove/fleet/host_settings.py
+++ b/src/dragonflycove/fleet/host_settings.py
@@ -59,6 +59,9 @@
     stall_seconds: float
     """Time for which an engine waits for another engine that has stopped."""
 
+    config_apply_seconds: float = 2.0
+    """Time after its acknowledgement within which a configuration is in force at all nodes."""
+
 
 class HostSettings(NamedTuple):
     """Settings of one node's process."""
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -225,7 +225,10 @@
             self._nodes, self._reach, self._relay_pool, self._metrics, rng
         )
         self._admission = request_admission.RequestAdmission(
-            self._store_view, rng, self._configuration_age
+            self._store_view,
+            rng,
+            self._configuration_age,
+            lambda: self._settings.bounds.config_apply_seconds,
         )
         self._forwarder = forwarder.Forwarder(
             local_node,
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -37,6 +37,7 @@
         view: store_view.StoreView,
         rng: random.Random,
         configuration_age: Callable[[], float],
+        max_denial_age: Callable[[], float],
     ) -> None:
         """Create an admission.
 
@@ -45,8 +46,10 @@
             rng: Chooses among weighted services.
             configuration_age: Returns the time, seconds, for which newer versions may exist that
                 this node doesn't know.
+            max_denial_age: Returns the maximum of that time, seconds, at which a request is denied.
         """
         self._configuration_age = configuration_age
+        self._max_denial_age = max_denial_age
         self._store_view = view
         self._rng = rng
         self._organisations = (-1, dict[str, catalog.Organisation]())
@@ -80,7 +83,15 @@
     def _deny(
         self, request: forwarding.CallerRequest, check: denials.Check, version: int
     ) -> result.Err[forwarding.FinalResponse]:
-        """Turn a request away that doesn't fit the configuration in force."""
+        """Turn a request away that doesn't fit the configuration in force.
+
+        A configuration that may be outdated proves nothing against a request.
+        """
+        age_seconds = self._configuration_age()
+        if age_seconds > self._max_denial_age():
+            return result.Err(
+                forwarding.FinalResponse(503, "configuration_outdated", RETRY_AFTER_SECONDS)
+            )
         is_route = check is denials.Check.ROUTE
         final = (
             forwarding.FinalResponse(404, "no_route", None)
@@ -92,7 +103,7 @@
             final.status,
             check,
             version,
-            self._configuration_age(),
+            age_seconds,
             request.host if is_route else request.key or "",
         )
         return result.Err(final)
--- a/src/dragonflycove/platform/settings.py
+++ b/src/dragonflycove/platform/settings.py
@@ -121,4 +121,5 @@
         directory_ttl_seconds=float(fields.get("ttl_max_s", 2)),
         max_reservation_seconds=seconds("hold_max_ms", 10000),
         stall_seconds=seconds("stall_ms", 1500),
+        config_apply_seconds=seconds("config_apply_ms", 2000),
     )
--- /dev/null
+++ b/tests/gateway/test_stale_denials.py
@@ -0,0 +1,52 @@
+"""A node whose configuration may be outdated doesn't deny what is allowed by now."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import pytest
+
+from tests.gateway import deployment
+
+pytestmark = pytest.mark.asyncio
+
+SERVED_TIMEOUT_SECONDS = 10.0
+"""Timeout until a node serves what a new version allows."""
+
+
+def is_denial(status: int) -> bool:
+    """Whether a status blames the request."""
+    return 300 <= status < 500 and status not in (408, 421, 429)
+
+
+@pytest.mark.parametrize("change", ["key", "route"])
+async def test_a_node_that_lost_the_store_does_not_deny_what_is_allowed_by_now(change: str) -> None:
+    async with deployment.deployed() as system:
+        system.faults[0].is_unresponsive = True
+        changed = deployment.configuration(2)
+        if change == "key":
+            changed["tenants"] = [{"name": "org", "api_keys": ["k1", "k3"]}]
+            path, key = "/look/x", "k3"
+        else:
+            routes = changed["routes"]
+            assert isinstance(routes, list)
+            routes.append({**routes[3], "name": "new", "path_prefix": "/new/"})
+            path, key = "/new/x", "k1"
+        system.store.put("keyed.op", "config", changed)
+        await asyncio.sleep(system.settings[0].bounds.config_apply_seconds)
+        response = await system.call(path, key=key, method=b"GET")
+        known = await system.call("/look/x", method=b"GET", attempt="known")
+        system.faults[0].clear()
+        async with asyncio.timeout(SERVED_TIMEOUT_SECONDS):
+            for number in itertools.count():
+                again = await system.call(path, key=key, method=b"GET", attempt=f"again{number}")
+                assert not is_denial(again.status)
+                if again.status == 200:
+                    break
+                await asyncio.sleep(0.1)
+        unknown = await system.call("/look/x", key="k9", method=b"GET", attempt="unknown")
+    assert response.status == 503
+    assert float(response.headers["retry-after"]) > 0.0
+    assert known.status == 200
+    assert unknown.status == 401
