--- a/src/dragonflycove/fleet/catalog.py
+++ b/src/dragonflycove/fleet/catalog.py
@@ -179,7 +179,10 @@
     """Time after which an idle connection is closed."""
 
     version: int = 0
-    """Version of the configuration that states them; 0 for the defaults."""
+    """Version of the configuration that states them; 0 if unknown."""
+
+    are_defaults: bool = False
+    """Whether no configuration is known, which may state greater ones."""
 
 
 class Organisation(NamedTuple):
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -12,7 +12,13 @@
 
 from dragonflycove.fleet import forwarding, relaying
 from dragonflycove.fleet.memory import byte_account
-from dragonflycove.gateway import caller_outputs, caller_responses, denials, request_bodies
+from dragonflycove.gateway import (
+    caller_outputs,
+    caller_responses,
+    denials,
+    request_admission,
+    request_bodies,
+)
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
@@ -51,6 +57,9 @@
 MAX_PIPELINED_BYTES = 262_144
 """Maximum bytes of pipelined requests that are read while one is served."""
 
+_LIMIT_STATUSES = frozenset({413, 431})
+"""Statuses of requests that exceed a limit which operators state."""
+
 _RESPONSE_SENT = frozenset({h11.DONE, h11.MUST_CLOSE})
 """States of a parser once a complete response has been written."""
 
@@ -585,6 +594,9 @@
     async def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         """Respond to a malformed or incomplete request, and close the connection."""
         status = error.error_status_hint
+        if status in _LIMIT_STATUSES and self._limits().are_defaults:
+            await self._refuse_unconfigured()
+            return
         denials.log_by_parser(
             self._request_id,
             error,
@@ -601,6 +613,23 @@
             self._writer.write(data)
             await self._linger()
 
+    async def _refuse_unconfigured(self) -> None:
+        """Refuse a request that exceeds a default limit; operators may have stated a greater one."""
+        if self._held is not None:
+            self._held.end_request()
+        final = forwarding.FinalResponse(
+            503,
+            request_admission.NO_CONFIGURATION,
+            request_admission.NO_CONFIGURATION_RETRY_SECONDS,
+        )
+        logs.event("refused", request=self._request_id, status=final.status, reason=final.reason)
+        response = caller_responses.CallerResponse(
+            self._parser, self._writer, self._request_id, b"", is_last=lambda: True
+        )
+        with contextlib.suppress(caller_outputs.CallerGoneError):
+            await response.write_refusal(final)
+            await self._linger()
+
     async def _linger(self) -> None:
         """Let the caller read the response before the connection closes."""
         with contextlib.suppress(OSError, TimeoutError):  # The connection is closed in any case.
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -278,7 +278,7 @@
 
     def _caller_limits(self) -> catalog.CallerLimits:
         configuration = self._store_view.configuration
-        return configuration.limits if configuration else catalog.CallerLimits()
+        return configuration.limits if configuration else catalog.CallerLimits(are_defaults=True)
 
     def _is_ready(self) -> bool:
         return (
--- a/src/dragonflycove/gateway/relay_listener.py
+++ b/src/dragonflycove/gateway/relay_listener.py
@@ -70,6 +70,7 @@
             ),
             idle_seconds=max(limits.idle_seconds, default.idle_seconds),
             version=limits.version,
+            are_defaults=limits.are_defaults,
         )
 
     async def listen(self) -> None:
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -29,6 +29,13 @@
 """Retry-after of a refusal that concerns this node alone."""
 
 
+NO_CONFIGURATION = "no_configuration"
+"""Reason of a refusal before the first configuration."""
+
+NO_CONFIGURATION_RETRY_SECONDS = 0.5
+"""Retry-after of such a refusal."""
+
+
 class RequestAdmission:
     """Resolves requests by this node's configuration, or refuses them."""
 
@@ -68,7 +75,9 @@
         """
         configuration = self._store_view.configuration
         if configuration is None:
-            return result.Err(forwarding.FinalResponse(503, "no_configuration", 0.5))
+            return result.Err(
+                forwarding.FinalResponse(503, NO_CONFIGURATION, NO_CONFIGURATION_RETRY_SECONDS)
+            )
         route = configuration.find_route(request.host, request.path)
         if route is None:
             return self._deny(request, denials.Check.ROUTE, configuration.version)
