--- a/src/dragonflycove/fleet/catalog.py
+++ b/src/dragonflycove/fleet/catalog.py
@@ -195,6 +195,12 @@
     """Priority that overrides the route's; None to use the route's."""
 
 
+def _without_port(host: str) -> str:
+    """Return a host header without its port; a colon in an IPv6 address is none."""
+    name, _, port = host.rpartition(":")
+    return name if port.isdecimal() and (":" not in name or name.endswith("]")) else host
+
+
 class Configuration(NamedTuple):
     """One version of the operators' configuration."""
 
@@ -220,12 +226,18 @@
         """Return the route with the longest prefix that matches a path.
 
         Args:
-            host: Host header, in lower case.
+            host: Host header, in lower case; its port counts only for routes that name one.
             path: Path of the request, without the query.
 
         Returns:
             The route; None if none matches.
         """
+        route = self._find_longest_prefix(host, path)
+        if route is None and (name := _without_port(host)) != host:
+            route = self._find_longest_prefix(name, path)
+        return route
+
+    def _find_longest_prefix(self, host: str, path: str) -> Route | None:
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
             route = self.route_by_host_prefix.get((host, path[: end + 1]))
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -202,3 +202,24 @@
     names = [route.path_prefix if route else None for route in found]
     assert names == ["/a/", "/a/b/", "/a/", "/a/b/", None, None, None]
     assert configuration.find_route("other", "/a/x") is None
+
+
+@pytest.mark.parametrize(
+    ("host", "route_host", "is_found"),
+    [
+        ("h.example:8443", "h.example", True),
+        ("[::1]:8443", "[::1]", True),
+        ("::1", "::1", True),
+        ("h.example:8443", "h.example:8443", True),
+        ("h.example", "h.example:8443", False),
+        ("h.example:x", "h.example", False),
+        ("h.example:", "h.example", False),
+        ("other:8443", "h.example", False),
+    ],
+)
+def test_the_port_of_a_host_header_hides_no_route(
+    host: str, route_host: str, is_found: bool
+) -> None:
+    route = builders.route(prefix="/a/")._replace(host=route_host)
+    configuration = builders.configuration(route)
+    assert (configuration.find_route(host, "/a/x") is not None) == is_found
