--- a/src/dragonflycove/platform/records.py
+++ b/src/dragonflycove/platform/records.py
@@ -104,7 +104,13 @@
     )
 
 
-def _route(fields: dict[str, Any]) -> catalog.Route:
+def _stated(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields that have a value; null states nothing."""
+    return {name: value for name, value in fields.items() if value is not None}
+
+
+def _route(entry: dict[str, Any]) -> catalog.Route:
+    fields = _stated(entry)
     split = fields.get("traffic_split")
     weights = (
         tuple((_text(part["service"]), max(0, _integer(part["weight"]))) for part in split)
@@ -127,7 +133,8 @@
     )
 
 
-def _service(fields: dict[str, Any]) -> catalog.Service:
+def _service(entry: dict[str, Any]) -> catalog.Service:
+    fields = _stated(entry)
     engine = fields.get("engine")
     return catalog.Service(
         name=_text(fields["name"]),
@@ -139,7 +146,8 @@
     )
 
 
-def _engine(fields: dict[str, Any]) -> catalog.EngineSpec:
+def _engine(entry: dict[str, Any]) -> catalog.EngineSpec:
+    fields = _stated(entry)
     return catalog.EngineSpec(
         slots=_integer(fields["slots"]),
         kv_cache_tokens=_integer(fields["kv_capacity"]),
@@ -155,7 +163,8 @@
     )
 
 
-def _limits(fields: dict[str, Any], version: int) -> catalog.CallerLimits:
+def _limits(entry: dict[str, Any], version: int) -> catalog.CallerLimits:
+    fields = _stated(entry)
     default = catalog.CallerLimits()
     return catalog.CallerLimits(
         max_header_bytes=_integer(fields.get("max_header_bytes", default.max_header_bytes)),
