--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -80,6 +80,7 @@
         """The configuration in force; None before the first one."""
         self.configuration_offset = -1
         """Offset of its record; -1 before the first one."""
+        self._unreadable_offset = -1
         self._evacuation_by_zone: dict[str, tuple[int, bool]] = {}
         self._record_by_id: dict[str, ServerRecord] = {}
         self._alive_at_by_instance: dict[catalog.Instance, float] = {}
@@ -106,6 +107,19 @@
         self.configuration_offset = offset
         return True
 
+    def on_unreadable_configuration(self, offset: int) -> None:
+        """Record that a configuration can't be decoded.
+
+        Args:
+            offset: Offset of its record.
+        """
+        self._unreadable_offset = max(self._unreadable_offset, offset)
+
+    @property
+    def has_unreadable_configuration(self) -> bool:
+        """Whether a configuration newer than the one in force can't be decoded."""
+        return self._unreadable_offset > self.configuration_offset
+
     def apply_evacuation(self, zone: str, evacuated: bool, offset: int) -> bool:
         """Set whether an availability zone is evacuated.
 
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -97,7 +97,10 @@
         A configuration that may be outdated proves nothing against a request.
         """
         age_seconds = self._configuration_age()
-        if age_seconds > self._max_denial_age():
+        is_outdated = (
+            age_seconds > self._max_denial_age() or self._store_view.has_unreadable_configuration
+        )
+        if is_outdated:
             return result.Err(
                 forwarding.FinalResponse(503, "configuration_outdated", RETRY_AFTER_SECONDS)
             )
--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -267,6 +267,7 @@
         decoded = records.decode_configuration(record.value)
         if isinstance(decoded, result.Err):
             logs.warning("configuration_unreadable", offset=record.offset, why=decoded.err_value)
+            self.view.on_unreadable_configuration(record.offset)
             return False
         if not self.view.apply_configuration(decoded.ok_value, record.offset):
             return False
--- a/tests/gateway/test_stale_denials.py
+++ b/tests/gateway/test_stale_denials.py
@@ -50,3 +50,16 @@
     assert float(response.headers["retry-after"]) > 0.0
     assert known.status == 200
     assert unknown.status == 401
+
+
+async def test_an_unreadable_configuration_does_not_leave_denials_to_the_one_before() -> None:
+    async with deployment.deployed() as system:
+        unreadable = deployment.configuration(2, routes="none")
+        system.store.put("keyed.op", "config", unreadable)
+        await asyncio.sleep(system.settings[0].bounds.config_apply_seconds)
+        unknown = await system.call("/look/x", key="k9", method=b"GET")
+        known = await system.call("/look/x", method=b"GET", attempt="known")
+        system.store.put("keyed.op", "config", deployment.configuration(3))
+        await asyncio.sleep(system.settings[0].bounds.config_apply_seconds)
+        again = await system.call("/look/x", key="k9", method=b"GET", attempt="again")
+    assert (unknown.status, known.status, again.status) == (503, 200, 401)
