--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -98,6 +98,9 @@
     shared_parts: tuple[str, ...] = ()
     """Ids of the parts of its prompt that other requests may share, in order."""
 
+    arrived_at: float = float("inf")
+    """Loop time at which its head was read; inf if unknown."""
+
 
 class RateLimit(NamedTuple):
     """What a server's response states of the rate of requests that it takes."""
--- a/src/dragonflycove/fleet/host_settings.py
+++ b/src/dragonflycove/fleet/host_settings.py
@@ -62,6 +62,9 @@
     config_apply_seconds: float = 2.0
     """Time after its acknowledgement within which a configuration is in force at all nodes."""
 
+    rollback_slack_seconds: float = 0.25
+    """Time after the first effect of a configuration from which on none before it decides."""
+
 
 class HostSettings(NamedTuple):
     """Settings of one node's process."""
--- a/src/dragonflycove/fleet/store_view.py
+++ b/src/dragonflycove/fleet/store_view.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, NamedTuple
 
 from dragonflycove.fleet import catalog, leaving_servers
@@ -36,6 +37,10 @@
 """
 
 
+KEPT_CONFIGURATIONS = 4
+"""Earlier configurations that are kept for requests which arrived while they were in force."""
+
+
 class ServerRecord(NamedTuple):
     """The newest record of one server id."""
 
@@ -81,6 +86,10 @@
         self.configuration_offset = -1
         """Offset of its record; -1 before the first one."""
         self._unreadable_offset = -1
+        # Earlier configurations and the loop times at which they were replaced, the oldest first.
+        self._replaced: collections.deque[tuple[catalog.Configuration, float]] = collections.deque(
+            maxlen=KEPT_CONFIGURATIONS
+        )
         self._evacuation_by_zone: dict[str, tuple[int, bool]] = {}
         self._record_by_id: dict[str, ServerRecord] = {}
         self._alive_at_by_instance: dict[catalog.Instance, float] = {}
@@ -88,12 +97,15 @@
         """Loop time up to which the servers' records are known; -inf before the first read."""
         self._outage_ended_at = float("-inf")
 
-    def apply_configuration(self, configuration: catalog.Configuration, offset: int) -> bool:
+    def apply_configuration(
+        self, configuration: catalog.Configuration, offset: int, now: float = float("-inf")
+    ) -> bool:
         """Put a configuration in force if its offset and version are newer.
 
         Args:
             configuration: The configuration.
             offset: Offset of its record.
+            now: Loop time; -inf if requests that arrived before aren't to be told apart.
 
         Returns:
             Whether it is now in force.
@@ -103,10 +115,21 @@
             return False
         if current is not None and configuration.version <= current.version:
             return False
+        if current is not None:
+            self._replaced.append((current, now))
         self.configuration = configuration
         self.configuration_offset = offset
         return True
 
+    def configurations_since(self, at: float) -> list[catalog.Configuration]:
+        """Return the configurations that have been in force at or after a time, the newest first.
+
+        Args:
+            at: Loop time.
+        """
+        earlier = [one for one, replaced_at in reversed(self._replaced) if replaced_at > at]
+        return earlier if self.configuration is None else [self.configuration, *earlier]
+
     def on_unreadable_configuration(self, offset: int) -> None:
         """Record that a configuration can't be decoded.
 
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -370,9 +370,10 @@
                 elif isinstance(event, h11.Data):
                     await body.add(event.data)
                 elif isinstance(event, h11.EndOfMessage) and head is not None:
-                    return requests.decode_request(
+                    request = requests.decode_request(
                         head.method, head.target, head.headers, body.take()
                     )
+                    return request._replace(arrived_at=body.begun_at)
                 elif isinstance(event, h11.ConnectionClosed):
                     return None
                 else:
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -228,7 +228,7 @@
             self._store_view,
             rng,
             self._configuration_age,
-            lambda: self._settings.bounds.config_apply_seconds,
+            lambda: self._settings.bounds,
         )
         self._forwarder = forwarder.Forwarder(
             local_node,
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import result
 import xxhash
@@ -17,7 +17,7 @@
     import random
     from collections.abc import Callable
 
-    from dragonflycove.fleet import store_view
+    from dragonflycove.fleet import host_settings, store_view
 
 DEFAULT_DEADLINE_SECONDS = 10.0
 """Deadline of a request that has no deadline header."""
@@ -36,6 +36,31 @@
 """Retry-after of such a refusal."""
 
 
+CHANGE_SLACK_SHARE = 0.5
+"""Share of `Bounds.rollback_slack_seconds` by which a request may have been sent before its head was
+read; the rest is for the way of the caller's next requests."""
+
+
+class _Admitted(NamedTuple):
+    """What a configuration says of a request that it allows."""
+
+    route: catalog.Route
+    organisation: catalog.Organisation | None
+
+
+def _check(
+    request: forwarding.CallerRequest, configuration: catalog.Configuration
+) -> _Admitted | denials.Check:
+    """Return a request's route and organisation, or what a configuration finds wrong with it."""
+    route = configuration.find_route(request.host, request.path)
+    if route is None:
+        return denials.Check.ROUTE
+    organisation = configuration.organisation_by_key.get(request.key or "")
+    if organisation is None and configuration.needs_keys and not route.is_public:
+        return denials.Check.KEY
+    return _Admitted(route, organisation)
+
+
 class RequestAdmission:
     """Resolves requests by this node's configuration, or refuses them."""
 
@@ -44,7 +69,7 @@
         view: store_view.StoreView,
         rng: random.Random,
         configuration_age: Callable[[], float],
-        max_denial_age: Callable[[], float],
+        bounds: Callable[[], host_settings.Bounds],
     ) -> None:
         """Create an admission.
 
@@ -53,10 +78,10 @@
             rng: Chooses among weighted services.
             configuration_age: Returns the time, seconds, for which newer versions may exist that
                 this node doesn't know.
-            max_denial_age: Returns the maximum of that time, seconds, at which a request is denied.
+            bounds: Returns the bounds of the deployment.
         """
         self._configuration_age = configuration_age
-        self._max_denial_age = max_denial_age
+        self._bounds = bounds
         self._store_view = view
         self._rng = rng
         self._organisations = (-1, dict[str, catalog.Organisation]())
@@ -70,24 +95,38 @@
     ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
         """Resolve a request's route, organisation, service and deadline, or refuse it.
 
+        A request that was on its way when a configuration came in force is denied only if it is
+        wrong by the one before as well.
+
         Args:
             request: The request.
         """
-        configuration = self._store_view.configuration
-        if configuration is None:
+        slack_seconds = CHANGE_SLACK_SHARE * self._bounds().rollback_slack_seconds
+        candidates = self._store_view.configurations_since(request.arrived_at - slack_seconds)
+        if not candidates:
             return result.Err(
                 forwarding.FinalResponse(503, NO_CONFIGURATION, NO_CONFIGURATION_RETRY_SECONDS)
             )
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
-            return self._deny(request, denials.Check.ROUTE, configuration.version)
-        organisation = configuration.organisation_by_key.get(request.key or "")
-        if organisation is None and configuration.needs_keys and not route.is_public:
-            return self._deny(request, denials.Check.KEY, configuration.version)
+        verdicts = [_check(request, configuration) for configuration in candidates]
+        for configuration, verdict in zip(candidates, verdicts, strict=True):
+            if isinstance(verdict, _Admitted):
+                return self._build_context(
+                    request,
+                    configuration,
+                    verdict.route,
+                    self._choose_service(verdict.route),
+                    verdict.organisation,
+                    None,
+                )
+        newest = verdicts[0]
+        assert isinstance(newest, denials.Check)
+        return self._deny(request, newest, candidates[0].version)
+
+    def _choose_service(self, route: catalog.Route) -> str:
+        """Choose among the services that a route's requests are distributed to."""
         services = [name for name, _ in route.weights_by_service]
         weights = [weight for _, weight in route.weights_by_service]
-        service = self._rng.choices(services, weights)[0] if sum(weights) else services[0]
-        return self._build_context(request, configuration, route, service, organisation, None)
+        return self._rng.choices(services, weights)[0] if sum(weights) else services[0]
 
     def _deny(
         self, request: forwarding.CallerRequest, check: denials.Check, version: int
@@ -98,7 +137,8 @@
         """
         age_seconds = self._configuration_age()
         is_outdated = (
-            age_seconds > self._max_denial_age() or self._store_view.has_unreadable_configuration
+            age_seconds > self._bounds().config_apply_seconds
+            or self._store_view.has_unreadable_configuration
         )
         if is_outdated:
             return result.Err(
--- a/src/dragonflycove/gateway/request_bodies.py
+++ b/src/dragonflycove/gateway/request_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import h11
@@ -49,6 +50,8 @@
         self._head: h11.Request | None = None
         self._data = bytearray()
         self._granted_bytes = 0
+        self.begun_at = float("inf")
+        """Loop time at which the head was read; inf before."""
 
     async def begin(self, head: h11.Request) -> None:
         """Wait for room for the body; a declared length is counted as a whole.
@@ -61,6 +64,7 @@
             h11.RemoteProtocolError: The declared length exceeds the limit.
         """
         self._head = head
+        self.begun_at = asyncio.get_running_loop().time()
         if self._held is None:
             return
         self._held.begin_request(head.headers)
--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -269,7 +269,8 @@
             logs.warning("configuration_unreadable", offset=record.offset, why=decoded.err_value)
             self.view.on_unreadable_configuration(record.offset)
             return False
-        if not self.view.apply_configuration(decoded.ok_value, record.offset):
+        now = asyncio.get_running_loop().time()
+        if not self.view.apply_configuration(decoded.ok_value, record.offset, now):
             return False
         logs.event(
             "configuration_in_force",
--- a/src/dragonflycove/platform/settings.py
+++ b/src/dragonflycove/platform/settings.py
@@ -122,4 +122,5 @@
         max_reservation_seconds=seconds("hold_max_ms", 10000),
         stall_seconds=seconds("stall_ms", 1500),
         config_apply_seconds=seconds("config_apply_ms", 2000),
+        rollback_slack_seconds=seconds("rollback_slack_ms", 250),
     )
