--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -343,7 +343,16 @@
 
 
 def _counted_attempts(ends: list[AttemptEnd]) -> int:
-    return sum(end not in _UNCOUNTED_ENDS for end in ends)
+    return sum(is_counted(end) for end in ends)
+
+
+def is_counted(end: AttemptEnd) -> bool:
+    """Whether an attempt counts towards the route's limit.
+
+    Args:
+        end: How it ended.
+    """
+    return end not in _UNCOUNTED_ENDS
 
 
 def final_response(ends: list[AttemptEnd], *, deadline_passed: bool) -> FinalResponse:
--- a/src/dragonflycove/fleet/relaying.py
+++ b/src/dragonflycove/fleet/relaying.py
@@ -11,7 +11,7 @@
     import random
     from collections.abc import Mapping, Sequence
 
-    from dragonflycove.fleet import roster
+    from dragonflycove.fleet import catalog, roster
 
 MAX_CUT_NODES_PER_PEER = 2
 """Nodes of a zone that use one node of it before they use those of other zones as well."""
@@ -74,6 +74,45 @@
     """Ids of servers that must not get it again."""
 
 
+class ServerAttempt(NamedTuple):
+    """An attempt that the serving node makes at a server."""
+
+    server_id: str
+    """Id of the server; empty if it is too long to be passed on."""
+
+    end: forwarding.AttemptEnd | None
+    """How the attempt ended; None while it runs."""
+
+
+def count_ends(
+    attempts: Sequence[ServerAttempt] | None,
+    end: forwarding.AttemptEnd,
+    route: catalog.Route,
+    *,
+    is_complete: bool,
+) -> list[forwarding.AttemptEnd]:
+    """Return the ends of attempts that a relayed request counts towards its route's limit.
+
+    Args:
+        attempts: What the serving node has reported; None if it reports nothing, as older releases
+            do. It may have made all attempts of the route then.
+        end: How the request ended at the serving node.
+        route: The request's route.
+        is_complete: Whether the serving node's response was complete, so that its report is.
+    """
+    if end is forwarding.AttemptEnd.DELIVERED or end in forwarding.PROVEN_NOT_EXECUTED:
+        return [end]
+    if attempts is None:
+        return [end] * max(1, route.max_attempts)
+    ends = [one.end or end for one in attempts]
+    is_running = bool(attempts) and attempts[-1].end is None
+    # A lost node may have begun an attempt without being able to report it.
+    is_unreported = not is_complete and not is_running
+    if is_unreported or all(one in forwarding.PROVEN_NOT_EXECUTED for one in ends):
+        ends.append(end)
+    return ends
+
+
 class Candidate(NamedTuple):
     """A node that may serve relayed requests."""
 
--- a/src/dragonflycove/gateway/caller_responses.py
+++ b/src/dragonflycove/gateway/caller_responses.py
@@ -17,6 +17,9 @@
     from dragonflycove.fleet import forwarding
     from dragonflycove.gateway import held_bytes
 
+PROCESSING_STATUS = 102
+"""Status of informational responses while a request is being served."""
+
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 """Statuses of responses that never have a body."""
 
@@ -68,12 +71,27 @@
         """Status code that was written; 0 before the head is written."""
         self.refusal_header: bytes | None = None
         """Header with the reason of a refusal, for other nodes; None for callers."""
+        self.informs = False
+        """Whether the sender is a node that is told of the attempts while they are made."""
 
     @property
     def sender_ip(self) -> str:
         """IP address that the request came from; empty if the connection has ended."""
         return str(self._writer.get_extra_info("peername", ("",))[0])
 
+    def write_informational(self, header: tuple[bytes, bytes]) -> None:
+        """Write an informational response, unless the response has started.
+
+        Args:
+            header: Its header.
+        """
+        if self.is_started or self._writer.is_closing():
+            return
+        informational = h11.InformationalResponse(status_code=PROCESSING_STATUS, headers=[header])
+        data = self._parser.send(informational) or b""
+        self._on_write(len(data))
+        self._writer.write(data)
+
     async def write_complete(
         self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes
     ) -> None:
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from dragonflycove.fleet import forwarding, relaying, server_health, work
 from dragonflycove.gateway import (
     crash_watch,
+    relay_reports,
     request_context,
     reservations,
     rest_gate,
@@ -189,6 +190,7 @@
                     return
         finally:
             self._moves.release(context, state)
+        relay_reports.send(response, state.own_attempts)
         await self._write_final_response(context, response, state.fallback, final)
 
     async def _run_at_server(
@@ -210,6 +212,8 @@
         charged_at, state.charged_at = state.charged_at, None
         decision = placed.grant
         attempt = crash_watch.WatchedAttempt(decision.lead, context)
+        state.begin_attempt(decision.lead.instance.server_id)
+        relay_reports.send(response, state.own_attempts)
         outcome = await self._run_attempt(attempt, placed, response, state)
         end = await self._crashes.classify_end(attempt, outcome)
         is_untried = self._reach.is_unreached(context.service) or self._rest_gate.is_resting(
@@ -218,7 +222,9 @@
         if end is forwarding.AttemptEnd.NOT_SENT and is_untried:
             # The path failed, not the server, or the server rests; nothing was attempted.
             state.charged_at = charged_at
+            state.cancel_attempt()
             return None
+        state.end_attempt(end)
         state.exclude(outcome.refusing_helper_id or decision.lead.instance.server_id, end)
         if outcome.is_success:
             self._crashes.on_answered(context)
@@ -288,17 +294,19 @@
             attempt_ends=tuple(state.attempt_ends),
             excluded=tuple(state.excluded),
         )
+        state.relay_report = relay_reports.AttemptReport()
         outcome = await self._relay_sender.send(
             context,
             relayed,
             response,
             state.progress,
+            state.relay_report,
             lambda: self._moves.wait_until_allowed(context, state),
         )
         if _is_worth_waiting(context, state, outcome, loop.time()):
             await asyncio.sleep(UNREACHED_PAUSE_SECONDS)
             return None
-        final = self._end_attempt(context, state, outcome, outcome.end)
+        final = self._end_attempt(context, state, outcome, state.add_relayed(outcome.end))
         is_proven = all(end in forwarding.PROVEN_NOT_EXECUTED for end in state.attempt_ends)
         if outcome.refusal is not None and (outcome.refusal.status != 503 or is_proven):
             return outcome.refusal
--- a/src/dragonflycove/gateway/moves/request_moves.py
+++ b/src/dragonflycove/gateway/moves/request_moves.py
@@ -87,7 +87,7 @@
             context: The request.
             state: What its attempts have led to so far.
         """
-        after = [*state.attempt_ends, forwarding.AttemptEnd.TIMEOUT]
+        after = state.ends_after_silence()
         return (
             context.route.is_retryable
             and forwarding.has_attempt_left(after, context.route)
@@ -103,10 +103,11 @@
             context: The request.
             state: What its attempts have led to so far.
         """
-        if not self.has_attempt_left(context, state):
-            await asyncio.Event().wait()
         loop = asyncio.get_running_loop()
         for pause in itertools.repeat(BUDGET_CHECK_SECONDS):
+            # Another node may have reported a further attempt meanwhile.
+            if not self.has_attempt_left(context, state):
+                await asyncio.Event().wait()
             now = loop.time()
             if self._retry_budget.can_spend(context.service, self._count_senders(now), now):
                 return
--- a/src/dragonflycove/gateway/relay_codec.py
+++ b/src/dragonflycove/gateway/relay_codec.py
@@ -21,6 +21,12 @@
 REFUSAL_HEADER = b"dragonflycove-refusal"
 """Header of a response that the serving node made itself; its value is the reason."""
 
+ATTEMPTS_HEADER = b"dragonflycove-attempts"
+"""Header of an informational response, with a JSON array of the serving node's attempts."""
+
+MAX_ATTEMPTS_BYTES = 2_048
+"""Maximum size of the value of `ATTEMPTS_HEADER`."""
+
 MAX_HEADER_BYTES = 4_096
 """Maximum size of `REQUEST_HEADER`, which is added to the callers' limit."""
 
@@ -54,6 +60,41 @@
     return result.Err("header is missing")
 
 
+def encode_attempts(attempts: Sequence[relaying.ServerAttempt]) -> tuple[bytes, bytes]:
+    """Encode the attempts that the serving node has made, as a header.
+
+    Args:
+        attempts: The attempts in order.
+    """
+    value = msgspec.json.encode(attempts)
+    if len(value) > MAX_ATTEMPTS_BYTES:
+        value = msgspec.json.encode([one._replace(server_id="") for one in attempts])
+    return ATTEMPTS_HEADER, value
+
+
+def decode_attempts(
+    headers: Sequence[tuple[bytes, bytes]],
+) -> result.Result[tuple[relaying.ServerAttempt, ...], str]:
+    """Decode the attempts that the serving node has made.
+
+    Args:
+        headers: Headers of an informational response; names in lower case.
+
+    Returns:
+        The attempts, or why they can't be decoded.
+    """
+    for name, value in headers:
+        if name == ATTEMPTS_HEADER:
+            if len(value) > MAX_ATTEMPTS_BYTES:
+                return result.Err(f"header has {len(value)} bytes")
+            try:
+                attempts = msgspec.json.decode(value, type=tuple[relaying.ServerAttempt, ...])
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                return result.Err(f"header can't be decoded: {error}")
+            return result.Ok(attempts)
+    return result.Err("header is missing")
+
+
 def without_header(request: forwarding.CallerRequest) -> forwarding.CallerRequest:
     """Return a request without the header of `encode`.
 
--- a/src/dragonflycove/gateway/relay_listener.py
+++ b/src/dragonflycove/gateway/relay_listener.py
@@ -7,7 +7,7 @@
 import result
 
 from dragonflycove.fleet import catalog, forwarding, relaying
-from dragonflycove.gateway import caller_responses, callers, relay_codec
+from dragonflycove.gateway import caller_responses, callers, relay_codec, relay_reports
 from dragonflycove.telemetry import logs
 
 if TYPE_CHECKING:
@@ -101,6 +101,9 @@
         self._active += 1
         try:
             response.refusal_header = relay_codec.REFUSAL_HEADER
+            response.informs = True
+            # States that this node reports its attempts before it has made any.
+            relay_reports.send(response, ())
             await self._forwarder.serve_relayed(
                 relay_codec.without_header(request), relayed, response
             )
--- a/src/dragonflycove/gateway/relay_sends.py
+++ b/src/dragonflycove/gateway/relay_sends.py
@@ -21,9 +21,11 @@
         caller_responses,
         connection_pool,
         reach_watch,
+        relay_reports,
         request_context,
     )
     from dragonflycove.telemetry import fleet_metrics
+    from dragonflycove.transport import http1
 
 MAX_TRIED_PEERS = 4
 """Nodes to which one request is offered at most."""
@@ -81,6 +83,7 @@
         self._bodies = response_bodies.ResponseBodies()
         self._relayed_count_by_host: collections.Counter[str] = collections.Counter()
         self._silent_until_by_node: dict[peer_reach.NodeKey, float] = {}
+        self._reporting_nodes: set[peer_reach.NodeKey] = set()
         self.relayed = 0
         """Requests that were sent to other nodes so far."""
 
@@ -90,6 +93,7 @@
         relayed: relaying.RelayedRequest,
         response: caller_responses.CallerResponse,
         progress: send_values.StreamProgress,
+        report: relay_reports.AttemptReport,
         wait_for_move: Callable[[], Coroutine[None, None, None]],
     ) -> send_values.AttemptResult:
         """Offer a request to other nodes in turn, until one serves it or has a final response.
@@ -99,6 +103,7 @@
             relayed: What the serving node needs to know beside the request.
             response: The response to the caller.
             progress: Position in the caller's stream over all attempts.
+            report: Takes what the last of these nodes reports of its attempts.
             wait_for_move: Returns once the request may leave a silent node for another one.
 
         Returns:
@@ -111,7 +116,12 @@
             if peer is None:
                 break
             tried.add(peer.host)
-            outcome = await self._offer(peer, context, relayed, response, progress, wait_for_move)
+            outcome = await self._offer(
+                peer, context, relayed, response, progress, report, wait_for_move
+            )
+            report.is_complete = (
+                outcome.refusal is not None or outcome.end is forwarding.AttemptEnd.ERROR_STATUS
+            )
             logs.event(
                 "relayed",
                 request=context.request.attempt_id,
@@ -155,6 +165,7 @@
         relayed: relaying.RelayedRequest,
         response: caller_responses.CallerResponse,
         progress: send_values.StreamProgress,
+        report: relay_reports.AttemptReport,
         wait_for_move: Callable[[], Coroutine[None, None, None]],
     ) -> send_values.AttemptResult:
         """Send a request to one node, and relay its response."""
@@ -173,6 +184,9 @@
                     failure=taken.err_value,
                 )
             connection = taken.ok_value
+            key = peer_reach.NodeKey(peer.host, peer.incarnation)
+            report.begin(is_expected=key in self._reporting_nodes)
+            connection.on_informational = lambda head: self._on_informational(key, report, head)
             exchange = _RelayExchange(
                 context,
                 send_values.ExchangeCallbacks(
@@ -201,12 +215,24 @@
                     )
                 )
             finally:
+                connection.on_informational = None
                 if not exchange.is_pooled:
                     connection.close()
         finally:
             self._relayed_count_by_host[peer.host] -= 1
             self._relayed_count_by_host += collections.Counter()
 
+    def _on_informational(
+        self, key: peer_reach.NodeKey, report: relay_reports.AttemptReport, head: http1.Head
+    ) -> None:
+        """Take over a report of attempts, and remember that the node sends them."""
+        if not report.receive(head) or key in self._reporting_nodes:
+            return
+        now = asyncio.get_running_loop().time()
+        members = (one.member for one in self._nodes.alive(now))
+        running = {peer_reach.NodeKey(one.host, one.incarnation) for one in members}
+        self._reporting_nodes = (self._reporting_nodes & running) | {key}
+
     async def _wait_for_move(
         self,
         peer: roster.Member,
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from dragonflycove.fleet import event_stream, forwarding
+from dragonflycove.fleet import event_stream, forwarding, relaying
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     from dragonflycove.fleet import server_health, work
-    from dragonflycove.gateway import request_context
+    from dragonflycove.gateway import relay_reports, request_context
 
 
 class FallbackResponse(NamedTuple):
@@ -118,10 +118,13 @@
             context: The request.
         """
         relayed = context.relayed
+        self._route = context.route
         self.progress = StreamProgress(context.request.last_event_number)
         """Position in the caller's stream."""
         self.attempt_ends = list(relayed.attempt_ends if relayed else ())
         """How the attempts ended, those made by the node that relays the request first."""
+        self.own_attempts: list[relaying.ServerAttempt] = []
+        """The attempts of this node, the running one last."""
         self._inherited_count = len(self.attempt_ends)
         self.excluded = list(relayed.excluded if relayed else ())
         """Ids of servers that must not get the request again."""
@@ -139,6 +142,54 @@
         """Whether the running attempt's server was reported as silent."""
         self.charged_at: float | None = None
         """Loop time at which a retry was charged that has not been sent; None if there is none."""
+        self.relay_report: relay_reports.AttemptReport | None = None
+        """The attempts of the node that serves the request at present; None if this node does."""
+
+    def begin_attempt(self, server_id: str) -> None:
+        """Record that this node begins an attempt.
+
+        Args:
+            server_id: Id of the server.
+        """
+        self.own_attempts.append(relaying.ServerAttempt(server_id, None))
+
+    def end_attempt(self, end: forwarding.AttemptEnd) -> None:
+        """Record how the attempt that this node has begun last ended.
+
+        Args:
+            end: How it ended.
+        """
+        self.own_attempts[-1] = self.own_attempts[-1]._replace(end=end)
+
+    def cancel_attempt(self) -> None:
+        """Record that the attempt that this node has begun last was not made."""
+        del self.own_attempts[-1]
+
+    def add_relayed(self, end: forwarding.AttemptEnd) -> forwarding.AttemptEnd:
+        """Count the attempts of the node that has served the request, all but the last.
+
+        Args:
+            end: How the request ended there.
+
+        Returns:
+            How the last attempt ended.
+        """
+        report, self.relay_report = self.relay_report, None
+        if report is None:
+            return end
+        for attempt in report.attempts or ():
+            if attempt.server_id:
+                self.exclude(attempt.server_id, attempt.end or end)
+        *earlier, last = report.ends(end, self._route)
+        self.attempt_ends.extend(earlier)
+        return last
+
+    def ends_after_silence(self) -> list[forwarding.AttemptEnd]:
+        """Return how all attempts end if the running one is given up as silent."""
+        end = forwarding.AttemptEnd.TIMEOUT
+        if self.relay_report is None:
+            return [*self.attempt_ends, end]
+        return [*self.attempt_ends, *self.relay_report.ends(end, self._route)]
 
     def exclude(self, server_id: str, end: forwarding.AttemptEnd) -> None:
         """Leave out a server for the next attempts.
--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -16,6 +16,8 @@
 import result
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from dragonflycove.fleet import catalog
 
 READ_BYTES = 65_536
@@ -152,6 +154,8 @@
         """Number of responses that were read to their end."""
         self.refused_request_ids: set[str] = set()
         """Ids of requests that the server has refused on it, and may refuse once more unasked."""
+        self.on_informational: Callable[[Head], None] | None = None
+        """Called with each informational (1xx) response; None if they are ignored."""
 
     @classmethod
     async def open(
@@ -231,7 +235,7 @@
         return transport is not None and transport.get_write_buffer_size() == 0
 
     async def read_head(self) -> result.Result[Head, ReadFailure]:
-        """Read the head of the next response; informational (1xx) responses are skipped.
+        """Read the head of the next response; informational (1xx) responses precede it.
 
         Returns:
             The head, or why it could not be read.
@@ -244,6 +248,8 @@
                 return result.Ok(Head(event.status_code, tuple(event.headers)))
             if not isinstance(event, h11.InformationalResponse):
                 return result.Err(ReadFailure.CLOSED)
+            if self.on_informational is not None:
+                self.on_informational(Head(event.status_code, tuple(event.headers)))
         return result.Err(ReadFailure.MALFORMED)
 
     async def read_body_chunk(self) -> result.Result[bytes, ReadFailure] | None:
