--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -259,7 +259,14 @@
         state.attempt_ends.append(end)
         state.is_delivered = outcome.end is forwarding.AttemptEnd.DELIVERED
         state.fallback = outcome.fallback or state.fallback
-        if state.is_delivered or forwarding.may_retry(outcome.end, context.route):
+        # The relaying node resumes a stream that has started, as it can't be told of the attempts.
+        is_returned = (
+            context.relayed is not None
+            and state.progress.first_head is not None
+            and forwarding.is_counted(end)
+        )
+        may_retry = forwarding.may_retry(outcome.end, context.route) and not is_returned
+        if state.is_delivered or may_retry:
             return None
         return forwarding.final_response(
             state.attempt_ends,
@@ -557,7 +564,8 @@
         A started stream is cut off; a server's failure response is preferred to this node's own.
         """
         if response.is_started:
-            logs.event("stream_cut", request=context.request.attempt_id, reason=final.reason)
+            kind = "stream_cut" if context.relayed is None else "stream_returned"
+            logs.event(kind, request=context.request.attempt_id, reason=final.reason)
             response.abort()
             return
         if fallback is not None:
--- a/tests/gateway/test_relayed_attempts.py
+++ b/tests/gateway/test_relayed_attempts.py
@@ -101,6 +101,32 @@
     assert all(len(set(ids)) == len(ids) for ids in servers)
 
 
+@pytest.mark.parametrize(
+    "fault", [server_faults.Fault.TRUNCATED, server_faults.Fault.STALLED_STREAM]
+)
+async def test_a_relayed_stream_is_not_resumed_more_often_than_its_route_allows(
+    fault: server_faults.Fault,
+) -> None:
+    async with _cut_node() as system:
+        _fail_all(system, fault)
+        responses, servers = await _call_all(system, "/ask/x", 6_000)
+    assert not any(one.is_complete for one in responses)
+    assert max(len(ids) for ids in servers) <= MAX_ATTEMPTS
+
+
+@pytest.mark.parametrize(
+    "fault", [server_faults.Fault.TRUNCATED, server_faults.Fault.STALLED_STREAM]
+)
+async def test_a_relayed_stream_is_resumed_where_it_broke_off(fault: server_faults.Fault) -> None:
+    async with _cut_node() as system:
+        system.fail_first(fault)
+        response = await system.call("/ask/x", deadline_ms=6_000)
+        servers = _servers_of(system, "a1")
+    assert (response.status, response.is_complete) == (200, True)
+    assert response.body == b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 6))
+    assert len(servers) == len(set(servers)) == MAX_ATTEMPTS
+
+
 async def _wait_for_last_attempt(system: deployment.Deployment) -> None:
     """Wait until some request has run as often as its route allows."""
     for _ in range(200):
