--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -213,7 +213,6 @@
         decision = placed.grant
         attempt = crash_watch.WatchedAttempt(decision.lead, context)
         state.begin_attempt(decision.lead.instance.server_id)
-        relay_reports.send(response, state.own_attempts)
         outcome = await self._run_attempt(attempt, placed, response, state)
         end = await self._crashes.classify_end(attempt, outcome)
         is_untried = self._reach.is_unreached(context.service) or self._rest_gate.is_resting(
@@ -453,6 +452,7 @@
                     on_first_event=lambda: self._request_placer.on_first_event(job.key),
                     wait_for_move=lambda: self._wait_for_move(context, state, placed),
                 ),
+                on_sending=lambda: relay_reports.send(response, state.own_attempts),
             )
             outcome = await self._sender.send(context, plan, response, progress)
             server_outcome = await self._judge_server(context, outcome, started_at)
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -107,6 +107,9 @@
     callbacks: ExchangeCallbacks
     """What the exchange with the server calls."""
 
+    on_sending: Callable[[], None] = lambda: None
+    """Called right before the request is sent."""
+
 
 class RequestState:
     """What all attempts of one request have led to so far."""
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -102,6 +102,7 @@
             self._bodies,
             self._meter,
         )
+        plan.on_sending()
         try:
             return await exchange.run(exchange.encode(seconds_left))
         finally:
--- a/tests/gateway/test_relayed_attempts.py
+++ b/tests/gateway/test_relayed_attempts.py
@@ -269,3 +269,14 @@
     server._encode_response = (  # type: ignore[method-assign] # noqa: SLF001
         lambda *args, **options: data + encode(*args, **options)
     )
+
+
+async def test_attempts_that_are_not_sent_don_t_exhaust_the_reports_of_a_request() -> None:
+    async with _cut_node() as system:
+        for node in system.nodes[1:]:
+            # Asked twice for each attempt: before it is sent, and after it was not.
+            answers = iter([True] * 4 * http1.MAX_INFORMATIONAL_RESPONSES)
+            gate = node._forwarder._rest_gate  # noqa: SLF001
+            gate.is_resting = lambda _, answers=answers: next(answers, False)  # type: ignore[method-assign]
+        response = await system.call("/look/x")
+    assert response.status == 200
