--- a/src/dragonflycove/cli/explain_command.py
+++ b/src/dragonflycove/cli/explain_command.py
@@ -38,6 +38,7 @@
     "servers_unreached": "no node that was asked reached a server of the service",
     "relay_busy": "the other node served as many relayed requests as it takes",
     "unknown_node": "the other node did not know the one that relayed the request",
+    "not_relayed": "the other node could not read what it was told of the request",
     "configuration_differs": "the other node's configuration was older or did not fit the request",
     "out_of_time": "the deadline or the route's timeout was reached",
     "servers_refused": "every server that was tried refused the request",
--- a/src/dragonflycove/fleet/relaying.py
+++ b/src/dragonflycove/fleet/relaying.py
@@ -28,6 +28,9 @@
 UNKNOWN_NODE = "unknown_node"
 """Reason of a refusal: the node doesn't know the one that relays, as it may have just started."""
 
+NOT_RELAYED = "not_relayed"
+"""Reason of a refusal: the node can't decode what the one that relays tells of the request."""
+
 STOPPING = "stopping"
 """Reason of a refusal: the node is stopping."""
 
@@ -38,7 +41,15 @@
 """Reason for which a connection is ended: its caller made no progress."""
 
 RETRIED_ELSEWHERE = frozenset(
-    {SERVERS_UNREACHED, RELAY_BUSY, CONFIGURATION_DIFFERS, UNKNOWN_NODE, STOPPING, NODE_MEMORY}
+    {
+        SERVERS_UNREACHED,
+        RELAY_BUSY,
+        CONFIGURATION_DIFFERS,
+        UNKNOWN_NODE,
+        NOT_RELAYED,
+        STOPPING,
+        NODE_MEMORY,
+    }
 )
 """Reasons that concern the refusing node alone; another one may serve the request."""
 
--- a/src/dragonflycove/gateway/relay_listener.py
+++ b/src/dragonflycove/gateway/relay_listener.py
@@ -84,10 +84,11 @@
             request: The request.
             response: The response to it.
         """
+        response.refusal_header = relay_codec.REFUSAL_HEADER
         decoded = relay_codec.decode(request.headers)
         if isinstance(decoded, result.Err):
             logs.warning("relayed_request_rejected", why=decoded.err_value)
-            await response.write_refusal(forwarding.FinalResponse(400, "not_relayed", None))
+            await response.write_refusal(forwarding.FinalResponse(400, relaying.NOT_RELAYED, None))
             return
         relayed = decoded.ok_value
         member = self._nodes.member(relayed.host, relayed.incarnation)
@@ -100,7 +101,6 @@
             return
         self._active += 1
         try:
-            response.refusal_header = relay_codec.REFUSAL_HEADER
             response.informs = True
             # States that this node reports its attempts before it has made any.
             relay_reports.send(response, ())
@@ -111,5 +111,4 @@
             self._active -= 1
 
     async def _refuse(self, response: caller_responses.CallerResponse, reason: str) -> None:
-        response.refusal_header = relay_codec.REFUSAL_HEADER
         await response.write_refusal(forwarding.FinalResponse(503, reason, RETRY_AFTER_SECONDS))
--- a/src/dragonflycove/gateway/relay_sends.py
+++ b/src/dragonflycove/gateway/relay_sends.py
@@ -301,12 +301,11 @@
         if reason is None:
             return await super()._handle_head(head)
         await self._discard_body(head)
+        # What a node can't read concerns the two nodes, not the caller.
+        status = 503 if reason == relaying.NOT_RELAYED else head.status
         # Only 503 states that the request did not run and never will.
-        is_not_executed = head.status == 503
-        end = (
-            forwarding.AttemptEnd.NOT_EXECUTED if is_not_executed else forwarding.AttemptEnd.BROKEN
-        )
-        refusal = forwarding.FinalResponse(head.status, reason, head.retry_after_seconds)
+        end = forwarding.AttemptEnd.NOT_EXECUTED if status == 503 else forwarding.AttemptEnd.BROKEN
+        refusal = forwarding.FinalResponse(status, reason, head.retry_after_seconds)
         return send_values.AttemptResult(end, server_health.Outcome.ABANDONED, refusal=refusal)
 
 
--- a/tests/gateway/test_relayed_attempts.py
+++ b/tests/gateway/test_relayed_attempts.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from dragonflycove.fleet import forwarding
+    from dragonflycove.gateway import caller_responses, daemon
     from dragonflycove.standins.platform import server as platform_server
 
 pytestmark = pytest.mark.asyncio
@@ -280,3 +282,28 @@
             gate.is_resting = lambda _, answers=answers: next(answers, False)  # type: ignore[method-assign]
         response = await system.call("/look/x")
     assert response.status == 200
+
+
+async def test_a_node_that_can_t_read_what_it_is_told_leaves_a_request_to_another_one() -> None:
+    async with _cut_node() as system:
+        _refuse_to_decode(system.nodes[1])
+        responses, servers = await _call_all(system, "/post/x")
+        _refuse_to_decode(system.nodes[2])
+        refused, refused_servers = await _call_all(system, "/look/x")
+    assert [one.status for one in responses] == [200] * CALLS
+    assert [len(ids) for ids in servers] == [1] * CALLS
+    assert [one.status for one in refused] == [503] * CALLS
+    assert refused_servers == servers
+
+
+def _refuse_to_decode(node: daemon.Daemon) -> None:
+    """Let a node take all relayed requests for malformed, as one of another build may."""
+    relays = node._relays  # noqa: SLF001
+    serve = relays.serve
+
+    async def serve_malformed(
+        request: forwarding.CallerRequest, response: caller_responses.CallerResponse
+    ) -> None:
+        await serve(request._replace(headers=()), response)
+
+    relays.serve = serve_malformed  # type: ignore[method-assign]
