--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from dragonflycove.fleet import forwarding, relaying, server_health, work
 from dragonflycove.gateway import (
     crash_watch,
+    relay_reports,
     request_context,
     reservations,
     rest_gate,
@@ -189,6 +190,7 @@
                     return
         finally:
             self._moves.release(context, state)
+        relay_reports.send(response, state.own_attempts)
         await self._write_final_response(context, response, state.fallback, final)
 
     async def _run_at_server(
@@ -210,6 +212,7 @@
         charged_at, state.charged_at = state.charged_at, None
         decision = placed.grant
         attempt = crash_watch.WatchedAttempt(decision.lead, context)
+        state.begin_attempt(decision.lead.instance.server_id)
         outcome = await self._run_attempt(attempt, placed, response, state)
         end = await self._crashes.classify_end(attempt, outcome)
         is_untried = self._reach.is_unreached(context.service) or self._rest_gate.is_resting(
@@ -218,7 +221,9 @@
         if end is forwarding.AttemptEnd.NOT_SENT and is_untried:
             # The path failed, not the server, or the server rests; nothing was attempted.
             state.charged_at = charged_at
+            state.cancel_attempt()
             return None
+        state.end_attempt(end)
         state.exclude(outcome.refusing_helper_id or decision.lead.instance.server_id, end)
         if outcome.is_success:
             self._crashes.on_answered(context)
@@ -253,7 +258,14 @@
         state.attempt_ends.append(end)
         state.is_delivered = outcome.end is forwarding.AttemptEnd.DELIVERED
         state.fallback = outcome.fallback or state.fallback
-        if state.is_delivered or forwarding.may_retry(outcome.end, context.route):
+        # The relaying node resumes a stream that has started, as it can't be told of the attempts.
+        is_returned = (
+            context.relayed is not None
+            and state.progress.first_head is not None
+            and forwarding.is_counted(end)
+        )
+        may_retry = forwarding.may_retry(outcome.end, context.route) and not is_returned
+        if state.is_delivered or may_retry:
             return None
         return forwarding.final_response(
             state.attempt_ends,
@@ -288,17 +300,19 @@
             attempt_ends=tuple(state.attempt_ends),
             excluded=tuple(state.excluded),
         )
+        state.relay_report = relay_reports.AttemptReport()
         outcome = await self._relay_sender.send(
             context,
             relayed,
             response,
             state.progress,
+            state.relay_report,
             lambda: self._moves.wait_until_allowed(context, state),
         )
         if _is_worth_waiting(context, state, outcome, loop.time()):
             await asyncio.sleep(UNREACHED_PAUSE_SECONDS)
             return None
-        final = self._end_attempt(context, state, outcome, outcome.end)
+        final = self._end_attempt(context, state, outcome, state.add_relayed(outcome.end))
         is_proven = all(end in forwarding.PROVEN_NOT_EXECUTED for end in state.attempt_ends)
         if outcome.refusal is not None and (outcome.refusal.status != 503 or is_proven):
             return outcome.refusal
@@ -438,6 +452,7 @@
                     on_first_event=lambda: self._request_placer.on_first_event(job.key),
                     wait_for_move=lambda: self._wait_for_move(context, state, placed),
                 ),
+                on_sending=lambda: relay_reports.send(response, state.own_attempts),
             )
             outcome = await self._sender.send(context, plan, response, progress)
             server_outcome = await self._judge_server(context, outcome, started_at)
@@ -549,7 +564,8 @@
         A started stream is cut off; a server's failure response is preferred to this node's own.
         """
         if response.is_started:
-            logs.event("stream_cut", request=context.request.attempt_id, reason=final.reason)
+            kind = "stream_cut" if context.relayed is None else "stream_returned"
+            logs.event(kind, request=context.request.attempt_id, reason=final.reason)
             response.abort()
             return
         if fallback is not None:
