--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -27,6 +27,9 @@
 """Age added to state fetched from another node, for the time in transit."""
 
 
+_READ_BY_LISTING = frozenset({store.Failure.EXPIRED, store.Failure.TOO_LONG})
+"""Failures of a read after which the topic is listed, in pages, instead."""
+
 STALE_READ_SECONDS = 3.5
 """Time by which a response of the store may lag behind; the specification has stale reads of 3 s."""
 
@@ -93,8 +96,13 @@
         client = self._client_by_topic[position.topic]
         read = await client.read(position.topic, position.next_offset)
         if isinstance(read, result.Err):
-            if read.err_value is store.Failure.EXPIRED:
-                logs.event("history_gone", topic=position.topic, offset=position.next_offset)
+            if read.err_value in _READ_BY_LISTING:
+                logs.event(
+                    "history_gone",
+                    topic=position.topic,
+                    offset=position.next_offset,
+                    failure=read.err_value.value,
+                )
                 position.needs_listing = True
                 return await self._read_all(position, started_at)
             self._on_failure(position, read.err_value)
--- a/src/dragonflycove/measure/soak/crashes.py
+++ b/src/dragonflycove/measure/soak/crashes.py
@@ -37,6 +37,9 @@
 CALLER_DEADLINE_SECONDS = 4.0
 """Deadline of each resend."""
 
+MAX_RESPONSE_BYTES = 1_048_576
+"""Maximum size of a response; the stand-in's have a few hundred bytes."""
+
 MAX_PAUSE_SECONDS = 0.6
 """Maximum pause between two resends."""
 
@@ -201,7 +204,7 @@
         method = b"GET" if self._kind == "look" else b"POST"
         try:
             connection.send(http1.Request(method, target.encode(), tuple(headers), b""))
-            response = await connection.read_response()
+            response = await connection.read_response(MAX_RESPONSE_BYTES)
         finally:
             connection.close()
         if isinstance(response, result.Ok):
--- a/src/dragonflycove/measure/soak/node_process.py
+++ b/src/dragonflycove/measure/soak/node_process.py
@@ -19,6 +19,9 @@
 CALLER_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 8_227, 8_220, 8_224, 7_340
 """Ports of every node, as on the platform; nodes differ in their loopback addresses."""
 
+MEMORY_MB = 300
+"""Memory of a node's host in its settings, megabytes."""
+
 HEARTBEAT_INTERVAL_SECONDS = 0.8
 """Heartbeat interval in the nodes' settings."""
 
@@ -32,14 +35,18 @@
 class Node:
     """A node process with its settings and log."""
 
-    def __init__(self, number: int, folder: pathlib.Path, block: int) -> None:
+    def __init__(
+        self, number: int, folder: pathlib.Path, block: int, memory_mb: int = MEMORY_MB
+    ) -> None:
         """Create a node without a process.
 
         Args:
             number: Number of the node, from 0.
             folder: Folder for its settings and log.
             block: Second byte of its loopback address; soaks with different blocks can run at once.
+            memory_mb: Memory of its host, megabytes.
         """
+        self._memory_mb = memory_mb
         self.ip = f"127.{block}.1.{number + 1}"
         self.name = f"n{number}"
         self.zone = f"z{number % 2}"
@@ -66,7 +73,12 @@
             },
             "internal_port_range": [PEER_PORT, PEER_PORT + 15],
             "contracts": ["base", "pressure"],
-            "limits": {"cpu_share": 1.0, "cpu_cores": 1, "memory_mb": 300, "link_mbps": 1000},
+            "limits": {
+                "cpu_share": 1.0,
+                "cpu_cores": 1,
+                "memory_mb": self._memory_mb,
+                "link_mbps": 1000,
+            },
             "heartbeat_ms": int(HEARTBEAT_INTERVAL_SECONDS * 1000),
             "bounds": {"grace_s": STOP_GRACE_SECONDS, "retry_allowance": 100},
             "platform": {"address": str(self.store_address)},
@@ -104,6 +116,12 @@
         if self.is_running and self._process is not None:
             self._process.send_signal(signal_number)
 
+    @property
+    def process_id(self) -> int:
+        """Id of the process, which must have been started."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
--- a/src/dragonflycove/platform/store.py
+++ b/src/dragonflycove/platform/store.py
@@ -25,6 +25,12 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Timeout for opening a connection; a healthy store accepts within a few milliseconds."""
 
+MAX_RESPONSE_BYTES = 4_194_304
+"""Maximum size of a response; the store ends a page of a listing at a quarter of it."""
+
+MAX_LISTING_BYTES = 33_554_432
+"""Maximum size of all pages of a listing; a topic of some hundred servers has under a megabyte."""
+
 _BATCH_HEADER = struct.Struct(">QQ")
 """Header of a read's response: end offset and first retained offset of the topic."""
 
@@ -54,6 +60,9 @@
     MALFORMED = "malformed"
     """The response can't be decoded."""
 
+    TOO_LONG = "too_long"
+    """The response, or a listing's pages together, are longer than the client takes."""
+
 
 class Record(NamedTuple):
     """A record of a keyed topic."""
@@ -138,11 +147,15 @@
         first_end: int | None = None
         target = f"/log-newest?topic={topic}&part=0"
         after = ""
+        size = 0
         while True:
             query = f"&after={urllib.parse.quote(after, safe='')}" if after else ""
             response = await self._call("GET", target + query, b"", CALL_TIMEOUT_SECONDS)
             if isinstance(response, result.Err):
                 return response
+            size += len(response.ok_value)
+            if size > MAX_LISTING_BYTES:
+                return result.Err(Failure.TOO_LONG)
             try:
                 page = json.loads(response.ok_value)
                 for entry in page["entries"]:
@@ -151,6 +164,8 @@
                     after = entry["key"]
                 first_end = int(page["end"]) if first_end is None else first_end
                 has_more = bool(page.get("has_more"))
+                if has_more and not page["entries"]:
+                    raise ValueError("a page without records is not the last one")
             except _MALFORMED:
                 return result.Err(Failure.MALFORMED)
             if not has_more:
@@ -222,11 +237,12 @@
         if method == "POST":
             headers.append((b"Content-Length", str(len(body)).encode()))
         connection.send(http1.Request(method.encode(), target.encode(), tuple(headers), body))
-        response = await connection.read_response()
+        response = await connection.read_response(MAX_RESPONSE_BYTES)
         if isinstance(response, result.Err) or not connection.prepare_for_reuse():
             self.close()
         if isinstance(response, result.Err):
-            return result.Err(Failure.UNREACHABLE)
+            is_too_long = response.err_value is http1.ReadFailure.TOO_LONG
+            return result.Err(Failure.TOO_LONG if is_too_long else Failure.UNREACHABLE)
         head, content = response.ok_value
         return _check_status(head.status, content)
 
--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -49,6 +49,9 @@
     MALFORMED = "malformed"
     """The server sent bytes that are not a valid HTTP response."""
 
+    TOO_LONG = "too_long"
+    """The body is longer than the caller of the method takes."""
+
 
 class Head(NamedTuple):
     """Status and headers of a response."""
@@ -264,12 +267,12 @@
         return result.Err(ReadFailure.CLOSED)
 
     async def read_response(
-        self, max_body_bytes: float = float("inf")
+        self, max_body_bytes: int
     ) -> result.Result[tuple[Head, bytes], ReadFailure]:
         """Read a complete response.
 
         Args:
-            max_body_bytes: Size of the body from which on the response counts as malformed.
+            max_body_bytes: Maximum size of the body.
 
         Returns:
             Its head and body, or why it is incomplete.
@@ -277,16 +280,14 @@
         head = await self.read_head()
         if isinstance(head, result.Err):
             return head
-        chunks = []
-        size = 0
+        body = bytearray()
         while (chunk := await self.read_body_chunk()) is not None:
             if isinstance(chunk, result.Err):
                 return chunk
-            chunks.append(chunk.ok_value)
-            size += len(chunk.ok_value)
-            if size > max_body_bytes:
-                return result.Err(ReadFailure.MALFORMED)
-        return result.Ok((head.ok_value, b"".join(chunks)))
+            body += chunk.ok_value
+            if len(body) > max_body_bytes:
+                return result.Err(ReadFailure.TOO_LONG)
+        return result.Ok((head.ok_value, bytes(body)))
 
     def expect_another_response(self) -> bool:
         """Prepare to read another response to the current request.
--- a/tests/gateway/test_store_follower.py
+++ b/tests/gateway/test_store_follower.py
@@ -41,6 +41,27 @@
         store.close()
 
 
+async def test_records_that_are_too_long_for_one_response_are_listed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_client, "MAX_RESPONSE_BYTES", 10_000)
+    store = platform_store.PlatformStore()
+    address = deployment.loopback()
+    await store.open_listener(address)
+    follower = store_follower.StoreFollower(address, store_view.StoreView(), lambda: 1.0)
+    position = follower.servers
+    now = asyncio.get_running_loop().time()
+    try:
+        await follower._read_once(position, now)  # noqa: SLF001
+        for number in range(20):
+            store.put("keyed.servers", "s1", {"x": f"{number}" * 1_000})
+        assert await follower._read_once(position, now + 1.0)  # noqa: SLF001
+    finally:
+        store.close()
+    assert position.next_offset == 20
+    assert position.fresh_as_of == now + 1.0
+
+
 class SlowClient:
     """Stands for the client of the store; its responses arrive when the test lets them."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+
 import cbor2
 import pytest
 import result
@@ -173,3 +176,39 @@
     monkeypatch.setattr(client, "_exchange", exchange)
     assert (await client.read_newest("keyed.op")).unwrap_err() is store.Failure.MALFORMED
     assert (await client.append("keyed.op", "k", b"")).unwrap_err() is store.Failure.MALFORMED
+
+
+async def test_a_response_beyond_the_limit_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A store in trouble sent bytes without end, and the node kept them until the call timed out."""
+    monkeypatch.setattr(store, "MAX_RESPONSE_BYTES", 10_000)
+    async with StoreAndClient() as fixture:
+        for number in range(20):
+            fixture.store.put("keyed.servers", f"s{number}", "x" * 1_000)
+        read = await fixture.client.read("keyed.servers", 0)
+        listed = await fixture.client.read_newest("keyed.servers")
+        rest = await fixture.client.read("keyed.servers", 15)
+    assert read.unwrap_err() is store.Failure.TOO_LONG
+    assert listed.unwrap_err() is store.Failure.TOO_LONG
+    assert len(rest.unwrap().records) == 5
+
+
+@pytest.mark.parametrize("page_records", [0, 500])
+async def test_a_listing_without_a_last_page_ends(
+    page_records: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store, "MAX_LISTING_BYTES", 1_000_000)
+    pages = 0
+
+    async def exchange(*_: object) -> result.Result[bytes, store.Failure]:
+        nonlocal pages
+        pages += 1
+        await asyncio.sleep(0)
+        entries = [{"key": f"{pages}/{n}", "value": "", "offset": n} for n in range(page_records)]
+        page = {"entries": entries, "has_more": True, "end": 1}
+        return result.Ok(json.dumps(page).encode())
+
+    client = store.StoreClient(deployment.loopback())
+    monkeypatch.setattr(client, "_exchange", exchange)
+    async with asyncio.timeout(5.0):
+        failure = (await client.read_newest("keyed.op")).unwrap_err()
+    assert failure is (store.Failure.TOO_LONG if page_records else store.Failure.MALFORMED)
