--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -21,6 +21,12 @@
 READ_BYTES = 65_536
 """Maximum bytes per read from a socket."""
 
+RESPONSE_READ_BYTES = 16_384
+"""Maximum bytes of a response that are parsed in one turn of the event loop."""
+
+MAX_EVENTS_PER_TURN = 64
+"""Maximum parts of a response, such as chunks, that are parsed in one turn of the event loop."""
+
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response's status line and headers."""
 
@@ -144,6 +150,7 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._write_task: asyncio.Task[None] | None = None
         self._request: Request | None = None
+        self._events_in_turn = 0
         self.idle_since = 0.0
         """Loop time at which the last response was complete; 0 before the first response."""
         self.idle_timeout_seconds: float | None = None
@@ -334,6 +341,11 @@
         self._writer.transport.abort()
 
     async def _next_event(self) -> h11.Event | ReadFailure:
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            # Reading doesn't suspend while bytes are buffered.
+            self._events_in_turn = 1
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._parser.next_event()
@@ -341,7 +353,7 @@
                 return ReadFailure.MALFORMED
             if event is h11.NEED_DATA:
                 try:
-                    data = await self._reader.read(READ_BYTES)
+                    data = await self._reader.read(RESPONSE_READ_BYTES)
                 except OSError:
                     return ReadFailure.CLOSED
                 try:
--- a/tests/gateway/endless_servers.py
+++ b/tests/gateway/endless_servers.py
@@ -57,6 +57,7 @@
     "body_with_length": Endless(OK + b"Content-Length: 99999999999\r\n\r\n", b"x"),
     "body_without_length": Endless(OK + b"\r\n", b"x"),
     "chunks": Endless(CHUNKED, b"8000\r\n" + b"x" * 0x8000 + b"\r\n"),
+    "small_chunks": Endless(CHUNKED, b"1\r\nx\r\n"),
     "chunk_size": Endless(CHUNKED, b"0"),
     "chunk_extension": Endless(CHUNKED + b"1;a=", b"x"),
     "trailer_line": Endless(CHUNKED + b"0\r\nX-Long: ", b"x"),
--- a/tests/gateway/test_endless_response_processes.py
+++ b/tests/gateway/test_endless_response_processes.py
@@ -147,7 +147,10 @@
     **{("/look/", name): one for name, one in endless_servers.HEADS.items()},
     **{("/look/", name): one for name, one in endless_servers.BODIES.items()},
     **{("/ask/", name): one for name, one in endless_servers.STREAMS.items()},
-    **{("/ask/", name): endless_servers.BODIES[name] for name in ("failure", "refusal", "crossed")},
+    **{
+        ("/ask/", name): endless_servers.BODIES[name]
+        for name in ("small_chunks", "failure", "refusal", "crossed")
+    },
 }
 """Responses that don't end, by the path of the requests that get them and their name."""
 
@@ -170,6 +173,7 @@
     "body_with_length": endless_servers.BODIES["body_with_length"],
     "body_without_length": endless_servers.BODIES["body_without_length"],
     "chunks": endless_servers.BODIES["chunks"],
+    "small_chunks": endless_servers.BODIES["small_chunks"],
     "head_line": endless_servers.HEADS["head_line"],
     "header_lines": endless_servers.HEADS["header_lines"],
     "trailer_line": endless_servers.BODIES["trailer_line"],
