--- a/src/dragonflycove/fleet/event_stream.py
+++ b/src/dragonflycove/fleet/event_stream.py
@@ -145,3 +145,39 @@
             position: The caller's position.
         """
         return self._last_number is None or self._last_number == position.last_number
+
+
+class NewEvents(NamedTuple):
+    """Events of a stream that its caller lacks."""
+
+    data: bytes
+    """The events."""
+
+    event_count: int
+    """Their number."""
+
+    is_contiguous: bool
+    """Whether no event is missing."""
+
+
+def select_new(events: list[Event], position: StreamPosition, run: ResumedRun | None) -> NewEvents:
+    """Select the events that a caller lacks, up to a missing one, and advance its position.
+
+    Args:
+        events: The next events of a stream.
+        position: The caller's position.
+        run: Checks the events of a later run of the stream; None for its first run.
+    """
+    new_events = []
+    is_contiguous = True
+    for event in events:
+        if run is not None and not run.accepts(event):
+            is_contiguous = False
+            break
+        step = position.advance(event)
+        if step is EventOrder.GAP:
+            is_contiguous = False
+            break
+        if step is EventOrder.NEXT:
+            new_events.append(event.raw)
+    return NewEvents(b"".join(new_events), len(new_events), is_contiguous)
--- a/src/dragonflycove/gateway/exchanges.py
+++ b/src/dragonflycove/gateway/exchanges.py
@@ -323,7 +323,11 @@
                 )
                 self._callbacks.on_first_event()
             self._last_event_at = now
-            if not await self._relay_events(head, events):
+            selected = event_stream.select_new(events, self._progress.position, self._resumed_run)
+            # While the caller is written to or the next event is awaited, only the bytes are kept.
+            events.clear()
+            await self._relay_events(head, selected)
+            if not selected.is_contiguous:
                 return _broken_by_server()
             self._reading_since = loop.time()
             if self._context.route.is_resumable:
@@ -354,30 +358,17 @@
         return result.Ok(None) if chunk is None else chunk
 
     async def _relay_events(
-        self, head: forwarding.ResponseHead, events: list[event_stream.Event]
-    ) -> bool:
-        """Write the events that the caller lacks; returns False if an event number is missing."""
-        new_events = []
-        is_contiguous = True
-        for event in events:
-            if self._resumed_run and not self._resumed_run.accepts(event):
-                is_contiguous = False
-                break
-            step = self._progress.position.advance(event)
-            if step is event_stream.EventOrder.GAP:
-                is_contiguous = False
-                break
-            if step is event_stream.EventOrder.NEXT:
-                new_events.append(event.raw)
-        if new_events:
-            self._progress.relayed_events += len(new_events)
-            self._progress.last_event_at = asyncio.get_running_loop().time()
-            data = b"".join(new_events)
-            if self._response.is_started:
-                await self._response.write_stream(data)
-            else:
-                await self._start_stream(head, data)
-        return is_contiguous
+        self, head: forwarding.ResponseHead, selected: event_stream.NewEvents
+    ) -> None:
+        """Write new events to the caller."""
+        if not selected.event_count:
+            return
+        self._progress.relayed_events += selected.event_count
+        self._progress.last_event_at = asyncio.get_running_loop().time()
+        if self._response.is_started:
+            await self._response.write_stream(selected.data)
+        else:
+            await self._start_stream(head, selected.data)
 
     async def _start_stream(self, head: forwarding.ResponseHead, data: bytes) -> None:
         self._progress.first_head = head
--- a/tests/gateway/endless_servers.py
+++ b/tests/gateway/endless_servers.py
@@ -74,6 +74,9 @@
 STREAMS = {
     "event": Endless(CHUNKED + b"4000000\r\ndata: ", b"x"),
     "event_in_small_chunks": Endless(CHUNKED, b"1\r\nx\r\n"),
+    "empty_events": Endless(OK + b"\r\n", b"\n"),
+    "comments": Endless(OK + b"\r\n", b":\n\n"),
+    "empty_events_then_silence": Endless(OK + b"\r\n" + b"\n" * 250_000, b""),
     "events": Endless(OK + b"\r\n", b"data: x\n\n"),
 }
 """Responses whose events don't end."""
