--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import struct
 
 import cbor2
 import pytest
@@ -212,3 +213,62 @@
     async with asyncio.timeout(5.0):
         failure = (await client.read_newest("keyed.op")).unwrap_err()
     assert failure is (store.Failure.TOO_LONG if page_records else store.Failure.MALFORMED)
+
+
+READ_BODY = struct.pack(">QQ", 7, 5) + b"".join(
+    struct.pack(">I", 5) + b"\x02k%d" % number + b"vv" for number in (5, 6)
+)
+"""Response to a read of two records."""
+
+LISTING_BODY = json.dumps(
+    {
+        "entries": [{"key": f"k{n}", "value": "dnY=", "offset": n} for n in (5, 6)],
+        "has_more": False,
+        "end": 7,
+    }
+).encode()
+"""Response to a listing of two records."""
+
+
+def _framed(body: bytes, framing: str) -> bytes:
+    if framing == "length":
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    if framing == "chunked":
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        return head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    return b"HTTP/1.1 200 OK\r\n\r\n" + body
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "unframed"])
+async def test_a_response_that_is_cut_anywhere_deletes_nothing(framing: str) -> None:
+    """A listing without its end would look like deletions, and a read like fewer records."""
+    response = b""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        writer.close()
+
+    address = deployment.loopback()
+    server = await asyncio.start_server(serve, address.ip, address.port)
+    async with server:
+        client = store.StoreClient(address)
+        listing, batch = _framed(LISTING_BODY, framing), _framed(READ_BODY, framing)
+        for size in range(len(listing)):
+            response = listing[:size]
+            assert (await client.read_newest("keyed.servers")).is_err(), response
+        for size in range(len(batch)):
+            response = batch[:size]
+            read = await client.read("keyed.servers", 5)
+            if framing != "unframed":
+                assert read.is_err(), response
+            elif read.is_ok():
+                cut = read.unwrap()
+                assert (cut.end, cut.next_offset) == (7, 5 + len(cut.records))
+                assert len(cut.records) < 2
+        response = listing
+        assert len((await client.read_newest("keyed.servers")).unwrap().records) == 2
+        client.close()
+        response = batch
+        assert len((await client.read("keyed.servers", 5)).unwrap().records) == 2
+        client.close()
--- a/tests/transport/test_http1.py
+++ b/tests/transport/test_http1.py
@@ -71,3 +71,58 @@
     counting.cancel()
     assert read.unwrap()[1] == b"x" * chunks
     assert turns >= MIN_TURNS
+
+
+WHOLE_BY_FRAMING = {
+    "length": HEAD + b"Content-Length: 5\r\n\r\nwhole",
+    "chunked": HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n",
+    "trailer": HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-A: b\r\n\r\n",
+    "no_content": b"HTTP/1.1 204 No Content\r\nX-Server-Stamp: s\r\n\r\n",
+    "not_modified": b"HTTP/1.1 304 Not Modified\r\nX-Server-Stamp: s\r\nContent-Length: 5\r\n\r\n",
+    "informational": b"HTTP/1.1 102 Processing\r\n\r\n" + HEAD + b"Content-Length: 5\r\n\r\nwhole",
+    "bare_line_feeds": (HEAD + b"Content-Length: 5\r\n\r\nwhole").replace(b"\r\n", b"\n"),
+    "length_last": HEAD + b"X-A: b\r\nContent-Length: 5\r\n\r\nwhole",
+}
+"""Complete responses by how their end is known."""
+
+
+def end_input(reader: asyncio.StreamReader, *, is_reset: bool) -> None:
+    """Let a server end its connection."""
+    if is_reset:
+        reader.set_exception(ConnectionResetError())
+    else:
+        reader.feed_eof()
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("framing", WHOLE_BY_FRAMING)
+async def test_a_response_that_is_cut_anywhere_is_not_complete(
+    framing: str, is_reset: bool
+) -> None:
+    whole = WHOLE_BY_FRAMING[framing]
+    for size in range(len(whole)):
+        connection, reader = connect()
+        reader.feed_data(whole[:size])
+        await asyncio.sleep(0)
+        end_input(reader, is_reset=is_reset)
+        read = await connection.read_response(MAX_BODY_BYTES)
+        assert read.is_err(), whole[:size]
+        assert not connection.completed_responses
+    connection, reader = connect()
+    reader.feed_data(whole)
+    read = await connection.read_response(MAX_BODY_BYTES)
+    assert read.unwrap()[1] in (b"whole", b"")
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_a_response_without_length_is_complete_only_if_its_connection_is_closed(
+    is_reset: bool,
+) -> None:
+    whole = HEAD + b"\r\nwhole"
+    for size in range(len(whole) + 1):
+        connection, reader = connect()
+        reader.feed_data(whole[:size])
+        end_input(reader, is_reset=is_reset)
+        read = await connection.read_response(MAX_BODY_BYTES)
+        is_head_whole = size >= len(HEAD) + 2
+        assert read.is_ok() == (is_head_whole and not is_reset), whole[:size]
