--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -30,6 +30,9 @@
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response's status line and headers."""
 
+MAX_HEADERS = 256
+"""Maximum number of a response's headers; parsed, short ones take twenty times their size."""
+
 WRITE_PIECE_BYTES = 65_536
 """Bytes of a body that are passed to the transport at once."""
 
@@ -251,6 +254,8 @@
             if isinstance(event, ReadFailure):
                 return result.Err(event)
             if isinstance(event, h11.Response):
+                if len(event.headers) > MAX_HEADERS:
+                    return result.Err(ReadFailure.MALFORMED)
                 return result.Ok(Head(event.status_code, tuple(event.headers)))
             if not isinstance(event, h11.InformationalResponse):
                 return result.Err(ReadFailure.CLOSED)
--- a/tests/gateway/endless_servers.py
+++ b/tests/gateway/endless_servers.py
@@ -41,6 +41,7 @@
 STAMP = b"X-Server-Stamp: 3e1b.07.5a2.e\r\nX-Attempt-Id: %ID\r\n"
 OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + STAMP
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+NUMBERED = b"".join(b"h%x:\r\n" % number for number in range(8_000))
 
 HEADS = {
     "head_line": Endless(b"", b"x"),
@@ -50,6 +51,8 @@
     "blank_lines": Endless(b"", b"\r\n"),
     "informational": Endless(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
     "long_informational": Endless(b"", b"HTTP/1.1 102 P\r\nX-Long: " + b"x" * 60_000 + b"\r\n\r\n"),
+    "many_headers": Endless(OK + NUMBERED + b"Transfer-Encoding: chunked\r\n\r\n", b""),
+    "many_headers_and_a_byte": Endless(OK + NUMBERED + b"Content-Length: 9\r\n\r\nx", b""),
 }
 """Responses that don't end in their head, or have much in it; any call may get them."""
 
--- a/tests/gateway/test_endless_response_processes.py
+++ b/tests/gateway/test_endless_response_processes.py
@@ -26,10 +26,10 @@
 MEMORY_MB = 200
 """Memory of the node's host, megabytes: that of the smallest hosts."""
 
-SERVERS = 14
+SERVERS = 20
 """Servers of each service; all of them are faulty at once."""
 
-CALLERS = 200
+CALLERS = 300
 """Requests that run into the fault at the same time; a node takes as many of others at once."""
 
 FAULT_SECONDS = 1.0
--- a/tests/transport/test_http1.py
+++ b/tests/transport/test_http1.py
@@ -126,3 +126,9 @@
         read = await connection.read_response(MAX_BODY_BYTES)
         is_head_whole = size >= len(HEAD) + 2
         assert read.is_ok() == (is_head_whole and not is_reset), whole[:size]
+
+
+async def test_a_head_with_thousands_of_headers_is_malformed() -> None:
+    connection, reader = connect()
+    reader.feed_data(HEAD + b"".join(b"h%x:\r\n" % number for number in range(8_000)) + b"\r\n")
+    assert (await connection.read_head()).unwrap_err() is http1.ReadFailure.MALFORMED
