--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -23,9 +23,18 @@
 READ_BYTES = 65_536
 """Maximum bytes per read from a socket."""
 
+RESPONSE_READ_BYTES = 16_384
+"""Maximum bytes of a response that are parsed in one turn of the event loop."""
+
+MAX_EVENTS_PER_TURN = 64
+"""Maximum parts of a response, such as chunks, that are parsed in one turn of the event loop."""
+
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response's status line and headers."""
 
+MAX_HEADERS = 256
+"""Maximum number of a response's headers; parsed, short ones take twenty times their size."""
+
 WRITE_PIECE_BYTES = 65_536
 """Bytes of a body that are passed to the transport at once."""
 
@@ -51,6 +60,9 @@
     MALFORMED = "malformed"
     """The server sent bytes that are not a valid HTTP response."""
 
+    TOO_LONG = "too_long"
+    """The body is longer than the caller of the method takes."""
+
 
 class Head(NamedTuple):
     """Status and headers of a response."""
@@ -143,6 +155,7 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._write_task: asyncio.Task[None] | None = None
         self._request: Request | None = None
+        self._events_in_turn = 0
         self.idle_since = 0.0
         """Loop time at which the last response was complete; 0 before the first response."""
         self.idle_timeout_seconds: float | None = None
@@ -245,6 +258,8 @@
             if isinstance(event, ReadFailure):
                 return result.Err(event)
             if isinstance(event, h11.Response):
+                if len(event.headers) > MAX_HEADERS:
+                    return result.Err(ReadFailure.MALFORMED)
                 return result.Ok(Head(event.status_code, tuple(event.headers)))
             if not isinstance(event, h11.InformationalResponse):
                 return result.Err(ReadFailure.CLOSED)
@@ -270,12 +285,12 @@
         return result.Err(ReadFailure.CLOSED)
 
     async def read_response(
-        self, max_body_bytes: float = float("inf")
+        self, max_body_bytes: int
     ) -> result.Result[tuple[Head, bytes], ReadFailure]:
         """Read a complete response.
 
         Args:
-            max_body_bytes: Size of the body from which on the response counts as malformed.
+            max_body_bytes: Maximum size of the body.
 
         Returns:
             Its head and body, or why it is incomplete.
@@ -283,16 +298,14 @@
         head = await self.read_head()
         if isinstance(head, result.Err):
             return head
-        chunks = []
-        size = 0
+        body = bytearray()
         while (chunk := await self.read_body_chunk()) is not None:
             if isinstance(chunk, result.Err):
                 return chunk
-            chunks.append(chunk.ok_value)
-            size += len(chunk.ok_value)
-            if size > max_body_bytes:
-                return result.Err(ReadFailure.MALFORMED)
-        return result.Ok((head.ok_value, b"".join(chunks)))
+            body += chunk.ok_value
+            if len(body) > max_body_bytes:
+                return result.Err(ReadFailure.TOO_LONG)
+        return result.Ok((head.ok_value, bytes(body)))
 
     def expect_another_response(self) -> bool:
         """Prepare to read another response to the current request.
@@ -339,6 +352,11 @@
         self._writer.transport.abort()
 
     async def _next_event(self) -> h11.Event | ReadFailure:
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            # Reading doesn't suspend while bytes are buffered.
+            self._events_in_turn = 1
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._parser.next_event()
@@ -346,7 +364,7 @@
                 return ReadFailure.MALFORMED
             if event is h11.NEED_DATA:
                 try:
-                    data = await self._reader.read(READ_BYTES)
+                    data = await self._reader.read(RESPONSE_READ_BYTES)
                 except OSError:
                     return ReadFailure.CLOSED
                 try:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import struct
+
 import cbor2
 import pytest
 import result
@@ -173,3 +177,98 @@
     monkeypatch.setattr(client, "_exchange", exchange)
     assert (await client.read_newest("keyed.op")).unwrap_err() is store.Failure.MALFORMED
     assert (await client.append("keyed.op", "k", b"")).unwrap_err() is store.Failure.MALFORMED
+
+
+async def test_a_response_beyond_the_limit_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A store in trouble sent bytes without end, and the node kept them until the call timed out."""
+    monkeypatch.setattr(store, "MAX_RESPONSE_BYTES", 10_000)
+    async with StoreAndClient() as fixture:
+        for number in range(20):
+            fixture.store.put("keyed.servers", f"s{number}", "x" * 1_000)
+        read = await fixture.client.read("keyed.servers", 0)
+        listed = await fixture.client.read_newest("keyed.servers")
+        rest = await fixture.client.read("keyed.servers", 15)
+    assert read.unwrap_err() is store.Failure.TOO_LONG
+    assert listed.unwrap_err() is store.Failure.TOO_LONG
+    assert len(rest.unwrap().records) == 5
+
+
+@pytest.mark.parametrize("page_records", [0, 500])
+async def test_a_listing_without_a_last_page_ends(
+    page_records: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store, "MAX_LISTING_BYTES", 1_000_000)
+    pages = 0
+
+    async def exchange(*_: object) -> result.Result[bytes, store.Failure]:
+        nonlocal pages
+        pages += 1
+        await asyncio.sleep(0)
+        entries = [{"key": f"{pages}/{n}", "value": "", "offset": n} for n in range(page_records)]
+        page = {"entries": entries, "has_more": True, "end": 1}
+        return result.Ok(json.dumps(page).encode())
+
+    client = store.StoreClient(deployment.loopback())
+    monkeypatch.setattr(client, "_exchange", exchange)
+    async with asyncio.timeout(5.0):
+        failure = (await client.read_newest("keyed.op")).unwrap_err()
+    assert failure is (store.Failure.TOO_LONG if page_records else store.Failure.MALFORMED)
+
+
+READ_BODY = struct.pack(">QQ", 7, 5) + b"".join(
+    struct.pack(">I", 5) + b"\x02k%d" % number + b"vv" for number in (5, 6)
+)
+"""Response to a read of two records."""
+
+LISTING_BODY = json.dumps(
+    {
+        "entries": [{"key": f"k{n}", "value": "dnY=", "offset": n} for n in (5, 6)],
+        "has_more": False,
+        "end": 7,
+    }
+).encode()
+"""Response to a listing of two records."""
+
+
+def _framed(body: bytes, framing: str) -> bytes:
+    if framing == "length":
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    if framing == "chunked":
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        return head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    return b"HTTP/1.1 200 OK\r\n\r\n" + body
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "unframed"])
+async def test_a_response_that_is_cut_anywhere_deletes_nothing(framing: str) -> None:
+    """A listing without its end would look like deletions, and a read like fewer records."""
+    response = b""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        writer.close()
+
+    address = deployment.loopback()
+    server = await asyncio.start_server(serve, address.ip, address.port)
+    async with server:
+        client = store.StoreClient(address)
+        listing, batch = _framed(LISTING_BODY, framing), _framed(READ_BODY, framing)
+        for size in range(len(listing)):
+            response = listing[:size]
+            assert (await client.read_newest("keyed.servers")).is_err(), response
+        for size in range(len(batch)):
+            response = batch[:size]
+            read = await client.read("keyed.servers", 5)
+            if framing != "unframed":
+                assert read.is_err(), response
+            elif read.is_ok():
+                cut = read.unwrap()
+                assert (cut.end, cut.next_offset) == (7, 5 + len(cut.records))
+                assert len(cut.records) < 2
+        response = listing
+        assert len((await client.read_newest("keyed.servers")).unwrap().records) == 2
+        client.close()
+        response = batch
+        assert len((await client.read("keyed.servers", 5)).unwrap().records) == 2
+        client.close()
