--- a/src/dragonflycove/platform/store.py
+++ b/src/dragonflycove/platform/store.py
@@ -25,8 +25,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Timeout for opening a connection; a healthy store accepts within a few milliseconds."""
 
-MAX_RESPONSE_BYTES = 4_194_304
-"""Maximum size of a response; the store ends a page of a listing at a quarter of it."""
+MAX_RESPONSE_BYTES = 16_777_216
+"""Maximum size of a response; a page of a listing has a megabyte, or one record of some megabytes."""
 
 MAX_LISTING_BYTES = 33_554_432
 """Maximum size of all pages of a listing; a topic of some hundred servers has under a megabyte."""
