--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -12,7 +12,12 @@
 
 from dragonflycove.fleet import forwarding, relaying
 from dragonflycove.fleet.memory import byte_account
-from dragonflycove.gateway import caller_outputs, caller_responses, request_bodies
+from dragonflycove.gateway import (
+    caller_input,
+    caller_outputs,
+    caller_responses,
+    request_bodies,
+)
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
@@ -48,9 +53,6 @@
 ACCOUNTED_UNREAD_BYTES = 8_192
 """The same where held bytes are accounted for, as these are not; most requests are smaller."""
 
-MAX_PIPELINED_BYTES = 262_144
-"""Maximum bytes of pipelined requests that are read while one is served."""
-
 _RESPONSE_SENT = frozenset({h11.DONE, h11.MUST_CLOSE})
 """States of a parser once a complete response has been written."""
 
@@ -235,12 +237,8 @@
         self._listener = listener
         self._handler = handler
         self._limits = limits
-        self._reader = reader
+        self._input = caller_input.CallerInput(reader, writer, limits, listener.count_bytes)
         self._writer = writer
-        self._parser = self._new_parser()
-        self._is_idle = True
-        self._is_new = True
-        self._max_idle_seconds = 0.0
         self._idle_since = asyncio.get_running_loop().time()
         self._request_id = ""
         self._response: caller_responses.CallerResponse | None = None
@@ -254,9 +252,9 @@
         is_answered = (
             self._response is not None
             and self._response.is_written
-            and self._parser.our_state in _RESPONSE_SENT
+            and self._input.parser.our_state in _RESPONSE_SENT
         )
-        if is_answered or (self._is_idle and not self._has_unparsed_bytes()):
+        if is_answered or not (self._input.has_begun or self._input.has_buffered_bytes):
             return
         logs.event(
             "unanswered",
@@ -272,11 +270,6 @@
         if self._held is not None:
             self._held.close()
 
-    def _has_unparsed_bytes(self) -> bool:
-        # StreamReader has no public method to check for buffered data.
-        is_buffered = bool(self._reader._buffer)  # type: ignore[attr-defined]
-        return is_buffered or bool(self._parser.trailing_data[0])
-
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         while True:
@@ -292,7 +285,7 @@
                 self.log_unanswered(UnansweredCause.CALLER_GONE)
                 return
             except Exception as error:
-                if self._is_idle:
+                if not self._input.has_begun:
                     raise
                 logs.exception(error)
                 await self._respond_to_exception("", b"", None)
@@ -301,26 +294,15 @@
                 return
             if not await self._serve(request):
                 return
-            if self._parser.our_state is not h11.DONE or self._parser.their_state is not h11.DONE:
+            if not self._is_reusable():
                 await self._linger()
                 return
-            self._parser = self._new_parser(*self._parser.trailing_data)
             self._idle_since = asyncio.get_running_loop().time()
 
-    def _new_parser(self, data: bytes = b"", is_at_end: bool = False) -> h11.Connection:
-        """Return a parser for the next request, with the limit in force.
-
-        Args:
-            data: Bytes of the request that have arrived.
-            is_at_end: Whether the caller has ended its sending side after them.
-        """
-        max_bytes = self._limits().max_header_bytes + 1_024
-        parser = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
-        if data:
-            parser.receive_data(data)
-        if is_at_end:
-            parser.receive_data(b"")
-        return parser
+    def _is_reusable(self) -> bool:
+        """Whether the connection can carry another request after a complete response."""
+        parser = self._input.parser
+        return parser.our_state is h11.DONE and parser.their_state is h11.DONE
 
     def close_if_idle(self) -> bool:
         """Close the connection if no byte of a request has arrived for a while.
@@ -333,121 +315,59 @@
         now = asyncio.get_running_loop().time()
         if self._writer.transport.get_write_buffer_size():
             self._idle_since = now
-        is_idle = self._is_idle and now >= self._idle_since + MIN_IDLE_SECONDS
-        if not is_idle or self._parser.trailing_data[0] or self._has_unread_bytes():
+        if self._input.has_begun or now < self._idle_since + MIN_IDLE_SECONDS:
+            return False
+        if self._input.has_unread_bytes():
             return False
         self._writer.close()
         return True
 
     async def _read_request(self) -> forwarding.CallerRequest | None:
         """Read a complete request; None if the connection ended or stayed idle too long."""
-        self._is_idle = True
         self._request_id = ""
         self._response = None
-        head: h11.Request | None = None
-        body = request_bodies.RequestBody(lambda: self._limits().max_body_bytes, self._held)
-        is_counted = False
+        if not await self._input.wait_for_request():
+            return None
+        self._listener.active += 1
         try:
-            while True:
-                event = self._parser.next_event()
-                if isinstance(event, h11.Request):
-                    head = event
-                    await body.begin(head)
-                    self._send_continue()
-                elif isinstance(event, h11.Data):
-                    await body.add(event.data)
-                elif isinstance(event, h11.EndOfMessage) and head is not None:
-                    return requests.decode_request(
-                        head.method, head.target, head.headers, body.take()
-                    )
-                elif isinstance(event, h11.ConnectionClosed):
-                    return None
-                else:
-                    self._is_idle = self._is_idle and not self._parser.trailing_data[0]
-                    if not self._is_idle and not is_counted:
-                        is_counted = True
-                        self._listener.active += 1
-                    body.on_read()
-                    data = await self._read_some()
-                    if data is None and self._is_idle:
-                        return None
-                    if data is None:
-                        raise h11.RemoteProtocolError("incomplete request", 408)
-                    if self._is_idle:
-                        self._parser = self._new_parser()
-                    self._parser.receive_data(data)
-                    self._is_idle = self._is_idle and not data
+            return await self._read_begun_request()
         finally:
-            if is_counted:
-                self._listener.active -= 1
-
-    async def _read_some(self) -> bytes | None:
-        """Read bytes, empty at the end of the stream; None on timeout.
+            self._listener.active -= 1
 
-        Raises:
-            caller_outputs.CallerGoneError: The caller reset the connection.
-        """
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        seconds: float | None = self._read_timeout()
+    async def _read_begun_request(self) -> forwarding.CallerRequest:
+        head: h11.Request | None = None
+        body = request_bodies.RequestBody(lambda: self._limits().max_body_bytes, self._held)
         while True:
-            try:
-                async with asyncio.timeout(seconds) as timer:
-                    data = await self._reader.read(http1.READ_BYTES)
-                    self._listener.count_bytes(len(data))
-                    return data
-            except OSError as error:
-                if not timer.expired():
-                    raise caller_outputs.CallerGoneError from error
-            # The timer may have run late, and the limits may have changed meanwhile.
-            seconds = started_at + self._read_timeout() - loop.time()
-            if self._has_unread_bytes():
-                seconds = None
-            elif seconds <= 0:
-                return None
-
-    def _read_timeout(self) -> float:
-        """Return the timeout of a read, seconds.
-
-        An idle connection has the longest one that was in force since it was opened, as its caller
-        may count on it.
-        """
-        limits = self._limits()
-        if not self._is_idle:
-            return limits.header_timeout_seconds
-        self._max_idle_seconds = max(self._max_idle_seconds, limits.idle_seconds)
-        if self._is_new:
-            return max(self._max_idle_seconds, limits.header_timeout_seconds)
-        return self._max_idle_seconds
-
-    def _has_unread_bytes(self) -> bool:
-        """Whether bytes, or the end of the stream, have arrived and were not read."""
-        # StreamReader has no public method to check for buffered data.
-        if self._reader._buffer:  # type: ignore[attr-defined]
-            return True
-        raw = self._writer.get_extra_info("socket")
-        if raw is None or raw.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(raw.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+            event = self._input.next_event()
+            if isinstance(event, h11.Request):
+                head = event
+                await body.begin(head)
+                self._send_continue()
+            elif isinstance(event, h11.Data):
+                await body.add(event.data)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return requests.decode_request(head.method, head.target, head.headers, body.take())
+            elif event is h11.NEED_DATA:
+                body.on_read()
+                await self._input.read()
+            else:
+                raise RuntimeError(f"unexpected event while a request is read: {event}")
 
     def _send_continue(self) -> None:
         """Send `100 Continue` if the caller waits for it before the body."""
-        if not self._parser.they_are_waiting_for_100_continue:
+        if not self._input.parser.they_are_waiting_for_100_continue:
             return
         response = h11.InformationalResponse(status_code=100, headers=[])
-        self._writer.write(self._parser.send(response) or b"")
+        self._writer.write(self._input.parser.send(response) or b"")
 
     async def _serve(self, request: forwarding.CallerRequest) -> bool:
         """Serve a request; returns whether the connection can be reused.
 
         A caller that disconnects cancels its request.
         """
-        self._is_idle = self._is_new = False
         self._listener.active += 1
         response = caller_responses.CallerResponse(
-            self._parser,
+            self._input.parser,
             self._writer,
             request.attempt_id,
             request.method,
@@ -475,7 +395,7 @@
     ) -> tuple[BaseException | None, bool]:
         """Return what the handler raised, and whether the caller disconnected meanwhile."""
         serve_task = asyncio.ensure_future(self._run_and_flush(request, response))
-        close_task = asyncio.ensure_future(self._wait_for_close())
+        close_task = asyncio.ensure_future(self._input.wait_for_close())
         is_caller_gone = False
         try:
             await asyncio.wait({serve_task, close_task}, return_when=asyncio.FIRST_COMPLETED)
@@ -502,7 +422,7 @@
         is_caller_gone: bool,
     ) -> bool:
         """End a request after its handler; returns whether the connection can be reused."""
-        is_complete = self._parser.our_state in _RESPONSE_SENT
+        is_complete = self._input.parser.our_state in _RESPONSE_SENT
         if response.is_aborted:
             cause = UnansweredCause.CUT
         elif isinstance(outcome, caller_outputs.CallerGoneError) or (
@@ -536,7 +456,11 @@
             self._held.on_refused(request.attempt_id, error.size)
             self._held.end_request()
         response = caller_responses.CallerResponse(
-            self._parser, self._writer, request.attempt_id, request.method, is_last=lambda: True
+            self._input.parser,
+            self._writer,
+            request.attempt_id,
+            request.method,
+            is_last=lambda: True,
         )
         response.refusal_header = self._accounting.refusal_header if self._accounting else None
         final = forwarding.FinalResponse(
@@ -562,42 +486,22 @@
             await response.write_refusal(final)
             await self._linger()
 
-    async def _wait_for_close(self) -> None:
-        """Return when the caller closes its side; buffers pipelined requests meanwhile."""
-        pipelined_bytes = 0
-        while pipelined_bytes < MAX_PIPELINED_BYTES:
-            try:
-                data = await self._reader.read(http1.READ_BYTES)
-            except OSError:
-                return
-            if not data:
-                return
-            pipelined_bytes += len(data)
-            self._parser.receive_data(data)
-        await asyncio.Event().wait()
-
     async def _reject_malformed(self, status: int) -> None:
         """Respond to a malformed or incomplete request, and close the connection."""
         logs.warning("request_rejected", status=status)
         if self._held is not None:
             self._held.end_request()
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        parser = self._input.parser
+        if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            data = self._parser.send(h11.Response(status_code=status, headers=headers)) or b""
-            data += self._parser.send(h11.EndOfMessage()) or b""
+            data = parser.send(h11.Response(status_code=status, headers=headers)) or b""
+            data += parser.send(h11.EndOfMessage()) or b""
             self._writer.write(data)
             await self._linger()
 
     async def _linger(self) -> None:
         """Let the caller read the response before the connection closes."""
-        with contextlib.suppress(OSError, TimeoutError):  # The connection is closed in any case.
+        with contextlib.suppress(OSError):  # The connection is closed in any case.
             if self._writer.can_write_eof():
                 self._writer.write_eof()
-            async with asyncio.timeout(MAX_LINGER_SECONDS):
-                while await self._discard_some():
-                    pass
-
-    async def _discard_some(self) -> bool:
-        """Read bytes and discard them; returns whether there were any."""
-        async with asyncio.timeout(LINGER_SECONDS):
-            return bool(await self._reader.read(http1.READ_BYTES))
+        await self._input.discard(LINGER_SECONDS, MAX_LINGER_SECONDS)
