--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -118,7 +118,8 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_CallerConnection] = set()
         self.is_stopping = False
-        """Whether responses carry `Connection: close`, so that callers connect to another node."""
+        """Whether the last response to what has arrived on a connection carries `Connection: close`,
+        so that callers connect to another node."""
         self.active = 0
         """Requests that are being read or served."""
         self.carried_bytes = 0
@@ -371,7 +372,7 @@
             self._writer,
             request.attempt_id,
             request.method,
-            is_last=lambda: self._listener.is_stopping,
+            is_last=self._is_last_response,
             held=self._held,
             on_write=self._listener.count_bytes,
         )
@@ -390,6 +391,10 @@
             if self._held is not None:
                 self._held.end_request()
 
+    def _is_last_response(self) -> bool:
+        """Whether the connection ends after the response; not if another request has begun to arrive."""
+        return self._listener.is_stopping and not self._input.has_unread_bytes()
+
     async def _run_handler(
         self, request: forwarding.CallerRequest, response: caller_responses.CallerResponse
     ) -> tuple[BaseException | None, bool]:
--- a/tests/gateway/pipelining.py
+++ b/tests/gateway/pipelining.py
@@ -189,6 +189,8 @@
         self._parser = h11.Connection(h11.CLIENT)
         self.answers: list[tuple[int, bytes]] = []
         """Statuses and bodies of the answers so far."""
+        self.is_last = False
+        """Whether the last answer announced the end of the connection."""
 
     @classmethod
     async def connect(cls, address: catalog.Address) -> Caller:
@@ -218,6 +220,7 @@
                     self._parser.receive_data(await self._reader.read(65_536))
                 elif isinstance(event, h11.Response):
                     status = event.status_code
+                    self.is_last = (b"connection", b"close") in event.headers
                 elif isinstance(event, h11.Data):
                     body += event.data
                 elif isinstance(event, h11.EndOfMessage):
--- a/tests/gateway/test_caller_input.py
+++ b/tests/gateway/test_caller_input.py
@@ -217,6 +217,43 @@
         assert ended_at[0] - left_at < GONE_SECONDS
 
 
+@pytest.mark.parametrize("unsent_bytes", [0, 1, 399_900])
+@pytest.mark.parametrize("kind", pipelining.Kind)
+async def test_requests_that_were_read_before_a_stop_are_answered_on_their_connection(
+    kind: pipelining.Kind, unsent_bytes: int
+) -> None:
+    may_answer = asyncio.Event()
+
+    async def serve(
+        request: forwarding.CallerRequest, response: caller_responses.CallerResponse
+    ) -> None:
+        await may_answer.wait()
+        await pipelining.answer(request, response)
+
+    body = pipelining.recorded(pipelining.MAX_BODY_BYTES)
+    sent = [
+        pipelining.make_request("first", b"", pipelining.RELAYED),
+        pipelining.make_request("second", b"", pipelining.RELAYED),
+        pipelining.make_request("third", body, pipelining.RELAYED),
+    ]
+    data = b"".join(one.data for one in sent)
+    async with pipelining.listening(serve, kind) as node:
+        caller = await pipelining.Caller.connect(node.address)
+        sending = asyncio.ensure_future(caller.send(data[: len(data) - unsent_bytes]))
+        await asyncio.sleep(0.05)
+        node.listener.is_stopping = True
+        may_answer.set()
+        for one in sent[:-1]:
+            assert await caller.read() == (200, one.answer())
+            assert not caller.is_last
+        await sending
+        await caller.send(data[len(data) - unsent_bytes :])
+        assert await caller.read() == (200, sent[-1].answer())
+        assert caller.is_last
+        assert node.handler.served == pipelining.as_served(sent)
+        caller.close()
+
+
 @pytest.mark.parametrize("kind", pipelining.Kind)
 @pytest.mark.parametrize("seed", _choose_seeds())
 async def test_what_is_served_is_what_was_sent_however_it_is_cut(
