--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -409,8 +409,11 @@
         self._callers.is_stopping = relays.is_stopping = True
         ends_at = started_at + grace
         closes_at = ends_at - min(CLOSING_SECONDS, grace * MAX_CLOSING_SHARE)
-        self._admission.accept_streams_until = min(started_at + ACCEPT_STREAMS_SECONDS, closes_at)
-        self._admission.accept_requests_until = closes_at
+        responds_at = ends_at - min(RESPONDING_SECONDS, grace * MAX_CLOSING_SHARE / 2)
+        limits = self._admission.stop_limits
+        limits.accept_streams_until = min(started_at + ACCEPT_STREAMS_SECONDS, closes_at)
+        limits.accept_requests_until = closes_at
+        limits.respond_until = responds_at
         self._reports.announce_leaving()
         while loop.time() < closes_at:
             callers_notified = loop.time() >= started_at + min(MIN_DRAIN_SECONDS, grace)
@@ -420,7 +423,6 @@
         listeners = (self._callers, relays)
         for listener in listeners:
             await listener.finish_accepting()
-        responds_at = ends_at - min(RESPONDING_SECONDS, grace * MAX_CLOSING_SHARE / 2)
         await _close_connections(listeners, responds_at)
         self._responder.end_unstarted()
         await _close_connections(listeners, max(ends_at, loop.time() + MIN_RESPONDING_SECONDS))
@@ -474,6 +476,7 @@
             self._statements.discard_expired(now)
             self._limited_servers.discard_unlimited()
             self._load.discard_expired(now)
+            self._admission.stop_limits.run_times.discard_expired(now)
             logs.log_dropped_counts()
 
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -105,6 +105,7 @@
         self._local_node = local_node
         self._store_view = view
         self._admission = admission
+        self._run_times = admission.stop_limits.run_times
         self._request_placer = request_placer
         self._retry_budget = retry_budget
         self._crashes = crashes
@@ -120,7 +121,7 @@
         self._count_senders = count_senders
         self._sender = sends.Sender(pool, view, metrics, reach.on_opened, meter)
         self._attempt_placer = attempt_placer.AttemptPlacer(
-            local_node, view, request_placer, self._rest_gate, crashes
+            local_node, view, request_placer, self._rest_gate, crashes, admission.stop_limits
         )
         self._moves = request_moves.RequestMoves(
             self._attempt_placer, reach, retry_budget, count_senders
@@ -288,13 +289,19 @@
             attempt_ends=tuple(state.attempt_ends),
             excluded=tuple(state.excluded),
         )
-        outcome = await self._relay_sender.send(
-            context,
-            relayed,
-            response,
-            state.progress,
-            lambda: self._moves.wait_until_allowed(context, state),
-        )
+        run = self._run_times.start(context.route, context.request, loop.time())
+        outcome = None
+        try:
+            outcome = await self._relay_sender.send(
+                context,
+                relayed,
+                response,
+                state.progress,
+                lambda: self._moves.wait_until_allowed(context, state),
+            )
+        finally:
+            is_answered = outcome is not None and outcome.is_success and not has_started
+            self._run_times.end(run, loop.time(), is_answered=is_answered)
         if _is_worth_waiting(context, state, outcome, loop.time()):
             await asyncio.sleep(UNREACHED_PAUSE_SECONDS)
             return None
@@ -398,6 +405,8 @@
         reservation_set: reservations.ReservationSet | None = None
         outcome: send_values.AttemptResult | None = None
         started_at = asyncio.get_running_loop().time()
+        run = self._run_times.start(context.route, context.request, started_at)
+        is_resumed = progress.relayed_events > 0
         try:
             reserved = await self._reservation_manager.reserve(grant, job)
             if isinstance(reserved, result.Err):
@@ -425,6 +434,7 @@
                 may_send=lambda: (
                     self._crashes.refusal_seconds(context) is None
                     and not self._rest_gate.is_resting(grant)
+                    and self._admission.stop_limits.has_time_left(context, progress)
                 ),
                 callbacks=send_values.ExchangeCallbacks(
                     on_sent=attempt.mark_sent,
@@ -453,6 +463,8 @@
             refusing_helper_id = outcome.refusing_helper_id if outcome else ""
             is_suspect = self._request_placer.on_end(job.key, server_outcome, refusing_helper_id)
             now = asyncio.get_running_loop().time()
+            is_answered = outcome is not None and outcome.is_success and not is_resumed
+            self._run_times.end(run, now, is_answered=is_answered)
             logs.event(
                 "send_ended",
                 request=context.request.attempt_id,
--- a/src/dragonflycove/gateway/moves/attempt_placer.py
+++ b/src/dragonflycove/gateway/moves/attempt_placer.py
@@ -6,17 +6,21 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from dragonflycove.fleet import forwarding, server_health, work
+from dragonflycove.fleet import forwarding, relaying, server_health, work
 from dragonflycove.gateway import send_values
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dragonflycove.fleet import store_view
-    from dragonflycove.gateway import crash_watch, request_context, rest_gate
+    from dragonflycove.gateway import crash_watch, request_context, rest_gate, stop_limits
 
 WAITING_CHECK_SECONDS = 0.1
-"""Interval at which a waiting request is checked for being known to crash servers."""
+"""Interval at which a waiting request is checked for being known to crash servers, and for the
+time that a stop of this node leaves it."""
+
+STOPPING_RETRY_AFTER_SECONDS = 0.1
+"""Retry-after of a waiting request that a stop of this node leaves no time for."""
 
 SERVERS_UNKNOWN = "servers_unknown"
 """Reason of a refusal: this node may not use the servers that its hub chooses."""
@@ -41,6 +45,7 @@
         request_placer: request_context.RequestPlacer,
         gate: rest_gate.RestGate,
         crashes: crash_watch.CrashWatch,
+        limits: stop_limits.StopLimits,
     ) -> None:
         """Create a placer without attempts.
 
@@ -50,12 +55,14 @@
             request_placer: Places requests on servers.
             gate: Keeps requests from servers that want to rest.
             crashes: Knows the requests that crash servers.
+            limits: Knows which requests a stop of this node leaves time for.
         """
         self._local_node = local_node
         self._store_view = view
         self._request_placer = request_placer
         self._rest_gate = gate
         self._crashes = crashes
+        self._stop_limits = limits
         self._job_numbers = itertools.count(1)
 
     async def place(
@@ -105,12 +112,14 @@
         progress: send_values.StreamProgress,
     ) -> send_values.PlacedAttempt | work.Refusal | None:
         """Place an attempt as `place` does, on whatever servers the hub chooses."""
+        if not self._stop_limits.has_time_left(context, progress):
+            return work.Refusal(relaying.STOPPING, STOPPING_RETRY_AFTER_SECONDS)
         resting = await self._rest_gate.wait(context, excluded, progress)
         if isinstance(resting, work.Refusal):
             return resting
         now = asyncio.get_running_loop().time()
         job = self._build_job(context, [*excluded, *resting], progress, now)
-        decision = await self._place(context, job)
+        decision = await self._place(context, job, progress)
         if isinstance(decision, work.Refusal):
             return decision
         if not self._rest_gate.admit(decision, job.key):
@@ -166,9 +175,12 @@
         )
 
     async def _place(
-        self, context: request_context.RequestContext, job: work.Job
+        self,
+        context: request_context.RequestContext,
+        job: work.Job,
+        progress: send_values.StreamProgress,
     ) -> work.Grant | work.Refusal:
-        """Place a request, or refuse it once it is known to crash servers while it waits."""
+        """Place a request, or refuse it once it is known that it must not or can't run."""
         task = asyncio.ensure_future(self._request_placer.place(job))
         is_decided = False
         try:
@@ -180,6 +192,8 @@
                 refusal_seconds = self._crashes.refusal_seconds(context)
                 if refusal_seconds is not None:
                     return work.Refusal(work.CRASHES_SERVERS, refusal_seconds)
+                if not self._stop_limits.has_time_left(context, progress):
+                    return work.Refusal(relaying.STOPPING, STOPPING_RETRY_AFTER_SECONDS)
         finally:
             if not is_decided:
                 task.cancel()
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from dragonflycove.fleet import catalog, forwarding, relaying
-from dragonflycove.gateway import request_context
+from dragonflycove.gateway import request_context, stop_limits
 from dragonflycove.quarantine import part_blame
 from dragonflycove.telemetry import logs
 
@@ -41,10 +41,8 @@
         self._store_view = view
         self._rng = rng
         self._organisations = (-1, dict[str, catalog.Organisation]())
-        self.accept_streams_until = float("inf")
-        """Loop time after which new streams are refused; inf unless this node is stopping."""
-        self.accept_requests_until = float("inf")
-        """Loop time after which all requests are refused; inf unless this node is stopping."""
+        self.stop_limits = stop_limits.StopLimits()
+        """Which requests this node accepts while it is stopping."""
 
     def admit(
         self, request: forwarding.CallerRequest
@@ -116,12 +114,11 @@
     ) -> result.Result[request_context.RequestContext, forwarding.FinalResponse]:
         """Determine a request's deadline and fingerprints; refuse late ones while stopping."""
         now = asyncio.get_running_loop().time()
-        is_streaming = route.kind is catalog.CallKind.STREAMING
-        if now > (self.accept_streams_until if is_streaming else self.accept_requests_until):
-            return result.Err(forwarding.FinalResponse(503, relaying.STOPPING, RETRY_AFTER_SECONDS))
         requested_seconds = request.deadline_seconds
         deadline = DEFAULT_DEADLINE_SECONDS if requested_seconds is None else requested_seconds
         seconds = min(deadline, route.timeout_seconds - FINAL_RESPONSE_MARGIN_SECONDS)
+        if not self.stop_limits.is_accepted(route, request, seconds, now):
+            return result.Err(forwarding.FinalResponse(503, relaying.STOPPING, RETRY_AFTER_SECONDS))
         name = organisation.name if organisation else ""
         context = request_context.RequestContext(
             request=request,
--- a/src/dragonflycove/standins/platform/server.py
+++ b/src/dragonflycove/standins/platform/server.py
@@ -114,6 +114,9 @@
     prefill_seconds = 0.0
     """Time from the execution of a streamed request to its first event."""
 
+    plain_seconds = 0.0
+    """Time from the execution of a plain request to its response."""
+
     started_at_ms = 1
     """Start that the load report states, in Unix milliseconds."""
 
@@ -351,7 +354,7 @@
             return True
         if "x-token-counts" in run.headers:
             return await self._respond_stream(run, fault, reader, writer)
-        return self._respond_plain(run, fault, writer)
+        return await self._respond_after_work(run, fault, writer)
 
     def _turn_away(self, run: ExecutedRequest, writer: asyncio.StreamWriter) -> None:
         """Refuse a request, with a time of rest if one is stated."""
@@ -406,6 +409,13 @@
             await asyncio.sleep(pause)
         return False
 
+    async def _respond_after_work(
+        self, run: ExecutedRequest, fault: server_faults.Fault | None, writer: asyncio.StreamWriter
+    ) -> bool:
+        if self.plain_seconds:
+            await asyncio.sleep(self.plain_seconds * self.slowdown)
+        return self._respond_plain(run, fault, writer)
+
     def _respond_plain(
         self, run: ExecutedRequest, fault: server_faults.Fault | None, writer: asyncio.StreamWriter
     ) -> bool:
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -593,6 +593,11 @@
     if body:
         writer.write(parser.send(h11.Data(data=body)) or b"")
     parser.send(h11.EndOfMessage())
+    return await read_response(reader, parser)
+
+
+async def read_response(reader: asyncio.StreamReader, parser: h11.Connection) -> CallerResult:
+    """Read the response to a request that was sent."""
     status, response_headers, content, is_complete = 0, {}, b"", False
     try:
         while True:
--- a/tests/gateway/test_stopping_nodes.py
+++ b/tests/gateway/test_stopping_nodes.py
@@ -40,6 +40,9 @@
 READ_TIMEOUT_SECONDS = 6.0
 """Time after which a caller gives up."""
 
+QUICK_COUNT = 64
+"""Requests by whose times a node expects further ones to be answered before it ends."""
+
 REQUEST = (
     b"GET /look/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\nX-Attempt-Id: a1\r\n"
     b"X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
@@ -246,6 +249,8 @@
 ) -> None:
     async with deployment.deployed() as system:
         process = _Process(system.nodes[0], accepted)
+        for number in range(QUICK_COUNT):
+            await system.call("/post/x", attempt=f"quick{number}")
         for server in system.server_by_id.values():
             server.fall_silent(2 * GRACE_SECONDS)
         stopping = asyncio.ensure_future(process.stop())
@@ -256,7 +261,7 @@
         for number in range(6):
             call = system.call("/post/x", attempt=f"a{number}", deadline_ms=9_000)
             calls.append(asyncio.ensure_future(call))
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(0.35)
         responses = await asyncio.gather(*calls)
         duration = await stopping
     assert [(one.status, one.is_complete) for one in responses] == [(504, True)] * 6
