--- a/scripts/platform_node.py
+++ b/scripts/platform_node.py
@@ -5,10 +5,14 @@
 
 from __future__ import annotations
 
-import pathlib
+import os
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.realpath(__file__)), "..", "src"))
+
+from dragonflycove import early_signals  # noqa: E402
+
+early_signals.hold()
 
 from dragonflycove.gateway import process  # noqa: E402
 
--- a/src/dragonflycove/__main__.py
+++ b/src/dragonflycove/__main__.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from dragonflycove.cli import main
+import sys
+
+from dragonflycove import early_signals
+
+if sys.argv[1:2] == ["platform-node"]:
+    early_signals.hold()
+
+from dragonflycove.cli import main  # noqa: E402
 
 if __name__ == "__main__":
     main.run()
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -11,6 +11,7 @@
 
 import result
 
+from dragonflycove import early_signals
 from dragonflycove.fleet import (
     catalog,
     limited_servers,
@@ -350,6 +351,7 @@
         loop.set_exception_handler(_log_uncaught)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.settings.request_reload)
+        early_signals.release()
         try:
             await self.start()
         except OSError as error:
--- a/tests/gateway/node_process.py
+++ b/tests/gateway/node_process.py
@@ -19,8 +19,14 @@
 if TYPE_CHECKING:
     from typing import Self
 
-SOURCE = pathlib.Path(__file__).parents[2] / "src"
-"""Folder of the package."""
+ROOT = pathlib.Path(__file__).parents[2]
+"""Root folder of the repository."""
+
+COMMAND = ("-m", "dragonflycove", "platform-node")
+"""Arguments of the interpreter that start a node."""
+
+SCRIPT = (str(ROOT / "scripts" / "platform_node.py"),)
+"""The same for a node that the platform starts."""
 
 END_TIMEOUT_SECONDS = 15.0
 """Time after which a process that should end fails the test."""
@@ -35,6 +41,7 @@
         folder: pathlib.Path,
         number: int = 0,
         grace_seconds: float = 8.0,
+        arguments: tuple[str, ...] = COMMAND,
     ) -> None:
         """Create a node without a process.
 
@@ -43,12 +50,14 @@
             folder: Folder of the settings and the log.
             number: Number of the node; determines its address.
             grace_seconds: Time from SIGTERM to SIGKILL.
+            arguments: Arguments of the interpreter.
         """
         self._system = system
         self._folder = folder
         self._name = f"p{number}"
         self._ip = f"127.{deployment.NODE_BLOCK}.4.{number + 1}"
         self._grace_seconds = grace_seconds
+        self._arguments = arguments
         self.address = catalog.Address(self._ip, ports.free_port())
         """Address for callers."""
         self._ready = catalog.Address(self._ip, ports.free_port())
@@ -92,14 +101,12 @@
         path.write_text(json.dumps(settings))
         environment = os.environ | {
             platform_settings.PATH_VARIABLE: str(path),
-            "PYTHONPATH": str(SOURCE),
+            "PYTHONPATH": str(ROOT / "src"),
         }
         with (self._folder / f"{self._name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "dragonflycove",
-                "platform-node",
+                *self._arguments,
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -129,6 +136,10 @@
 
     async def __aexit__(self, *_: object) -> None:
         """End the process."""
+        await self.kill()
+
+    async def kill(self) -> None:
+        """End the process at once, if it runs."""
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
             await self.process.wait()
