--- a/src/dragonflycove/cli/soak_command.py
+++ b/src/dragonflycove/cli/soak_command.py
@@ -70,7 +70,11 @@
         block,
         is_planned_only=bool(arguments.number("planned")),
     )
-    verdict = asyncio.run(soak_main.run_soak(soak))
+    try:
+        verdict = asyncio.run(soak_main.run_soak(soak))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        print(f"seed {seed}: interrupted", file=sys.stderr)
+        return exit_codes.ExitCode.FAILED
     print(f"seed {seed}: responses by status {verdict.response_count_by_status}")
     print(f"seed {seed}: servers crashed by each crashing request {verdict.crash_counts}")
     for line in verdict.violations:
--- a/src/dragonflycove/measure/soak/cut_node.py
+++ b/src/dragonflycove/measure/soak/cut_node.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import enum
 import os
 import pathlib
+import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -20,6 +22,12 @@
 CUT_FILE_VARIABLE = "DRAGONFLYCOVE_SOAK_CUT"
 """Environment variable with the path of the file; the paths are cut while it exists."""
 
+PARENT_VARIABLE = "DRAGONFLYCOVE_SOAK_PROCESS"
+"""Environment variable with the id of the soak's process, with which the node ends."""
+
+PR_SET_PDEATHSIG = 1
+"""Option of `prctl` that sets the signal sent at the end of the parent; from linux/prctl.h."""
+
 SERVER_PORT = 8_081
 """Port of all servers of a soak."""
 
@@ -65,6 +73,21 @@
     http1.Connection.open = open_unless_cut  # type: ignore[method-assign,assignment]
 
 
+def end_with_parent(parent_id: int) -> None:
+    """Let the kernel kill this process once its parent has ended in any way; on Linux only.
+
+    Args:
+        parent_id: Id of the parent process.
+    """
+    if not sys.platform.startswith("linux"):
+        return
+    if ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, signal.SIGKILL):
+        raise OSError(ctypes.get_errno(), "prctl")
+    if os.getppid() != parent_id:
+        sys.exit("the soak has ended")
+
+
 if __name__ == "__main__":
+    end_with_parent(int(os.environ[PARENT_VARIABLE]))
     cut_connections(pathlib.Path(os.environ[CUT_FILE_VARIABLE]))
     sys.exit(process.run([]))
--- a/src/dragonflycove/measure/soak/deployment.py
+++ b/src/dragonflycove/measure/soak/deployment.py
@@ -488,8 +488,8 @@
         for task in self._return_tasks:
             task.cancel()
         for node in self.nodes:
-            node.signal(signal.SIGCONT)
             node.signal(signal.SIGKILL)
+        for node in self.nodes:
             await node.wait_stopped(1.0)
         for server_id in list(self.servers):
             self.remove_server(server_id)
--- a/src/dragonflycove/measure/soak/main.py
+++ b/src/dragonflycove/measure/soak/main.py
@@ -5,6 +5,7 @@
 import asyncio
 import pathlib
 import random
+import signal
 import tempfile
 import time
 from typing import TYPE_CHECKING, NamedTuple
@@ -77,12 +78,25 @@
 async def run_soak(soak: SoakSettings) -> SoakResult:
     """Run a soak to its end.
 
+    SIGTERM cancels it, as SIGINT does, so that its node processes end with it.
+
     Args:
         soak: Settings of the soak.
 
     Returns:
         Violations, response counts and the log folder.
     """
+    own_task = asyncio.current_task()
+    assert own_task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, own_task.cancel)
+    try:
+        return await _run(soak)
+    finally:
+        loop.remove_signal_handler(signal.SIGTERM)
+
+
+async def _run(soak: SoakSettings) -> SoakResult:
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{soak.seed}-"))
     rng = random.Random(soak.seed)
     planned_faults = _draw_faults(soak, rng)
@@ -123,10 +137,10 @@
         if watch_task.done():
             watch_task.result()
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await running.close()
+        try:
+            await _cancel(tasks)
+        finally:
+            await running.close()
     return SoakResult(
         [*checker.violations, *running.stop_failures],
         checker.response_count_by_status(),
@@ -149,11 +163,21 @@
     running: deployment.Deployment, planned_faults: list[plan.PlannedFault]
 ) -> None:
     started_at = time.monotonic()
-    tasks = []
-    for planned in planned_faults:
-        await asyncio.sleep(max(0.0, started_at + planned.at - time.monotonic()))
-        tasks.append(asyncio.ensure_future(running.apply_fault(planned)))
-    await asyncio.gather(*tasks)
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        for planned in planned_faults:
+            await asyncio.sleep(max(0.0, started_at + planned.at - time.monotonic()))
+            tasks.append(asyncio.ensure_future(running.apply_fault(planned)))
+        await asyncio.gather(*tasks)
+    finally:
+        # A restart that goes on would start a node after the others were killed.
+        await _cancel(tasks)
+
+
+async def _cancel(tasks: Sequence[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _watch(
--- a/src/dragonflycove/measure/soak/node_process.py
+++ b/src/dragonflycove/measure/soak/node_process.py
@@ -79,6 +79,7 @@
         self.write_settings()
         environment = dict(os.environ, DRAGONFLYCOVE_CONFIG=str(self._settings))
         environment[cut_node.CUT_FILE_VARIABLE] = str(self._cut_file)
+        environment[cut_node.PARENT_VARIABLE] = str(os.getpid())
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", cut_node.__name__],
