--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -66,6 +66,12 @@
 STOP_MARGIN_SECONDS = 0.5
 """Time before the platform's SIGKILL at which the process exits by itself."""
 
+MAX_MARGIN_SHARE = 0.125
+"""Maximum of `STOP_MARGIN_SECONDS` as a share of the grace time.
+
+The platform's specification excuses cut streams only if they ran in the last sixth of it.
+"""
+
 MIN_DRAIN_SECONDS = 4.0
 """Minimum drain time after SIGTERM; twice the lifetime of the directory's responses."""
 
@@ -405,7 +411,8 @@
         self._stopping.set()
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
+        grace_seconds = self._settings.bounds.grace_seconds
+        grace = grace_seconds - min(STOP_MARGIN_SECONDS, grace_seconds * MAX_MARGIN_SHARE)
         logs.event("stopping", active=self._callers.active, grace=grace)
         relays = self._relays.connections
         self._callers.is_stopping = relays.is_stopping = True
--- a/tests/gateway/test_late_requests_of_a_stop.py
+++ b/tests/gateway/test_late_requests_of_a_stop.py
@@ -137,7 +137,8 @@
 
 def _ends_at(grace_seconds: float) -> float:
     """Return the time after SIGTERM up to which a node may respond."""
-    grace = grace_seconds - daemon.STOP_MARGIN_SECONDS
+    margin = min(daemon.STOP_MARGIN_SECONDS, grace_seconds * daemon.MAX_MARGIN_SHARE)
+    grace = grace_seconds - margin
     return grace - min(daemon.RESPONDING_SECONDS, grace * daemon.MAX_CLOSING_SHARE / 2)
 
 
@@ -200,3 +201,22 @@
     assert [one.result.status for one in served] == [200] * (1 + SLOT_COUNT)
     assert [one.result.status for one in waiting] == [503] * 4
     assert [one for one in waiting if callers.ran(one)] == []
+
+
+@pytest.mark.parametrize("grace", [1.0, 1.5, 3.0])
+async def test_a_short_stop_cuts_streams_no_sooner_than_in_its_last_sixth(
+    tmp_path: pathlib.Path, grace: float
+) -> None:
+    async with deployment.deployed(nodes=0) as system:
+        await _set_up(system, 2 * grace)
+        async with node_process.NodeProcess(system, tmp_path, grace_seconds=grace) as node:
+            await node.wait_ready()
+            callers = _Callers(system, node)
+            callers.send("ask")
+            await asyncio.sleep(0.3)
+            await callers.stop_node()
+            await callers.finish()
+            seconds = asyncio.get_running_loop().time() - callers.stopped_at
+            status = await node.wait_ended()
+    assert seconds >= grace * 5 / 6
+    assert status == daemon.EXIT_OK
