--- a/src/dragonflycove/gateway/caller_responses.py
+++ b/src/dragonflycove/gateway/caller_responses.py
@@ -66,6 +66,8 @@
         """Whether the connection was reset before the response was complete."""
         self.status = 0
         """Status code that was written; 0 before the head is written."""
+        self.is_passed_on = False
+        """Whether the request was sent to a server or to another node, and may have run."""
         self.refusal_header: bytes | None = None
         """Header with the reason of a refusal, for other nodes; None for callers."""
 
--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -211,6 +211,7 @@
         charged_at, state.charged_at = state.charged_at, None
         decision = placed.grant
         attempt = crash_watch.WatchedAttempt(decision.lead, context)
+        response.is_passed_on = True
         outcome = await self._run_attempt(attempt, placed, response, state)
         end = await self._crashes.classify_end(attempt, outcome)
         is_untried = self._reach.is_unreached(context.service) or self._rest_gate.is_resting(
@@ -290,6 +291,7 @@
             excluded=tuple(state.excluded),
         )
         run = self._run_times.start(context.route, context.request, loop.time())
+        response.is_passed_on = True
         outcome = None
         try:
             outcome = await self._relay_sender.send(
--- a/src/dragonflycove/gateway/stop_responses.py
+++ b/src/dragonflycove/gateway/stop_responses.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from dragonflycove.gateway import caller_responses, callers
 
+RETRY_AFTER_SECONDS = 0.1
+"""Retry-after of requests that were not passed on; another node may serve them at once."""
+
 
 class StopResponder:
     """Serves requests by another handler, until the node ends."""
@@ -43,9 +46,20 @@
             if task not in self._ended_tasks or response.is_started:
                 raise
             task.uncancel()
-            logs.event("failed", request=request.attempt_id, status=504, reason=relaying.STOPPING)
-            # The request may have run, which 503 would deny.
-            await response.write_refusal(forwarding.FinalResponse(504, relaying.STOPPING, None))
+            # A request that was passed on may have run, which 503 would deny.
+            final = (
+                forwarding.FinalResponse(504, relaying.STOPPING, None)
+                if response.is_passed_on
+                else forwarding.FinalResponse(503, relaying.STOPPING, RETRY_AFTER_SECONDS)
+            )
+            logs.event(
+                "failed" if response.is_passed_on else "refused",
+                request=request.attempt_id,
+                status=final.status,
+                reason=final.reason,
+                retry_after=final.retry_after_seconds or 0.0,
+            )
+            await response.write_refusal(final)
         finally:
             del self._response_by_task[task]
             self._ended_tasks.discard(task)
--- a/tests/gateway/test_stopping_nodes.py
+++ b/tests/gateway/test_stopping_nodes.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import NoReturn
 
     from dragonflycove.fleet import catalog, forwarding
 
@@ -268,6 +269,35 @@
     assert duration < GRACE_SECONDS - daemon.STOP_MARGIN_SECONDS + 0.4
 
 
+async def _never_place(_: object) -> NoReturn:
+    """Let a request wait for a server without end."""
+    await asyncio.Event().wait()
+    raise AssertionError
+
+
+@pytest.mark.parametrize("receiving", [0, 1])
+async def test_a_request_that_was_not_passed_on_before_the_end_of_a_stop_may_be_repeated(
+    accepted: list[asyncio.StreamWriter], receiving: int
+) -> None:
+    async with deployment.deployed(nodes=2) as system:
+        await asyncio.sleep(1.0)  # Both nodes know each other then.
+        process = _Process(system.nodes[0], accepted)
+        for number in range(3):
+            await system.call("/post/x", attempt=f"quick{number}")
+        system.cut_from_servers(1, deployment.CutMode.REFUSED)
+        placer = process.node._forwarder._attempt_placer  # noqa: SLF001
+        placer._request_placer.place = _never_place  # type: ignore[method-assign] # noqa: SLF001
+        call = system.call("/post/x", node=receiving, attempt="a1", deadline_ms=9_000)
+        calling = asyncio.ensure_future(call)
+        await asyncio.sleep(0.3)
+        await process.stop()
+        response = await calling
+        relayed = system.nodes[1]._relay_sender.relayed  # noqa: SLF001
+    assert (response.status, response.is_complete) == (503, True)
+    assert system.runs("a1") == []
+    assert relayed == receiving
+
+
 async def test_a_request_that_a_stop_leaves_no_time_for_is_refused(
     accepted: list[asyncio.StreamWriter],
 ) -> None:
