--- a/tests/gateway/test_late_requests_of_a_stop.py
+++ b/tests/gateway/test_late_requests_of_a_stop.py
@@ -220,3 +220,31 @@
             status = await node.wait_ended()
     assert seconds >= grace * 5 / 6
     assert status == daemon.EXIT_OK
+
+
+async def test_a_node_that_is_paused_near_the_end_of_a_stop_answers_what_it_has_read(
+    tmp_path: pathlib.Path,
+) -> None:
+    grace = 4.0
+    async with deployment.deployed(nodes=0) as system:
+        await _set_up(system, 1.0)
+        async with node_process.NodeProcess(system, tmp_path, grace_seconds=grace) as node:
+            await node.wait_ready()
+            callers = _Callers(system, node)
+            callers.send("post")
+            callers.send("look")
+            await callers.finish()
+            await callers.stop_node()
+            for _ in range(20):
+                callers.send("post")
+                callers.send("look")
+                await asyncio.sleep(INTERVAL_SECONDS)
+            # Responses to requests that were sent a second ago are due while it is paused.
+            node.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(grace - 2.6)
+            node.process.send_signal(signal.SIGCONT)
+            await callers.finish()
+            status = await node.wait_ended()
+    assert [one for one in callers.sent if not one.result.is_complete] == []
+    assert [one for one in callers.sent if one.result.status == 503 and callers.ran(one)] == []
+    assert status == daemon.EXIT_OK
