--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -11,6 +11,7 @@
 
 import result
 
+from dragonflycove import early_signals
 from dragonflycove.fleet import (
     catalog,
     limited_servers,
@@ -65,6 +66,12 @@
 STOP_MARGIN_SECONDS = 0.5
 """Time before the platform's SIGKILL at which the process exits by itself."""
 
+MAX_MARGIN_SHARE = 0.125
+"""Maximum of `STOP_MARGIN_SECONDS` as a share of the grace time.
+
+The platform's specification excuses cut streams only if they ran in the last sixth of it.
+"""
+
 MIN_DRAIN_SECONDS = 4.0
 """Minimum drain time after SIGTERM; twice the lifetime of the directory's responses."""
 
@@ -358,6 +365,7 @@
         loop.set_exception_handler(_log_uncaught)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.settings.request_reload)
+        early_signals.release()
         try:
             await self.start()
         except OSError as error:
@@ -411,14 +419,18 @@
         self._stopping.set()
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        grace = self._settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
+        grace_seconds = self._settings.bounds.grace_seconds
+        grace = grace_seconds - min(STOP_MARGIN_SECONDS, grace_seconds * MAX_MARGIN_SHARE)
         logs.event("stopping", active=self._callers.active, grace=grace)
         relays = self._relays.connections
         self._callers.is_stopping = relays.is_stopping = True
         ends_at = started_at + grace
         closes_at = ends_at - min(CLOSING_SECONDS, grace * MAX_CLOSING_SHARE)
-        self._admission.accept_streams_until = min(started_at + ACCEPT_STREAMS_SECONDS, closes_at)
-        self._admission.accept_requests_until = closes_at
+        responds_at = ends_at - min(RESPONDING_SECONDS, grace * MAX_CLOSING_SHARE / 2)
+        limits = self._admission.stop_limits
+        limits.accept_streams_until = min(started_at + ACCEPT_STREAMS_SECONDS, closes_at)
+        limits.accept_requests_until = closes_at
+        limits.respond_until = responds_at
         self._reports.announce_leaving()
         while loop.time() < closes_at:
             callers_notified = loop.time() >= started_at + min(MIN_DRAIN_SECONDS, grace)
@@ -428,7 +440,6 @@
         listeners = (self._callers, relays)
         for listener in listeners:
             await listener.finish_accepting()
-        responds_at = ends_at - min(RESPONDING_SECONDS, grace * MAX_CLOSING_SHARE / 2)
         await _close_connections(listeners, responds_at)
         self._responder.end_unstarted()
         await _close_connections(listeners, max(ends_at, loop.time() + MIN_RESPONDING_SECONDS))
@@ -482,6 +493,7 @@
             self._statements.discard_expired(now)
             self._limited_servers.discard_unlimited()
             self._load.discard_expired(now)
+            self._admission.stop_limits.run_times.discard_expired(now)
             logs.log_dropped_counts()
 
 
