--- a/tests/transport/test_http1.py
+++ b/tests/transport/test_http1.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dragonflycove.fleet import catalog
 from dragonflycove.transport import http1
 
 pytestmark = pytest.mark.asyncio
@@ -15,6 +16,9 @@
 MIN_TURNS = 100
 """Turns of the event loop that other tasks get while ten thousand chunks are read."""
 
+SENDING_SECONDS = 0.2
+"""Time for which a server sends to a connection that nobody reads."""
+
 REQUEST = http1.Request(b"GET", b"/x", ((b"host", b"x"),), b"")
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
@@ -132,3 +136,21 @@
     connection, reader = connect()
     reader.feed_data(HEAD + b"".join(b"h%x:\r\n" % number for number in range(8_000)) + b"\r\n")
     assert (await connection.read_head()).unwrap_err() is http1.ReadFailure.MALFORMED
+
+
+async def test_an_unread_connection_buffers_little() -> None:
+    """Idle connections and those of slow callers buffered hundreds of kilobytes each."""
+
+    async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while not writer.is_closing():
+            writer.write(b"x" * 65_536)
+            await writer.drain()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        address = catalog.Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        connection = (await http1.Connection.open(address, 1.0)).unwrap()
+        await asyncio.sleep(SENDING_SECONDS)
+        buffered = len(connection._reader._buffer)  # type: ignore[attr-defined]  # noqa: SLF001
+        connection.close()
+    assert 0 < buffered <= 3 * http1.RESPONSE_READ_BYTES
