--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -26,6 +26,9 @@
 MAX_MESSAGE_BYTES = 33_554_432
 """Maximum size of a message, compressed or not; a configuration has at most a few megabytes."""
 
+MAX_REQUEST_BYTES = 4_096
+"""The same of a request, which has a few numbers; anyone may connect."""
+
 COMPRESSION_LEVEL = 1
 """zlib's fastest level; configurations shrink to about a tenth, and hosts have little bandwidth."""
 
@@ -115,7 +118,7 @@
     ) -> None:
         try:
             async with asyncio.timeout(TRANSFER_TIMEOUT_SECONDS):
-                request = await _read(reader, Request)
+                request = await _read(reader, Request, MAX_REQUEST_BYTES)
                 writer.write(_frame(self._respond(request)))
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
@@ -164,7 +167,7 @@
             reader, writer = await asyncio.open_connection(address.ip, address.port)
             http1.set_socket_options(writer)
             writer.write(_frame(request))
-            return result.Ok(await _read(reader, Response))
+            return result.Ok(await _read(reader, Response, MAX_MESSAGE_BYTES))
     except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
         return result.Err(repr(error))
     finally:
@@ -178,10 +181,10 @@
     return _LENGTH.pack(len(compressed)) + compressed
 
 
-async def _read(reader: asyncio.StreamReader, kind: type[_T]) -> _T:
+async def _read(reader: asyncio.StreamReader, kind: type[_T], max_bytes: int) -> _T:
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > MAX_MESSAGE_BYTES:
+    if length > max_bytes:
         raise ValueError(f"message of {length} bytes")
     decompressor = zlib.decompressobj()
-    encoded = decompressor.decompress(await reader.readexactly(length), MAX_MESSAGE_BYTES)
+    encoded = decompressor.decompress(await reader.readexactly(length), max_bytes)
     return msgspec.convert(cbor2.loads(encoded), type=kind)
