--- a/tests/run_known_red.py
+++ b/tests/run_known_red.py
@@ -17,6 +17,9 @@
 GATEWAY_FILES_OF_FIRST_PROCESS = ("test_c*.py", "test_e*.py", "test_le*.py")
 """Patterns of the files of `tests/gateway` that one process runs; another one runs the rest."""
 
+CROWD_TESTS = "tests/processes/test_hostile_callers.py"
+"""Tests that run apart from the others, since they put the machine under load themselves."""
+
 
 def read_known_red() -> list[str]:
     """Return the entries of KNOWN-RED.txt without blank lines and comments.
@@ -35,13 +38,15 @@
     return [
         sorted(str(path.relative_to(ROOT)) for path in first),
         sorted(str(path.relative_to(ROOT)) for path in second),
-        ["tests", "--ignore=tests/gateway"],
+        ["tests", "--ignore=tests/gateway", f"--ignore={CROWD_TESTS}"],
     ]
 
 
 def run_divided(deselected: list[str]) -> int:
     """Run all tests in several processes at once and print their outputs one after the other.
 
+    The tests with crowds run last and alone.
+
     Args:
         deselected: Arguments that leave out tests.
 
@@ -63,6 +68,7 @@
         sys.stdout.buffer.write(output)
         sys.stdout.buffer.flush()
         statuses.append(process.returncode)
+    statuses.append(int(pytest.main([*deselected, CROWD_TESTS])))
     return next((status for status in statuses if status), 0)
 
 
