--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -72,8 +72,15 @@
 class NodeProcess:
     """A running node with its store and one backend server."""
 
-    def __init__(self, process: subprocess.Popen[bytes], limits: Limits, ip: str) -> None:
+    def __init__(
+        self,
+        process: subprocess.Popen[bytes],
+        limits: Limits,
+        ip: str,
+        server: platform_server.PlatformServer,
+    ) -> None:
         self._process = process
+        self._server = server
         self.limits = limits
         self.caller_address = catalog.Address(ip, 8_227)
         self.readiness_address = catalog.Address(ip, 8_220)
@@ -108,6 +115,10 @@
         assert peak_bytes <= self.limits.memory_mb * 1_000_000, f"peak memory {peak_bytes}"
         assert open_sockets <= self.limits.max_fds - RESERVED_FILES, f"sockets {open_sockets}"
 
+    def let_server_respond(self) -> None:
+        """Let the server respond to the requests that arrive from now on."""
+        self._server.faults.clear()
+
     async def get(self, address: catalog.Address, path: str) -> int:
         """Send one ordinary request, repeated after refusals, and return the last status."""
         ends_at = time.monotonic() + PATIENCE_SECONDS
@@ -148,7 +159,7 @@
 async def running_node(
     folder: pathlib.Path, limits: Limits, unanswered: int = 0
 ) -> AsyncIterator[NodeProcess]:
-    """Run a node whose store and server are in this process; the first requests get no response."""
+    """Run a node with a store and a server that leaves its first requests unanswered."""
     ip, store_address = f"127.{BLOCK}.4.1", catalog.Address(f"127.{BLOCK}.4.2", 8_223)
     server_address = catalog.Address(f"127.{BLOCK}.4.3", 8_081)
     store = platform_store.PlatformStore()
@@ -161,7 +172,7 @@
     server.started_at_ms = 1_000
     await server.listen(server_address)
     process = _start(folder, _settings(ip, store_address, limits))
-    node = NodeProcess(process, limits, ip)
+    node = NodeProcess(process, limits, ip, server)
     try:
         assert await node.get(node.readiness_address, "/readyz") == 200
         assert await node.get(node.caller_address, "/look/1") == 200
--- a/tests/processes/test_hostile_callers.py
+++ b/tests/processes/test_hostile_callers.py
@@ -113,6 +113,7 @@
         crowd.running_node(folder, limits, unanswered) as node,
         crowd.Crowd(node.caller_address, count, pieces).sending(node),
     ):
+        node.let_server_respond()
         await _check_ordinary_request(node)
 
 
