--- a/src/dragonflycove/gateway/request_bodies.py
+++ b/src/dragonflycove/gateway/request_bodies.py
@@ -61,12 +61,13 @@
             h11.RemoteProtocolError: The declared length exceeds the limit.
         """
         self._head = head
+        declared = dict(head.headers).get(b"content-length")
+        if declared is not None:
+            self._check_size(int(declared))
         if self._held is None:
             return
         self._held.begin_request(head.headers)
-        declared = dict(head.headers).get(b"content-length")
         if declared is not None:
-            self._check_size(int(declared))
             await self._reserve(int(declared))
         elif b"transfer-encoding" in dict(head.headers):
             await self._reserve(http1.READ_BYTES)
