--- a/src/dragonflycove/fleet/load_parts.py
+++ b/src/dragonflycove/fleet/load_parts.py
@@ -34,7 +34,7 @@
     """Whether the directory names hosts by what they can take."""
 
     byte_account: bool = False
-    """Whether the bytes held for requests and responses are bounded by the host's memory."""
+    """Whether the bytes held for responses are bounded with those of requests by the memory."""
 
     @classmethod
     def from_config(cls, contracts: Collection[str], choices: Mapping[str, bool]) -> LoadParts:
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -93,6 +93,9 @@
     refusal_header: bytes | None = None
     """Header with the reason of a refusal, for other nodes; None for callers."""
 
+    has_responses: bool = True
+    """Whether responses are accounted for as well as requests."""
+
 
 class CallerListener:
     """Accepts callers' connections."""
@@ -232,6 +235,7 @@
         self._held: held_bytes.HeldConnection | None = None
         if accounting is not None:
             self._held = accounting.node.open(writer.transport, accounting.name_organisation)
+        self._accounts_for_responses = accounting is not None and accounting.has_responses
         self._listener = listener
         self._handler = handler
         self._limits = limits
@@ -452,7 +456,7 @@
             request.attempt_id,
             request.method,
             is_last=lambda: self._listener.is_stopping,
-            held=self._held,
+            held=self._held if self._accounts_for_responses else None,
             on_write=self._listener.count_bytes,
         )
         self._request_id = request.attempt_id
--- a/src/dragonflycove/gateway/load_handling.py
+++ b/src/dragonflycove/gateway/load_handling.py
@@ -18,6 +18,7 @@
     pace_exchange,
     pace_meter,
     relay_codec,
+    response_bodies,
 )
 from dragonflycove.telemetry import logs
 
@@ -53,11 +54,11 @@
         """
         self.parts = settings.load_parts
         """Which parts are in use."""
-        self.held: held_bytes.HeldBytes | None = None
-        """The bytes held for callers; None if they are not accounted for."""
-        if self.parts.byte_account:
-            account = byte_account.ByteAccount.from_memory(settings.memory_bytes)
-            self.held = held_bytes.HeldBytes(account)
+        own_memory_bytes = settings.memory_bytes
+        if not self.parts.byte_account:
+            own_memory_bytes -= response_bodies.MAX_BUFFERED_BYTES
+        self.held = held_bytes.HeldBytes(byte_account.ByteAccount.from_memory(own_memory_bytes))
+        """The bytes held for callers; without the part `byte_account` those of requests only."""
         self.passed_on_bookings = capacity_bookings.PassedOnBookings()
         """Bookings that this node has passed on to its callers."""
         self._nodes = nodes
@@ -162,25 +163,28 @@
             return entry_points.choose(points, region, zone)
         return self._host_loads.choose(points, region, zone)
 
-    def caller_accounting(self, view: store_view.StoreView) -> callers.Accounting | None:
-        """Return how bytes held for callers are accounted for; None if they are not.
+    def caller_accounting(self, view: store_view.StoreView) -> callers.Accounting:
+        """Return how bytes held for callers are accounted for.
 
         Args:
             view: Configuration as this node knows it.
         """
         names = organisation_names.OrganisationNames(view)
-        return callers.Accounting(self.held, names.of_caller) if self.held is not None else None
+        return callers.Accounting(self.held, names.of_caller, has_responses=self.parts.byte_account)
 
-    def relay_accounting(self, view: store_view.StoreView) -> callers.Accounting | None:
-        """Return how bytes held for nodes that relay requests are accounted for; None if not.
+    def relay_accounting(self, view: store_view.StoreView) -> callers.Accounting:
+        """Return how bytes held for nodes that relay requests are accounted for.
 
         Args:
             view: Configuration as this node knows it.
         """
-        if self.held is None:
-            return None
         names = organisation_names.OrganisationNames(view)
-        return callers.Accounting(self.held, names.of_relayed, relay_codec.REFUSAL_HEADER)
+        return callers.Accounting(
+            self.held,
+            names.of_relayed,
+            relay_codec.REFUSAL_HEADER,
+            has_responses=self.parts.byte_account,
+        )
 
     def gauges(self) -> dict[str, float]:
         """Return the values of the parts' gauge metrics by name."""
@@ -190,7 +194,7 @@
             "dragonflycove_limited_concurrency": self.paces.limited_count(now) if self.paces else 0,
             "dragonflycove_largest_share": self.shares.largest_share(now) if self.shares else 0.0,
             **(self._host_loads.gauges() if self._host_loads is not None else {}),
-            **(self.held.gauges() if self.held is not None else {}),
+            **self.held.gauges(),
         }
 
     def discard_expired(self, now: float) -> None:
