--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -116,6 +116,9 @@
 METRICS_PORT = 9464
 """Port of the metrics; must match deploy/system.toml."""
 
+MAX_CONTROL_BODY_BYTES = 4_096
+"""Size limit of a body sent to a control port; no request there needs one."""
+
 CLEANUP_INTERVAL_SECONDS = 1.0
 """Interval at which expired connections and entries of servers and nodes are removed."""
 
@@ -275,6 +278,9 @@
         configuration = self._store_view.configuration
         return configuration.limits if configuration else catalog.CallerLimits()
 
+    def _control_limits(self) -> catalog.CallerLimits:
+        return self._caller_limits()._replace(max_body_bytes=MAX_CONTROL_BODY_BYTES)
+
     def _is_ready(self) -> bool:
         return (
             not self._stopping.is_set()
@@ -391,7 +397,7 @@
         for address in {settings.readiness_address, settings.directory_address, metrics_address}:
             if address is None:
                 continue
-            listener = callers.CallerListener(self._control_endpoints, self._caller_limits)
+            listener = callers.CallerListener(self._control_endpoints, self._control_limits)
             await listener.listen(address)
             self._control_listeners.append(listener)
         await self._relays.listen()
