--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -356,6 +356,7 @@
                 event = self._parser.next_event()
                 if isinstance(event, h11.Request):
                     head = event
+                    self._is_idle = False
                     await body.begin(head)
                     self._send_continue()
                 elif isinstance(event, h11.Data):
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -406,6 +406,24 @@
             assert await caller.read() == (200, b"done")
 
 
+async def test_a_pipelined_request_that_pauses_in_its_body_is_read_as_one() -> None:
+    async def serve(_: forwarding.CallerRequest, response: caller_responses.CallerResponse) -> None:
+        await asyncio.sleep(0.05)
+        await response.write_complete(200, [], b"done")
+
+    async with _listening() as system:
+        system.handler.on_serve = serve
+        caller = _Caller(system.address)
+        body = b"a" * 40 + GET
+        head = f"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
+        caller.send(GET + head.encode() + body[:40])
+        assert await caller.read() == (200, b"done")
+        await asyncio.sleep(0.05)
+        caller.send(body[40:])
+        assert await caller.read() == (200, b"done")
+        assert [one.body for one in system.handler.requests] == [b"", body]
+
+
 @pytest.mark.parametrize("turns", range(5))
 async def test_a_request_that_arrived_before_idle_connections_are_closed_is_served(
     turns: int,
