--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -48,8 +48,14 @@
 ACCOUNTED_UNREAD_BYTES = 8_192
 """The same where held bytes are accounted for, as these are not; most requests are smaller."""
 
-MAX_PIPELINED_BYTES = 262_144
-"""Maximum bytes of pipelined requests that are read while one is served."""
+MAX_PIPELINED_BYTES = 65_536
+"""Bytes of pipelined requests from which on no more are read on a connection."""
+
+MAX_LISTENER_PIPELINED_BYTES = 4_194_304
+"""Bytes of pipelined requests on all connections of a listener from which on no more are read."""
+
+MAX_RECEIVED_BYTES = 32_768
+"""Maximum bytes that are taken from a caller's socket at once."""
 
 _RESPONSE_SENT = frozenset({h11.DONE, h11.MUST_CLOSE})
 """States of a parser once a complete response has been written."""
@@ -124,6 +130,8 @@
         """Requests that are being read or served."""
         self.carried_bytes = 0
         """Bytes read from and written to callers so far."""
+        self.pipelined_bytes = 0
+        """Bytes of pipelined requests that are held while others are served."""
 
     def count_bytes(self, count: int) -> None:
         """Count bytes that a connection has carried.
@@ -156,6 +164,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         http1.set_socket_options(writer)
+        # asyncio takes up to 256 KiB at once, whatever the reader's limit is.
+        writer.transport.max_size = MAX_RECEIVED_BYTES  # type: ignore[attr-defined]
         connection = _CallerConnection(
             self, self._handler, self._limits, self._accounting, reader, writer
         )
@@ -569,17 +579,25 @@
 
     async def _wait_for_close(self) -> None:
         """Return when the caller closes its side; buffers pipelined requests meanwhile."""
-        pipelined_bytes = 0
-        while pipelined_bytes < MAX_PIPELINED_BYTES:
-            try:
-                data = await self._reader.read(http1.READ_BYTES)
-            except OSError:
-                return
-            if not data:
-                return
-            pipelined_bytes += len(data)
-            self._parser.receive_data(data)
-        await asyncio.Event().wait()
+        pipelined_bytes = len(self._parser.trailing_data[0])
+        self._listener.pipelined_bytes += pipelined_bytes
+        try:
+            while (
+                pipelined_bytes < MAX_PIPELINED_BYTES
+                and self._listener.pipelined_bytes < MAX_LISTENER_PIPELINED_BYTES
+            ):
+                try:
+                    data = await self._reader.read(http1.READ_BYTES)
+                except OSError:
+                    return
+                if not data:
+                    return
+                pipelined_bytes += len(data)
+                self._listener.pipelined_bytes += len(data)
+                self._parser.receive_data(data)
+            await asyncio.Event().wait()
+        finally:
+            self._listener.pipelined_bytes -= pipelined_bytes
 
     async def _reject_malformed(self, status: int) -> None:
         """Respond to a malformed or incomplete request, and close the connection."""
@@ -600,7 +618,7 @@
                 self._writer.write_eof()
             async with asyncio.timeout(MAX_LINGER_SECONDS):
                 while await self._discard_some():
-                    pass
+                    self._is_idle = False
 
     async def _discard_some(self) -> bool:
         """Read bytes and discard them; returns whether there were any."""
