--- a/src/dragonflycove/fleet/host_settings.py
+++ b/src/dragonflycove/fleet/host_settings.py
@@ -102,6 +102,9 @@
     memory_bytes: int
     """Memory that the process may use."""
 
+    max_descriptors: int
+    """Descriptors that the process may open."""
+
     heartbeat_seconds: float
     """Interval at which backend servers renew their registrations."""
 
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -11,7 +11,7 @@
 import h11
 
 from dragonflycove.fleet import forwarding, relaying
-from dragonflycove.fleet.memory import byte_account
+from dragonflycove.fleet.memory import byte_account, connection_limit
 from dragonflycove.gateway import caller_outputs, caller_responses, request_bodies
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
@@ -48,6 +48,9 @@
 ACCOUNTED_UNREAD_BYTES = 8_192
 """The same where held bytes are accounted for, as these are not; most requests are smaller."""
 
+MAX_CONNECTIONS = 1_024
+"""Default of the maximum number of connections that a listener keeps open."""
+
 MAX_PIPELINED_BYTES = 65_536
 """Bytes of pipelined requests from which on no more are read on a connection."""
 
@@ -57,6 +60,12 @@
 MAX_RECEIVED_BYTES = 32_768
 """Maximum bytes that are taken from a caller's socket at once."""
 
+_TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
+"""Response on a connection that is refused before a request has been read."""
+
 _RESPONSE_SENT = frozenset({h11.DONE, h11.MUST_CLOSE})
 """States of a parser once a complete response has been written."""
 
@@ -111,6 +120,7 @@
         handler: Handler,
         limits: Callable[[], catalog.CallerLimits],
         accounting: Accounting | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         """Create a listener that does not listen yet.
 
@@ -118,7 +128,12 @@
             handler: Serves the requests.
             limits: Returns the limits of the configuration in force.
             accounting: How held bytes are accounted for; None if they are not.
+            max_connections: Maximum number of open connections.
         """
+        self.connection_limit = connection_limit.ConnectionLimit[_CallerConnection](max_connections)
+        """Bounds the open connections."""
+        self.refused_connections = 0
+        """Connections refused or closed for others so far, because too many were open."""
         self._accounting = accounting
         self._handler = handler
         self._limits = limits
@@ -169,6 +184,10 @@
         connection = _CallerConnection(
             self, self._handler, self._limits, self._accounting, reader, writer
         )
+        if not self._admit(connection):
+            connection.free_bytes()
+            writer.close()
+            return
         self._connections.add(connection)
         try:
             await connection.run()
@@ -181,9 +200,22 @@
         finally:
             await self._close(connection, writer)
 
+    def _admit(self, connection: _CallerConnection) -> bool:
+        """Return whether a connection may stay open; another one may be closed for it."""
+        admission = self.connection_limit.admit(connection, asyncio.get_running_loop().time())
+        if admission.closed is not None:
+            admission.closed.shed()
+        elif not admission.is_admitted:
+            connection.refuse()
+        else:
+            return True
+        self.refused_connections += 1
+        return admission.is_admitted
+
     async def _close(self, connection: _CallerConnection, writer: asyncio.StreamWriter) -> None:
         """Close a connection after its last response has been passed to the kernel."""
         connection.free_bytes()
+        self.connection_limit.discard(connection)
         try:
             with contextlib.suppress(OSError):  # The connection is closed either way.
                 writer.close()
@@ -281,6 +313,15 @@
             stopping=self._listener.is_stopping,
         )
 
+    def refuse(self) -> None:
+        """Refuse the connection, on which nothing has been read; other nodes see it closed."""
+        if self._accounting is None or self._accounting.refusal_header is None:
+            self._writer.write(_TOO_MANY_CONNECTIONS)
+
+    def shed(self) -> None:
+        """End the connection, which waits for its caller, in favour of a new one."""
+        self._writer.transport.abort()
+
     def free_bytes(self) -> None:
         """Free what the connection holds, once it has ended."""
         if self._held is not None:
@@ -410,6 +451,7 @@
                 async with asyncio.timeout(seconds) as timer:
                     data = await self._reader.read(http1.READ_BYTES)
                     self._listener.count_bytes(len(data))
+                    self._listener.connection_limit.on_waiting(self, loop.time())
                     return data
             except OSError as error:
                 if not timer.expired():
@@ -461,6 +503,7 @@
         """
         self._is_idle = self._is_new = False
         self._listener.active += 1
+        self._listener.connection_limit.on_served(self)
         response = caller_responses.CallerResponse(
             self._parser,
             self._writer,
@@ -481,6 +524,8 @@
             )
         finally:
             self._listener.active -= 1
+            now = asyncio.get_running_loop().time()
+            self._listener.connection_limit.on_waiting(self, now)
             response.close()
             if self._held is not None:
                 self._held.end_request()
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -21,6 +21,7 @@
     store_view,
 )
 from dragonflycove.fleet.directory import entry_points
+from dragonflycove.fleet.memory import connection_limit
 from dragonflycove.gateway import (
     background_tasks,
     callers,
@@ -250,7 +251,10 @@
         )
         self._responder = stop_responses.StopResponder(self._forwarder)
         self._callers = callers.CallerListener(
-            self._responder, self._caller_limits, self._load.caller_accounting(self._store_view)
+            self._responder,
+            self._caller_limits,
+            self._load.caller_accounting(self._store_view),
+            self._max_connections(connection_limit.Port.CALLERS),
         )
         self._relays = relay_listener.RelayListener(
             settings,
@@ -278,6 +282,12 @@
         configuration = self._store_view.configuration
         return configuration.limits if configuration else catalog.CallerLimits()
 
+    def _max_connections(self, port: connection_limit.Port) -> int:
+        settings = self._settings
+        return connection_limit.max_connections(
+            port, settings.max_descriptors, settings.memory_bytes
+        )
+
     def _control_limits(self) -> catalog.CallerLimits:
         return self._caller_limits()._replace(max_body_bytes=MAX_CONTROL_BODY_BYTES)
 
@@ -330,6 +340,8 @@
             "dragonflycove_nodes": 1 + len(self._nodes.alive(now)),
             "dragonflycove_hub_rank": self._nodes.hub_rank(now),
             "dragonflycove_active_requests": self._callers.active,
+            "dragonflycove_connections": self._callers.connection_count,
+            "dragonflycove_connections_refused": self._callers.refused_connections,
             "dragonflycove_waiting_requests": self._local_placer.queue_length,
             "dragonflycove_waiting_organisations": self._local_placer.queued_organisations,
             "dragonflycove_late_requests": self._local_placer.late_count,
@@ -397,7 +409,13 @@
         for address in {settings.readiness_address, settings.directory_address, metrics_address}:
             if address is None:
                 continue
-            listener = callers.CallerListener(self._control_endpoints, self._control_limits)
+            is_directory = address == settings.directory_address
+            port = connection_limit.Port.DIRECTORY if is_directory else connection_limit.Port.PROBES
+            listener = callers.CallerListener(
+                self._control_endpoints,
+                self._control_limits,
+                max_connections=self._max_connections(port),
+            )
             await listener.listen(address)
             self._control_listeners.append(listener)
         await self._relays.listen()
--- a/src/dragonflycove/gateway/relay_listener.py
+++ b/src/dragonflycove/gateway/relay_listener.py
@@ -7,6 +7,7 @@
 import result
 
 from dragonflycove.fleet import catalog, forwarding, relaying
+from dragonflycove.fleet.memory import connection_limit
 from dragonflycove.gateway import caller_responses, callers, relay_codec
 from dragonflycove.telemetry import logs
 
@@ -51,7 +52,12 @@
         self._nodes = nodes
         self._forwarder = request_forwarder
         self._limits = limits
-        self.connections = callers.CallerListener(self, self._relay_limits, accounting)
+        max_connections = connection_limit.max_connections(
+            connection_limit.Port.RELAYS, settings.max_descriptors, settings.memory_bytes
+        )
+        self.connections = callers.CallerListener(
+            self, self._relay_limits, accounting, max_connections
+        )
         """Connections from other nodes."""
         self._active = 0
 
--- a/src/dragonflycove/platform/settings.py
+++ b/src/dragonflycove/platform/settings.py
@@ -85,6 +85,7 @@
         seed_ips=tuple(str(seed).rpartition(":")[0] for seed in fields.get("seed_nodes") or ()),
         cores=float(limits.get("cpu_share", 0.5)) * float(limits.get("cpu_cores", 1)),
         memory_bytes=int(float(limits.get("memory_mb", 256)) * 1_000_000),
+        max_descriptors=int(limits.get("max_fds", 4_096)),
         heartbeat_seconds=float(fields.get("heartbeat_ms", 1000)) / 1000,
         store=_store(fields["platform"]),
         bounds=_bounds(fields.get("bounds") or {}),
--- a/src/dragonflycove/telemetry/fleet_metrics.py
+++ b/src/dragonflycove/telemetry/fleet_metrics.py
@@ -42,6 +42,8 @@
     "dragonflycove_nodes": "Nodes that run, this one included",
     "dragonflycove_hub_rank": "Rank of this node among the hubs; -1 if it is none",
     "dragonflycove_active_requests": "Requests that are being read or served",
+    "dragonflycove_connections": "Open connections of callers",
+    "dragonflycove_connections_refused": "Connections of callers refused or closed for others",
     "dragonflycove_waiting_requests": "Requests that wait for room at this node",
     "dragonflycove_waiting_organisations": "Organisations whose requests wait at this node",
     "dragonflycove_largest_share": "Largest share of one organisation of what is occupied",
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -113,6 +113,7 @@
         seed_ips=(),
         cores=1.0,
         memory_bytes=300_000_000,
+        max_descriptors=4_096,
         heartbeat_seconds=1.2,
         store=host_settings.StoreLimits(store, 400.0, 2000.0),
         bounds=host_settings.Bounds(
