--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -214,7 +214,9 @@
             self._peer_socket,
             self._load.passed_on_bookings,
         )
-        self._transfers = peer_transfer.TransferServer(self._store_follower)
+        self._transfers = peer_transfer.TransferServer(
+            self._store_follower, self._max_connections(connection_limit.Port.TRANSFERS)
+        )
         calls = engine_calls.EngineCalls(self._pool, self._statements.heads)
         self._reservation_manager = reservations.ReservationManager(calls)
         retry_budget = retry_budget_share.RetryBudgetShare(
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -26,6 +26,9 @@
 MAX_MESSAGE_BYTES = 33_554_432
 """Maximum size of a message, compressed or not; a configuration has at most a few megabytes."""
 
+MAX_REQUEST_BYTES = 4_096
+"""The same of a request, which holds two offsets."""
+
 COMPRESSION_LEVEL = 1
 """zlib's fastest level; configurations shrink to about a tenth, and hosts have little bandwidth."""
 
@@ -86,13 +89,16 @@
 class TransferServer:
     """Serves this node's records to other nodes."""
 
-    def __init__(self, follower: store_follower.StoreFollower) -> None:
+    def __init__(self, follower: store_follower.StoreFollower, max_connections: int) -> None:
         """Create a server that does not listen yet.
 
         Args:
             follower: Store records of this node.
+            max_connections: Connections that are served at once; others are closed.
         """
         self._follower = follower
+        self._max_connections = max_connections
+        self._connections = 0
         self._server: asyncio.Server | None = None
 
     def close(self) -> None:
@@ -113,14 +119,18 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._connections += 1
         try:
+            if self._connections > self._max_connections:
+                raise OSError("too many connections")
             async with asyncio.timeout(TRANSFER_TIMEOUT_SECONDS):
-                request = await _read(reader, Request)
+                request = await _read(reader, Request, MAX_REQUEST_BYTES)
                 writer.write(_frame(self._respond(request)))
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
             logs.warning("transfer_failed", side="server", why=repr(error))
         finally:
+            self._connections -= 1
             writer.close()
 
     def _respond(self, request: Request) -> Response:
@@ -164,7 +174,7 @@
             reader, writer = await asyncio.open_connection(address.ip, address.port)
             http1.set_socket_options(writer)
             writer.write(_frame(request))
-            return result.Ok(await _read(reader, Response))
+            return result.Ok(await _read(reader, Response, MAX_MESSAGE_BYTES))
     except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
         return result.Err(repr(error))
     finally:
@@ -178,10 +188,10 @@
     return _LENGTH.pack(len(compressed)) + compressed
 
 
-async def _read(reader: asyncio.StreamReader, kind: type[_T]) -> _T:
+async def _read(reader: asyncio.StreamReader, kind: type[_T], max_bytes: int) -> _T:
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > MAX_MESSAGE_BYTES:
+    if length > max_bytes:
         raise ValueError(f"message of {length} bytes")
     decompressor = zlib.decompressobj()
-    encoded = decompressor.decompress(await reader.readexactly(length), MAX_MESSAGE_BYTES)
+    encoded = decompressor.decompress(await reader.readexactly(length), max_bytes)
     return msgspec.convert(cbor2.loads(encoded), type=kind)
