--- a/src/dragonflycove/gateway/caller_input.py
+++ b/src/dragonflycove/gateway/caller_input.py
@@ -18,9 +18,12 @@
 
     from dragonflycove.fleet import catalog
 
-MAX_PIPELINED_BYTES = 262_144
+MAX_PIPELINED_BYTES = 65_536
 """Bytes of pipelined requests after which no more are read while one is served."""
 
+MAX_LISTENER_PIPELINED_BYTES = 4_194_304
+"""The same on all connections of a listener together."""
+
 CLOSE_POLL_SECONDS = 0.1
 """Interval at which a caller's leaving is looked for once `MAX_PIPELINED_BYTES` were read."""
 
@@ -41,6 +44,20 @@
     """It has been read whole, and its response may be written."""
 
 
+class PipelinedBytes:
+    """The bytes that the connections of a listener keep beyond the requests that have begun."""
+
+    def __init__(self) -> None:
+        """Create a count without bytes."""
+        self.held_bytes = 0
+        """Their number."""
+
+    @property
+    def has_room(self) -> bool:
+        """Whether further bytes may be read while a request is served."""
+        return self.held_bytes < MAX_LISTENER_PIPELINED_BYTES
+
+
 class CallerInput:
     """The only reader of a caller's connection.
 
@@ -54,6 +71,7 @@
         writer: asyncio.StreamWriter,
         limits: Callable[[], catalog.CallerLimits],
         on_read: Callable[[int], None],
+        pipelined: PipelinedBytes,
     ) -> None:
         """Take over the reading side of an open connection.
 
@@ -62,11 +80,13 @@
             writer: Stream to the caller; not written to.
             limits: Returns the limits of the configuration in force.
             on_read: Called with the number of bytes of each read.
+            pipelined: What all connections of the listener keep.
         """
         self._reader = reader
         self._writer = writer
         self._limits = limits
         self._on_read = on_read
+        self._pipelined = pipelined
         self._phase = _Phase.AWAITED
         self._parser: h11.Connection | None = None
         self._following = bytearray()
@@ -119,7 +139,7 @@
             data = await self._read_some()
             if not data:
                 return False
-            self._following += data
+            self._keep(data)
         self._phase = _Phase.BEGUN
         self._is_first = False
         self.parsed_bytes = 0
@@ -137,7 +157,9 @@
         event = self.parser.next_event()
         if isinstance(event, h11.EndOfMessage):
             self._phase = _Phase.COMPLETE
-            self._following[:0] = self.parser.trailing_data[0]
+            trailing = self.parser.trailing_data[0]
+            self._following[:0] = trailing
+            self._pipelined.held_bytes += len(trailing)
         return event
 
     async def read(self) -> None:
@@ -162,6 +184,17 @@
         self.parsed_bytes += len(data)
         self.parser.receive_data(data)
         del self._following[: http1.READ_BYTES]
+        self._pipelined.held_bytes -= len(data)
+
+    def _keep(self, data: bytes) -> None:
+        """Keep bytes until they are parsed."""
+        self._following += data
+        self._pipelined.held_bytes += len(data)
+
+    def close(self) -> None:
+        """Drop what is kept, once the connection has ended."""
+        self._pipelined.held_bytes -= len(self._following)
+        self._following.clear()
 
     async def _read_some(self) -> bytes | None:
         """Read bytes, empty at the end of the stream; None on timeout."""
@@ -209,11 +242,11 @@
         """
         with contextlib.suppress(OSError):  # A reset ends the connection as well.
             while True:
-                if len(self._following) < MAX_PIPELINED_BYTES:
+                if len(self._following) < MAX_PIPELINED_BYTES and self._pipelined.has_room:
                     data = await self._read_stream()
                     if not data:
                         return
-                    self._following += data
+                    self._keep(data)
                 elif self._reader.at_eof() or self._reader.exception() is not None:
                     return
                 else:
--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -11,7 +11,7 @@
 import h11
 
 from dragonflycove.fleet import forwarding, relaying
-from dragonflycove.fleet.memory import byte_account
+from dragonflycove.fleet.memory import byte_account, connection_limit
 from dragonflycove.gateway import (
     caller_input,
     caller_outputs,
@@ -58,6 +58,18 @@
 _LIMIT_STATUSES = frozenset({413, 431})
 """Statuses of requests that exceed a limit which operators state."""
 
+MAX_CONNECTIONS = 1_024
+"""Default of the maximum number of connections that a listener keeps open."""
+
+MAX_RECEIVED_BYTES = 32_768
+"""Maximum bytes that are taken from a caller's socket at once."""
+
+_TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
+"""Response on a connection that is refused before a request has been read."""
+
 _RESPONSE_SENT = frozenset({h11.DONE, h11.MUST_CLOSE})
 """States of a parser once a complete response has been written."""
 
@@ -100,6 +112,9 @@
     refusal_header: bytes | None = None
     """Header with the reason of a refusal, for other nodes; None for callers."""
 
+    has_responses: bool = True
+    """Whether responses are accounted for as well as requests."""
+
 
 class CallerListener:
     """Accepts callers' connections."""
@@ -109,6 +124,7 @@
         handler: Handler,
         limits: Callable[[], catalog.CallerLimits],
         accounting: Accounting | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         """Create a listener that does not listen yet.
 
@@ -116,7 +132,12 @@
             handler: Serves the requests.
             limits: Returns the limits of the configuration in force.
             accounting: How held bytes are accounted for; None if they are not.
+            max_connections: Maximum number of open connections.
         """
+        self.connection_limit = connection_limit.ConnectionLimit[_CallerConnection](max_connections)
+        """Bounds the open connections."""
+        self.refused_connections = 0
+        """Connections refused or closed for others so far, because too many were open."""
         self._accounting = accounting
         self._handler = handler
         self._limits = limits
@@ -129,6 +150,8 @@
         """Requests that are being read or served."""
         self.carried_bytes = 0
         """Bytes read from and written to callers so far."""
+        self.pipelined = caller_input.PipelinedBytes()
+        """Bytes of pipelined requests that are held while others are served."""
 
     def count_bytes(self, count: int) -> None:
         """Count bytes that a connection has carried.
@@ -161,9 +184,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         http1.set_socket_options(writer)
+        # asyncio takes up to 256 KiB at once, whatever the reader's limit is.
+        writer.transport.max_size = MAX_RECEIVED_BYTES  # type: ignore[attr-defined]
         connection = _CallerConnection(
             self, self._handler, self._limits, self._accounting, reader, writer
         )
+        if not self._admit(connection):
+            connection.free_bytes()
+            writer.close()
+            return
         self._connections.add(connection)
         try:
             await connection.run()
@@ -176,9 +205,22 @@
         finally:
             await self._close(connection, writer)
 
+    def _admit(self, connection: _CallerConnection) -> bool:
+        """Return whether a connection may stay open; another one may be closed for it."""
+        admission = self.connection_limit.admit(connection, asyncio.get_running_loop().time())
+        if admission.closed is not None:
+            admission.closed.shed()
+        elif not admission.is_admitted:
+            connection.refuse()
+        else:
+            return True
+        self.refused_connections += 1
+        return admission.is_admitted
+
     async def _close(self, connection: _CallerConnection, writer: asyncio.StreamWriter) -> None:
         """Close a connection after its last response has been passed to the kernel."""
         connection.free_bytes()
+        self.connection_limit.discard(connection)
         try:
             with contextlib.suppress(OSError):  # The connection is closed either way.
                 writer.close()
@@ -240,14 +282,18 @@
         self._held: held_bytes.HeldConnection | None = None
         if accounting is not None:
             self._held = accounting.node.open(writer.transport, accounting.name_organisation)
+        self._accounts_for_responses = accounting is not None and accounting.has_responses
         self._listener = listener
         self._handler = handler
         self._limits = limits
-        self._input = caller_input.CallerInput(reader, writer, limits, listener.count_bytes)
+        self._input = caller_input.CallerInput(
+            reader, writer, limits, self._on_read, listener.pipelined
+        )
         self._writer = writer
         self._idle_since = asyncio.get_running_loop().time()
         self._request_id = ""
         self._served_requests = 0
+        self._is_serving = False
         self._response: caller_responses.CallerResponse | None = None
 
     def log_unanswered(self, cause: UnansweredCause) -> None:
@@ -272,8 +318,24 @@
             stopping=self._listener.is_stopping,
         )
 
+    def refuse(self) -> None:
+        """Refuse the connection, on which nothing has been read; other nodes see it closed."""
+        if self._accounting is None or self._accounting.refusal_header is None:
+            self._writer.write(_TOO_MANY_CONNECTIONS)
+
+    def shed(self) -> None:
+        """End the connection, which waits for its caller, in favour of a new one."""
+        self._writer.transport.abort()
+
+    def _on_read(self, count: int) -> None:
+        self._listener.count_bytes(count)
+        if not self._is_serving:
+            now = asyncio.get_running_loop().time()
+            self._listener.connection_limit.on_waiting(self, now)
+
     def free_bytes(self) -> None:
         """Free what the connection holds, once it has ended."""
+        self._input.close()
         if self._held is not None:
             self._held.close()
 
@@ -378,13 +440,15 @@
         """
         self._served_requests += 1
         self._listener.active += 1
+        self._is_serving = True
+        self._listener.connection_limit.on_served(self)
         response = caller_responses.CallerResponse(
             self._input.parser,
             self._writer,
             request.attempt_id,
             request.method,
             is_last=self._is_last_response,
-            held=self._held,
+            held=self._held if self._accounts_for_responses else None,
             on_write=self._listener.count_bytes,
         )
         self._request_id = request.attempt_id
@@ -398,6 +462,9 @@
             )
         finally:
             self._listener.active -= 1
+            self._is_serving = False
+            now = asyncio.get_running_loop().time()
+            self._listener.connection_limit.on_waiting(self, now)
             response.close()
             if self._held is not None:
                 self._held.end_request()
--- a/src/dragonflycove/gateway/peer_transfer.py
+++ b/src/dragonflycove/gateway/peer_transfer.py
@@ -89,13 +89,16 @@
 class TransferServer:
     """Serves this node's records to other nodes."""
 
-    def __init__(self, follower: store_follower.StoreFollower) -> None:
+    def __init__(self, follower: store_follower.StoreFollower, max_connections: int) -> None:
         """Create a server that does not listen yet.
 
         Args:
             follower: Store records of this node.
+            max_connections: Connections that are served at once; others are closed.
         """
         self._follower = follower
+        self._max_connections = max_connections
+        self._connections = 0
         self._server: asyncio.Server | None = None
 
     def close(self) -> None:
@@ -116,7 +119,10 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._connections += 1
         try:
+            if self._connections > self._max_connections:
+                raise OSError("too many connections")
             async with asyncio.timeout(TRANSFER_TIMEOUT_SECONDS):
                 request = await _read(reader, Request, MAX_REQUEST_BYTES)
                 writer.write(_frame(self._respond(request)))
@@ -124,6 +130,7 @@
         except (OSError, TimeoutError, EOFError, ValueError, zlib.error) as error:
             logs.warning("transfer_failed", side="server", why=repr(error))
         finally:
+            self._connections -= 1
             writer.close()
 
     def _respond(self, request: Request) -> Response:
--- a/src/dragonflycove/gateway/request_bodies.py
+++ b/src/dragonflycove/gateway/request_bodies.py
@@ -65,12 +65,13 @@
         """
         self._head = head
         self.begun_at = asyncio.get_running_loop().time()
+        declared = dict(head.headers).get(b"content-length")
+        if declared is not None:
+            self._check_size(int(declared))
         if self._held is None:
             return
         self._held.begin_request(head.headers)
-        declared = dict(head.headers).get(b"content-length")
         if declared is not None:
-            self._check_size(int(declared))
             await self._reserve(int(declared))
         elif b"transfer-encoding" in dict(head.headers):
             await self._reserve(http1.READ_BYTES)
