--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -22,7 +22,7 @@
 """Maximum bytes per read from a socket."""
 
 RESPONSE_READ_BYTES = 16_384
-"""Maximum bytes of a response that are read or parsed at once; three times as many are buffered."""
+"""Maximum bytes of a response that are parsed in one turn of the event loop."""
 
 MAX_EVENTS_PER_TURN = 64
 """Maximum parts of a response, such as chunks, that are parsed in one turn of the event loop."""
@@ -186,18 +186,13 @@
         try:
             async with asyncio.timeout(connect_timeout_seconds):
                 reader, writer = await asyncio.open_connection(
-                    address.ip,
-                    address.port,
-                    limit=RESPONSE_READ_BYTES,
-                    local_addr=(source_ip, 0) if source_ip else None,
+                    address.ip, address.port, local_addr=(source_ip, 0) if source_ip else None
                 )
         except TimeoutError:
             return result.Err("connect_timeout")
         except OSError as error:
             return result.Err(f"connect_failed: {error.strerror or error}")
         set_socket_options(writer)
-        # Bounds what one read adds to the reader's buffer, which may exceed the limit by that.
-        writer.transport.max_size = RESPONSE_READ_BYTES  # type: ignore[attr-defined]
         return result.Ok(cls(reader, writer))
 
     def send(self, request: Request) -> None:
