--- a/src/dragonflycove/gateway/caller_input.py
+++ b/src/dragonflycove/gateway/caller_input.py
@@ -18,7 +18,7 @@
 
     from dragonflycove.fleet import catalog
 
-MAX_PIPELINED_BYTES = 65_536
+MAX_PIPELINED_BYTES = 262_144
 """Bytes of pipelined requests after which no more are read while one is served."""
 
 MAX_LISTENER_PIPELINED_BYTES = 4_194_304
