--- a/src/dragonflycove/gateway/peer_sync.py
+++ b/src/dragonflycove/gateway/peer_sync.py
@@ -88,6 +88,7 @@
         self, member: roster.Member, request: peer_transfer.Request, theirs: peer_messages.Freshness
     ) -> tuple[bool, bool] | None:
         """Fetch and apply records; returns which topics are complete, None after a failure."""
+        requested_at = asyncio.get_running_loop().time()
         fetched = await peer_transfer.fetch(member.peer_address, request)
         if isinstance(fetched, result.Err):
             logs.warning("transfer_failed", side="client", node=member.host, why=fetched.err_value)
@@ -97,10 +98,18 @@
         operators_from, servers_from = operators.next_offset, servers.next_offset
         are_complete = (
             self._follower.merge(
-                operators, request.operators, response.operators, theirs.operator_revision
+                operators,
+                request.operators,
+                response.operators,
+                theirs.operator_revision,
+                requested_at,
             ),
             self._follower.merge(
-                servers, request.servers, response.servers, theirs.server_revision
+                servers,
+                request.servers,
+                response.servers,
+                theirs.server_revision,
+                requested_at,
             ),
         )
         logs.event(
--- a/src/dragonflycove/gateway/store_follower.py
+++ b/src/dragonflycove/gateway/store_follower.py
@@ -23,10 +23,6 @@
 MIN_OUTAGE_FAILURES = 2
 """Failed reads in a row that count as an outage of the store; one may be a closed connection."""
 
-TRANSFER_TRANSIT_SECONDS = 0.1
-"""Age added to state fetched from another node, for the time in transit."""
-
-
 _READ_BY_LISTING = frozenset({store.Failure.EXPIRED, store.Failure.TOO_LONG})
 """Failures of a read after which the topic is listed, in pages, instead."""
 
@@ -200,6 +196,7 @@
         requested: peer_transfer.TopicRequest,
         response: peer_transfer.TopicResponse,
         revision: int,
+        requested_at: float,
     ) -> bool:
         """Apply the records of a topic that another node has sent.
 
@@ -208,15 +205,15 @@
             requested: The request that they respond to.
             response: The records and their age.
             revision: The other node's revision when its records were requested.
+            requested_at: Loop time of the request; the response is younger.
 
         Returns:
             Whether they complete the topic up to the other node's position. Otherwise that node
             doesn't know all deletions since this one's, and the position stays.
         """
-        now = asyncio.get_running_loop().time()
         end = response.next_offset
         if end is not None:
-            self.mark_fresh(position, now - response.age_seconds - TRANSFER_TRANSIT_SECONDS)
+            self.mark_fresh(position, requested_at - response.age_seconds)
         self.apply(position, sorted(response.records, key=lambda record: record.offset))
         # Two changes of a key may have cancelled out, which other nodes have seen one of.
         self._note_offsets(position, response.records, revision + 1)
--- a/tests/gateway/test_store_follower.py
+++ b/tests/gateway/test_store_follower.py
@@ -95,8 +95,21 @@
     late = asyncio.ensure_future(follower._read_once(position, now))  # noqa: SLF001
     await asyncio.sleep(0)
     all_keys = peer_transfer.TopicResponse((), 3, 0.0)
-    assert follower.merge(position, peer_transfer.TopicRequest(-1), all_keys, 2)
+    assert follower.merge(position, peer_transfer.TopicRequest(-1), all_keys, 2, now)
     client.is_answered.set()
     assert await late
     assert follower.view.usable_servers("svc", now) == []
     assert position.next_offset == 3
+
+
+async def test_the_time_that_a_transfer_takes_counts_to_the_age_of_its_records() -> None:
+    follower = store_follower.StoreFollower(
+        deployment.loopback(), store_view.StoreView(), lambda: 1.0
+    )
+    position = follower.operators
+    requested_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(0.3)
+    response = peer_transfer.TopicResponse((), 3, 0.5)
+    request = peer_transfer.TopicRequest(-1)
+    assert follower.merge(position, request, response, 2, requested_at)
+    assert position.fresh_as_of <= requested_at - 0.5
