--- a/src/dragonflycove/fleet/catalog.py
+++ b/src/dragonflycove/fleet/catalog.py
@@ -198,7 +198,8 @@
 def _without_port(host: str) -> str:
     """Return a host header without its port; a colon in an IPv6 address is none."""
     name, _, port = host.rpartition(":")
-    return name if port.isdecimal() and (":" not in name or name.endswith("]")) else host
+    is_port = (port.isdecimal() or not port) and (":" not in name or name.endswith("]"))
+    return name if is_port and name else host
 
 
 class Configuration(NamedTuple):
--- a/src/dragonflycove/gateway/caller_input.py
+++ b/src/dragonflycove/gateway/caller_input.py
@@ -135,7 +135,7 @@
         """
         self._phase = _Phase.AWAITED
         self._parser = None
-        if not self._following:
+        while not self._drop_empty_lines():
             data = await self._read_some()
             if not data:
                 return False
@@ -186,6 +186,13 @@
         del self._following[: http1.READ_BYTES]
         self._pipelined.held_bytes -= len(data)
 
+    def _drop_empty_lines(self) -> bool:
+        """Drop line ends before a request (RFC 9112, 2.2); returns whether a byte of one is left."""
+        stripped = self._following.lstrip(b"\r\n")
+        self._pipelined.held_bytes -= len(self._following) - len(stripped)
+        self._following = stripped
+        return bool(stripped)
+
     def _keep(self, data: bytes) -> None:
         """Keep bytes until they are parsed."""
         self._following += data
--- a/tests/gateway/test_caller_connections.py
+++ b/tests/gateway/test_caller_connections.py
@@ -159,6 +159,17 @@
     assert response.status == 200
 
 
+@pytest.mark.parametrize("is_apart", [False, True])
+async def test_empty_lines_before_a_request_are_not_taken_for_one(*, is_apart: bool) -> None:
+    async with _listening() as system:
+        caller = _Caller(system.address)
+        for _ in range(2):
+            caller.send(b"\r\n\r\n")
+            if is_apart:
+                await asyncio.sleep(0.05)
+            assert await caller.call() == (200, b"done")
+
+
 @pytest.mark.parametrize("method", [b"HEAD", b"GET"])
 @pytest.mark.parametrize("version", [b"1.1", b"1.0"])
 async def test_a_refusal_is_written_whatever_the_method_and_version(
