--- a/src/dragonflycove/gateway/callers.py
+++ b/src/dragonflycove/gateway/callers.py
@@ -150,6 +150,8 @@
         """Requests that are being read or served."""
         self.carried_bytes = 0
         """Bytes read from and written to callers so far."""
+        self.may_deny: Callable[[], bool] = lambda: True
+        """Returns whether the limits in force are known to be the operators' newest ones."""
         self.pipelined = caller_input.PipelinedBytes()
         """Bytes of pipelined requests that are held while others are served."""
 
@@ -572,8 +574,8 @@
     async def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         """Respond to a malformed or incomplete request, and close the connection."""
         status = error.error_status_hint
-        if status in _LIMIT_STATUSES and self._limits().are_defaults:
-            await self._refuse_unconfigured()
+        if status in _LIMIT_STATUSES and not self._listener.may_deny():
+            await self._refuse_by_limits()
             return
         denials.log_by_parser(
             self._request_id,
@@ -592,14 +594,14 @@
             self._writer.write(data)
             await self._linger()
 
-    async def _refuse_unconfigured(self) -> None:
-        """Refuse a request that exceeds a default limit; operators may have stated a greater one."""
+    async def _refuse_by_limits(self) -> None:
+        """Refuse a request that exceeds a limit; operators may have stated a greater one by now."""
         if self._held is not None:
             self._held.end_request()
-        final = forwarding.FinalResponse(
-            503,
-            request_admission.NO_CONFIGURATION,
-            request_admission.NO_CONFIGURATION_RETRY_SECONDS,
+        final = (
+            request_admission.UNCONFIGURED
+            if self._limits().are_defaults
+            else request_admission.OUTDATED
         )
         logs.event("refused", request=self._request_id, status=final.status, reason=final.reason)
         response = caller_responses.CallerResponse(
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -438,6 +438,7 @@
             self._control_listeners.append(listener)
         await self._relays.listen()
         if settings.caller_address is not None:
+            self._callers.may_deny = lambda: self._admission.may_deny
             await self._callers.listen(settings.caller_address)
 
     async def stop(self) -> None:
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -29,12 +29,12 @@
 """Retry-after of a refusal that concerns this node alone."""
 
 
-NO_CONFIGURATION = "no_configuration"
-"""Reason of a refusal before the first configuration."""
+UNCONFIGURED = forwarding.FinalResponse(503, "no_configuration", 0.5)
+"""Refusal before the first configuration."""
 
-NO_CONFIGURATION_RETRY_SECONDS = 0.5
-"""Retry-after of such a refusal."""
 
+OUTDATED = forwarding.FinalResponse(503, "configuration_outdated", RETRY_AFTER_SECONDS)
+"""Refusal of what a newer configuration may allow."""
 
 CHANGE_SLACK_SHARE = 0.5
 """Share of `Bounds.rollback_slack_seconds` by which a request may have been sent before its head was
@@ -102,9 +102,7 @@
         slack_seconds = CHANGE_SLACK_SHARE * self._bounds().rollback_slack_seconds
         candidates = self._store_view.configurations_since(request.arrived_at - slack_seconds)
         if not candidates:
-            return result.Err(
-                forwarding.FinalResponse(503, NO_CONFIGURATION, NO_CONFIGURATION_RETRY_SECONDS)
-            )
+            return result.Err(UNCONFIGURED)
         verdicts = [_check(request, configuration) for configuration in candidates]
         for configuration, verdict in zip(candidates, verdicts, strict=True):
             if isinstance(verdict, _Admitted):
@@ -126,6 +124,14 @@
         weights = [weight for _, weight in route.weights_by_service]
         return self._rng.choices(services, weights)[0] if sum(weights) else services[0]
 
+    @property
+    def may_deny(self) -> bool:
+        """Whether the configuration in force is known to be the newest that has had time to apply."""
+        return (
+            self._configuration_age() <= self._bounds().config_apply_seconds
+            and not self._store_view.has_unreadable_configuration
+        )
+
     def _deny(
         self, request: forwarding.CallerRequest, check: denials.Check, version: int
     ) -> result.Err[forwarding.FinalResponse]:
@@ -133,15 +139,9 @@
 
         A configuration that may be outdated proves nothing against a request.
         """
+        if not self.may_deny:
+            return result.Err(OUTDATED)
         age_seconds = self._configuration_age()
-        is_outdated = (
-            age_seconds > self._bounds().config_apply_seconds
-            or self._store_view.has_unreadable_configuration
-        )
-        if is_outdated:
-            return result.Err(
-                forwarding.FinalResponse(503, "configuration_outdated", RETRY_AFTER_SECONDS)
-            )
         is_route = check is denials.Check.ROUTE
         final = (
             forwarding.FinalResponse(404, "no_route", None)
--- a/tests/gateway/test_stale_denials.py
+++ b/tests/gateway/test_stale_denials.py
@@ -63,3 +63,23 @@
         await asyncio.sleep(system.settings[0].bounds.config_apply_seconds)
         again = await system.call("/look/x", key="k9", method=b"GET", attempt="again")
     assert (unknown.status, known.status, again.status) == (503, 200, 401)
+
+
+@pytest.mark.parametrize("limit", ["max_body_bytes", "max_header_bytes"])
+async def test_a_node_that_lost_the_store_denies_no_request_by_limits_that_were_raised(
+    limit: str,
+) -> None:
+    async with deployment.deployed() as system:
+        system.faults[0].is_unresponsive = True
+        system.store.put(
+            "keyed.op", "config", deployment.configuration(2, limits={limit: 1_000_000})
+        )
+        await asyncio.sleep(system.settings[0].bounds.config_apply_seconds)
+        is_body = limit == "max_body_bytes"
+        response = await system.call(
+            "/post/x",
+            body=b"x" * 200_000 if is_body else b"",
+            headers={} if is_body else {"X-Long": "x" * 60_000},
+        )
+    assert response.status == 503
+    assert float(response.headers["retry-after"]) > 0.0
