--- a/scripts/platform_node.py
+++ b/scripts/platform_node.py
@@ -8,7 +8,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.realpath(__file__)), "..", "src"))
+_SOURCE = os.path.join(os.path.dirname(os.path.dirname(os.path.realpath(__file__))), "src")
+sys.path.insert(0, _SOURCE)
 
 from dragonflycove import early_signals  # noqa: E402
 
