--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -131,10 +131,7 @@
     Returns:
         The key; None if there is none.
     """
-    for name, value in headers:
-        if name == _API_KEY:
-            return value.decode("latin-1")
-    return None
+    return _read_first(headers, _API_KEY)
 
 
 def read_attempt_id(headers: Iterable[tuple[bytes, bytes]]) -> str:
@@ -146,10 +143,12 @@
     Returns:
         The id; empty if there is none.
     """
-    for name, value in headers:
-        if name == _ATTEMPT_ID:
-            return value.decode("latin-1")
-    return ""
+    return _read_first(headers, _ATTEMPT_ID) or ""
+
+
+def _read_first(headers: Iterable[tuple[bytes, bytes]], wanted: bytes) -> str | None:
+    """Return the value of the first header with a name; None if there is none."""
+    return next((value.decode("latin-1") for name, value in headers if name == wanted), None)
 
 
 def _shared_parts(value: bytes) -> tuple[str, ...]:
