--- a/src/dragonflycove/transport/http1.py
+++ b/src/dragonflycove/transport/http1.py
@@ -26,6 +26,9 @@
 RESPONSE_READ_BYTES = 16_384
 """Maximum bytes of a response that are parsed in one turn of the event loop."""
 
+UNREAD_BYTES = 32_768
+"""Bytes that are taken from a socket at once, and half of what is taken before it is read."""
+
 MAX_EVENTS_PER_TURN = 64
 """Maximum parts of a response, such as chunks, that are parsed in one turn of the event loop."""
 
@@ -190,13 +193,18 @@
         try:
             async with asyncio.timeout(connect_timeout_seconds):
                 reader, writer = await asyncio.open_connection(
-                    address.ip, address.port, local_addr=(source_ip, 0) if source_ip else None
+                    address.ip,
+                    address.port,
+                    local_addr=(source_ip, 0) if source_ip else None,
+                    limit=UNREAD_BYTES,
                 )
         except TimeoutError:
             return result.Err("connect_timeout")
         except OSError as error:
             return result.Err(f"connect_failed: {error.strerror or error}")
         set_socket_options(writer)
+        # asyncio takes up to 256 KiB at once, whatever the reader's limit is.
+        writer.transport.max_size = UNREAD_BYTES  # type: ignore[attr-defined]
         return result.Ok(cls(reader, writer))
 
     def send(self, request: Request) -> None:
