--- a/tests/run_known_red.py
+++ b/tests/run_known_red.py
@@ -14,8 +14,11 @@
 ROOT = pathlib.Path(__file__).parent.parent
 """Root folder of the repository."""
 
-GATEWAY_FILES_OF_FIRST_PROCESS = ("test_c*.py", "test_e*.py", "test_le*.py")
-"""Patterns of the files of `tests/gateway` that one process runs; another one runs the rest."""
+GATEWAY_FILES_BY_PROCESS = (
+    ("test_c*.py", "test_e*.py", "test_le*.py"),
+    ("test_la*.py", "test_r*.py", "test_u*.py"),
+)
+"""Patterns of the files of `tests/gateway` that one process each runs; another one runs the rest."""
 
 CROWD_TESTS = "tests/processes/test_hostile_callers.py"
 """Tests that run apart from the others, since they put the machine under load themselves."""
@@ -33,11 +36,13 @@
 def divide_tests() -> list[list[str]]:
     """Return the pytest arguments of each process; together they select all tests."""
     gateway = ROOT / "tests" / "gateway"
-    first = {path for pattern in GATEWAY_FILES_OF_FIRST_PROCESS for path in gateway.glob(pattern)}
-    second = set(gateway.glob("test_*.py")) - first
+    groups = [
+        {path for pattern in patterns for path in gateway.glob(pattern)}
+        for patterns in GATEWAY_FILES_BY_PROCESS
+    ]
+    groups.append(set(gateway.glob("test_*.py")).difference(*groups))
     return [
-        sorted(str(path.relative_to(ROOT)) for path in first),
-        sorted(str(path.relative_to(ROOT)) for path in second),
+        *(sorted(str(path.relative_to(ROOT)) for path in group) for group in groups),
         ["tests", "--ignore=tests/gateway", f"--ignore={CROWD_TESTS}"],
     ]
 
