--- a/tests/run_known_red.py
+++ b/tests/run_known_red.py
@@ -40,7 +40,7 @@
         {path for pattern in patterns for path in gateway.glob(pattern)}
         for patterns in GATEWAY_FILES_BY_PROCESS
     ]
-    groups.append(set(gateway.glob("test_*.py")).difference(*groups))
+    groups.append(set(gateway.rglob("test_*.py")).difference(*groups))
     return [
         *(sorted(str(path.relative_to(ROOT)) for path in group) for group in groups),
         ["tests", "--ignore=tests/gateway", f"--ignore={CROWD_TESTS}"],
