--- a/src/dragonflycove/gateway/forwarder.py
+++ b/src/dragonflycove/gateway/forwarder.py
@@ -578,8 +578,11 @@
         A started stream is cut off; a server's failure response is preferred to this node's own.
         """
         if response.is_started:
-            kind = "stream_cut" if context.relayed is None else "stream_returned"
-            logs.event(kind, request=context.request.attempt_id, reason=final.reason)
+            logs.event(
+                "stream_cut" if context.relayed is None else "stream_returned",
+                request=context.request.attempt_id,
+                reason=final.reason,
+            )
             response.abort()
             return
         if fallback is not None:
--- a/tests/gateway/test_peer_transfer.py
+++ b/tests/gateway/test_peer_transfer.py
@@ -19,7 +19,7 @@
     follower = store_follower.StoreFollower(
         deployment.loopback(), store_view.StoreView(), lambda: 1.0
     )
-    server = peer_transfer.TransferServer(follower)
+    server = peer_transfer.TransferServer(follower, max_connections=4)
     address = deployment.loopback()
     await server.listen(address)
     try:
