--- a/review/standins-3/review_platform.py
+++ b/review/standins-3/review_platform.py
@@ -25,6 +25,10 @@
 """Root folder of the repository."""
 
 
+COMMAND = ("python3", "scripts/platform_node.py", "deploy/load.jsonc")
+"""Command of the deploy file."""
+
+
 def free_port(ip: str) -> int:
     """Return a port that is free at a loopback address."""
     with socket.socket() as probe:
@@ -143,6 +147,8 @@
         super().__init__()
         self._topics = topics
         self.calls = 0
+        self.listed_at: dict[str, float] = {}
+        """Time of the last listing of each topic."""
 
     async def respond(
         self, method: str, target: str, headers: dict[str, str], body: bytes
@@ -174,6 +180,7 @@
                 parts.append(struct.pack(">I", len(content)) + content)
             return encode_response(200, {}, b"".join(parts))
         if path == "/log-newest":
+            self.listed_at[topic] = time.monotonic()
             newest = {key: (offset, data) for offset, (key, data) in enumerate(kept)}
             entries = [
                 {"key": key, "value": base64.b64encode(data).decode(), "offset": offset}
@@ -308,7 +315,16 @@
 class Node:
     """A node of the project as a process of its own, started as the deploy file says."""
 
-    def __init__(self, number: int, folder: pathlib.Path, store_address: str) -> None:
+    def __init__(
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store_address: str,
+        root: pathlib.Path = ROOT,
+        command: tuple[str, ...] = COMMAND,
+    ) -> None:
+        self._root = root
+        self._command = command
         self.name = f"edge-z1-{number}"
         self._ip = f"127.61.{os.getpid() % 250 + 1}.{number}"
         self.frontend = f"{self._ip}:{free_port(self._ip)}"
@@ -383,8 +399,8 @@
         environment["DRAGONFLYCOVE_CONFIG"] = str(self._path)
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                *("python3", "scripts/platform_node.py", "deploy/load.jsonc"),
-                cwd=ROOT,
+                *self._command,
+                cwd=self._root,
                 env=environment,
                 stdout=log,
                 stderr=log,
