review/11: removals of servers are skipped while an earlier build runs beside this one

Cause: this build trusts the position of an earlier build's node that started after a removal and does not know of it. Change: a case as a script; build-3.sh takes the commit that production names from the history.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,9 +1,14 @@
 #!/usr/bin/env bash
-# Checks that the stand-ins of review/11 to review/15 can be read by python3; they need no building.
-# The scripts use the libraries of target/deps, which the build line of deploy/system.toml makes.
+# Prepares the scripts of review/11 to review/15: puts the sources of the commit that `production` in
+# deploy/system.toml names into target/production, and checks that python3 can read the stand-ins,
+# which need no building. All nodes use the libraries of target/deps, made by the deploy file's build.
 set -euo pipefail
-cd "$(dirname "${BASH_SOURCE[0]}")"
-python3 - standins-3/review_platform.py 1[1-5]/case.py <<'PYTHON'
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+commit=$(sed -n 's/^production = "\([0-9a-f]*\)"$/\1/p' deploy/system.toml)
+rm -rf target/production
+mkdir -p target/production
+git archive "$commit" src scripts deploy | tar -x -C target/production
+python3 - review/standins-3/review_platform.py review/1[1-5]/case.py <<'PYTHON'
 import sys
 
 for path in sys.argv[1:]:
--- a/review/standins-3/review_platform.py
+++ b/review/standins-3/review_platform.py
@@ -13,7 +13,6 @@
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import struct
@@ -208,6 +207,7 @@
         self.born = int(time.time() * 1000)
         self.address = ""
         self.work_seconds = 0.045
+        self.state = "ready"
         self.runs: list[tuple[float, str, str]] = []
         """Time, attempt id and tenant of each request that was run."""
         self._record = record
@@ -219,7 +219,7 @@
         await self.listen(ip, port)
         self.address = f"{ip}:{port}"
 
-    def entry(self, zone: str = "z1", state: str = "ready") -> dict[str, object]:
+    def entry(self, zone: str = "z1", state: str = "") -> dict[str, object]:
         """Return its entry in the store's list of servers."""
         self._sequence += 1
         return {
@@ -228,7 +228,7 @@
             "zone": zone,
             "version": "v1",
             "slots": 6,
-            "state": state,
+            "state": state or self.state,
             "cold_remaining_ms": 0,
             "sequence": self._sequence,
             "born": self.born,
@@ -442,13 +442,17 @@
     record = Record(folder / "record.txt")
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the nodes also if the script is stopped.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             async with asyncio.timeout(110):
                 return int(await main(record, pathlib.Path(scratch), has_trouble))  # type: ignore[operator]
 
     try:
         code = asyncio.run(bounded())
-    except Exception as error:  # Whatever ends it, the case has not been judged.
+    except (Exception, asyncio.CancelledError) as error:  # The case has not been judged.
         record.write(f"the case could not run: {error!r}")
         code = 2
     record.write(f"exit {code}")
@@ -588,88 +592,3 @@
     )
     return attempt, status, ids, is_complete
 
-
-class BusyServer(PlainServer):
-    """A plain server whose queue of new connections is full at times, and that loses answers."""
-
-    backlog = 4
-
-    def __init__(self, server_id: str, service: str, record: Record) -> None:
-        super().__init__(server_id, service, record)
-        self.losing_share = 0.0
-        """Share of the requests that it runs and whose connections it resets without an answer."""
-        self.full_seconds = 0.25
-        """Time for which its queue of new connections is full after it has reset a connection."""
-        self.random = random.Random(server_id)
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._accepting = asyncio.Event()
-        self._accepting.set()
-        self._socket: socket.socket | None = None
-        self._accept_task: asyncio.Task[None] | None = None
-        self._fillers: list[socket.socket] = []
-
-    async def start(self, ip: str) -> None:
-        """Listen at a free port."""
-        self._socket = socket.socket()
-        self._socket.setblocking(False)
-        self._socket.bind((ip, 0))
-        self._socket.listen(self.backlog)
-        self.address = f"{ip}:{self._socket.getsockname()[1]}"
-        self._accept_task = asyncio.create_task(self._accept())
-
-    async def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
-        assert self._socket is not None
-        while True:
-            await self._accepting.wait()
-            try:
-                accepted, _ = await asyncio.wait_for(loop.sock_accept(self._socket), 0.02)
-            except TimeoutError:
-                continue
-            reader = asyncio.StreamReader()
-            protocol = asyncio.StreamReaderProtocol(reader, self._on_connection)
-            await loop.connect_accepted_socket(lambda protocol=protocol: protocol, accepted)
-
-    async def fill_queue(self, seconds: float) -> None:
-        """Accept nothing for a while, in which other callers fill the queue of new connections."""
-        self._accepting.clear()
-        await asyncio.sleep(0.03)
-        assert self._socket is not None
-        for _ in range(self.backlog + 2):
-            caller = socket.socket()
-            caller.setblocking(False)
-            caller.connect_ex(self._socket.getsockname())
-            self._fillers.append(caller)
-        await asyncio.sleep(seconds)
-        for caller in self._fillers:
-            caller.close()
-        self._fillers.clear()
-        self._accepting.set()
-
-    async def close(self) -> None:
-        """End the server."""
-        if self._accept_task is not None:
-            self._accept_task.cancel()
-        if self._socket is not None:
-            self._socket.close()
-        for caller in self._fillers:
-            caller.close()
-        await super().close()
-
-    async def respond(
-        self, method: str, target: str, headers: dict[str, str], body: bytes
-    ) -> bytes | None:
-        """Run a request; its answer may be lost."""
-        response = await super().respond(method, target, headers, body)
-        if b" 200 " in response[:20] and self.random.random() < self.losing_share:
-            self._record.write(
-                f"server {self.server_id} has run {headers.get('x-attempt-id', '')}, answer lost"
-            )
-            if self._accepting.is_set():
-                # Callers that are reset connect again at once, which fills the queue.
-                task = asyncio.create_task(self.fill_queue(self.full_seconds))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
-                await asyncio.sleep(0.04)
-            return None
-        return response
