--- a/review/12/case.py
+++ b/review/12/case.py
@@ -86,7 +86,7 @@
         server.event_seconds = 0.15
         server.events = 12
         await server.start(ip)
-    nodes = [stand.Node(number, scratch, store_address) for number in (1, 2)]
+    nodes = [stand.Node(number, scratch, store_address) for number in range(1, 8)]
 
     async def beat() -> None:
         while True:
