review/13: TROUBLE=0 leaves out the revocation

Cause: it changed the number of the version instead, which is no disruption. Change: that is VERSION=9 now.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -86,10 +87,12 @@
                 if status != 200:
                     return 2
         await asyncio.sleep(5.0)
-        version = time.time_ns() // 1000 if has_trouble else 9
-        topics.put("keyed.op", "config", configuration(version, ["key-kept"]))
+        version = int(os.environ.get("VERSION", time.time_ns() // 1000))
+        if has_trouble:
+            topics.put("keyed.op", "config", configuration(version, ["key-kept"]))
         acknowledged_at = time.monotonic()
-        record.write(f"version {version}, without key-taken, is acknowledged")
+        if has_trouble:
+            record.write(f"version {version}, without key-taken, is acknowledged")
         await asyncio.sleep(CONFIG_APPLY_SECONDS + 1.0)
         taken_ids = []
         for round_number in range(10):
@@ -108,7 +111,8 @@
             f" after the acknowledgement ({seconds:.1f} s now); nodes run:"
             f" {[node.is_running for node in nodes]}"
         )
-        return 1 if broken else 0
+        # Without the disruption the key is still in force, and its requests may run.
+        return 1 if broken and has_trouble else 0
     finally:
         beats.cancel()
         for node in nodes:
