Pass the ids of events on as they are sent, whatever their size

Cause: the node read Last-Event-Id as a count of tokens, through a float and with a limit of 10^12 - 1; a greater one counted as missing, in silence, and the caller's header is always replaced. `received` logged resumes_after=None for a request that named event; the server got no id. Ruled out: that the id was lost after decoding, or that the server ignored it (it went on after small ones).

Change: an id is kept as it was sent and goes to servers and nodes byte for byte; its number, exact and of up to 4,300 digits, only serves to compare it. Related, each shown by a test: ids of 19 digits and more in events; events with the ids 1.2 and 1.7, which counted as one event; 1e3, 1_000, +7, 1.7 and 007, which reached servers as other numbers. What can't be compared is passed on and logged (event_id_unreadable).

Why it works: nothing between the caller and the server reads the id any more to decide whether it is sent.

--- a/src/dragonflycove/fleet/event_stream.py
+++ b/src/dragonflycove/fleet/event_stream.py
@@ -12,9 +12,14 @@
 MAX_EVENT_END_BYTES = 4
 """Length of the longest end of an event."""
 
-_ID_LINE = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
-"""The field that carries an event's number; one with more digits counts as none."""
+_ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+"""The field that carries an event's id; the last one counts."""
 
+MAX_NUMBER_DIGITS = 4_300
+"""Maximum number of digits of an id that is compared; Python converts no longer ones."""
+
+_NUMBER = re.compile(rb"\d{1,%d}" % MAX_NUMBER_DIGITS)
+"""An id that is a number."""
 
 MAX_EVENT_BYTES = 262_144
 """Maximum size of an event; a longer one is no event but bytes without end."""
@@ -23,18 +28,36 @@
 class Event(NamedTuple):
     """One complete server-sent event."""
 
-    number: int | None
-    """Value of its `id` field; None if it has none."""
+    event_id: bytes | None
+    """Value of its `id` field; None if it has none, or an empty one."""
 
     raw: bytes
     """Its bytes, including the empty line at the end."""
 
+    @property
+    def number(self) -> int | None:
+        """Number that its id states; None if it has no id or one that is no number."""
+        return None if self.event_id is None else read_number(self.event_id)
+
     @property
     def is_comment(self) -> bool:
         """Whether it has no field, only comments and empty lines."""
         return all(line.startswith(b":") for line in self.raw.splitlines() if line)
 
 
+def read_number(event_id: bytes) -> int | None:
+    """Return the number that an event's id states.
+
+    Args:
+        event_id: The id, as sent by a server or a caller.
+
+    Returns:
+        The number, exactly; None if the id has other characters than digits, or more digits than
+        `MAX_NUMBER_DIGITS`. Such ids are passed on, but can't be compared.
+    """
+    return int(event_id) if _NUMBER.fullmatch(event_id) else None
+
+
 class EventOrder(enum.Enum):
     """How an event's number relates to the last one that the caller has received."""
 
@@ -71,8 +94,8 @@
         searched = max(0, len(self._pending) - MAX_EVENT_END_BYTES)
         for match in _EVENT_END.finditer(buffer, searched):
             raw = buffer[start : match.end()]
-            number = _ID_LINE.search(raw)
-            events.append(Event(int(number[1]) if number else None, raw))
+            ids = _ID_LINE.findall(raw)
+            events.append(Event((ids[-1] or None) if ids else None, raw))
             start = match.end()
         self._pending = buffer[start:]
         return events
@@ -91,14 +114,16 @@
 class StreamPosition:
     """The caller's position in a stream of numbered events."""
 
-    def __init__(self, last_number: int | None) -> None:
+    def __init__(self, last_id: bytes | None) -> None:
         """Start after the last event that the caller has received.
 
         Args:
-            last_number: Number of that event; None if the caller has received none.
+            last_id: Id of that event; None if the caller has received none.
         """
-        self.last_number = last_number
-        """Number of the last event in order; None before the first."""
+        self.last_id = last_id
+        """Id of the last event in order, as it was sent; None before the first."""
+        self.last_number = None if last_id is None else read_number(last_id)
+        """Number that it states; None before the first, or if it can't be compared."""
 
     def advance(self, event: Event) -> EventOrder:
         """Compare an event with the position, and advance the position if it is the next one.
@@ -109,14 +134,16 @@
         Returns:
             How the event relates to the position before.
         """
-        if event.number is None:
+        number = event.number
+        if number is None:
             return EventOrder.NEXT
         last = self.last_number
-        if last is not None and event.number <= last:
+        if last is not None and number <= last:
             return EventOrder.DUPLICATE
-        if last is not None and event.number != last + 1:
+        if last is not None and number != last + 1:
             return EventOrder.GAP
-        self.last_number = event.number
+        self.last_id = event.event_id
+        self.last_number = number
         return EventOrder.NEXT
 
 
--- a/src/dragonflycove/fleet/forwarding.py
+++ b/src/dragonflycove/fleet/forwarding.py
@@ -86,8 +86,8 @@
     output_tokens: int
     """Output length that the caller expects; 0 if not given."""
 
-    last_event_number: int | None
-    """Number of the last event that the caller received of an interrupted stream.
+    last_event_id: bytes | None
+    """Id of the last event that the caller received of an interrupted stream, as it was sent.
 
     None for a new request.
     """
--- a/src/dragonflycove/gateway/exchanges.py
+++ b/src/dragonflycove/gateway/exchanges.py
@@ -8,7 +8,7 @@
 import result
 
 from dragonflycove.fleet import catalog, event_stream, forwarding, server_health
-from dragonflycove.gateway import send_values
+from dragonflycove.gateway import send_values, unreadable_ids
 from dragonflycove.platform import requests
 from dragonflycove.telemetry import logs
 
@@ -77,6 +77,7 @@
         self._bodies = bodies
         self._address = address
         self._metrics = metrics
+        self._unreadable_ids = unreadable_ids.UnreadableIds(context.request.attempt_id)
         self._last_event_at = 0.0
         self._reading_since = 0.0
         self._context = context
@@ -317,6 +318,7 @@
             if chunk.ok_value is None:
                 break
             events = splitter.feed(chunk.ok_value)
+            self._unreadable_ids.log_first(events)
             if splitter.is_overlong:
                 return self._classify_loss(forwarding.AttemptEnd.BROKEN, response_started=True)
             if not events:
--- a/src/dragonflycove/gateway/relay_sends.py
+++ b/src/dragonflycove/gateway/relay_sends.py
@@ -210,7 +210,7 @@
                     requests.encode_for_node(
                         context.request,
                         context.deadline_at - loop.time(),
-                        progress.position.last_number,
+                        progress.position.last_id,
                         relay_codec.encode(relayed),
                     )
                 )
--- a/src/dragonflycove/gateway/request_admission.py
+++ b/src/dragonflycove/gateway/request_admission.py
@@ -231,7 +231,7 @@
             service=service,
             organisation=name,
             tokens=request.prompt_tokens,
-            resumes_after=request.last_event_number,
+            resumes_after=_resumption_text(request),
             deadline=seconds,
             version=configuration.version,
             fingerprint=context.fingerprint_text,
@@ -241,6 +241,12 @@
         return result.Ok(context)
 
 
+def _resumption_text(request: forwarding.CallerRequest) -> str | None:
+    """Return the beginning of the event id that a request resumes after; None for a new request."""
+    event_id = request.last_event_id
+    return None if event_id is None else event_id[: logs.MAX_VALUE_BYTES].decode("latin-1")
+
+
 def hash_text(text: str) -> int:
     """Return a 64-bit hash of a text that is equal in all processes.
 
--- a/src/dragonflycove/gateway/send_values.py
+++ b/src/dragonflycove/gateway/send_values.py
@@ -122,7 +122,7 @@
         """
         relayed = context.relayed
         self._route = context.route
-        self.progress = StreamProgress(context.request.last_event_number)
+        self.progress = StreamProgress(context.request.last_event_id)
         """Position in the caller's stream."""
         self.attempt_ends = list(relayed.attempt_ends if relayed else ())
         """How the attempts ended, those made by the node that relays the request first."""
@@ -219,14 +219,14 @@
 class StreamProgress:
     """Position in a caller's stream over all attempts."""
 
-    def __init__(self, last_number: int | None) -> None:
+    def __init__(self, last_id: bytes | None) -> None:
         """Start after the events that the caller has already received.
 
         Args:
-            last_number: Number of the last of them; None if there are none.
+            last_id: Id of the last of them; None if there are none.
         """
-        self.position = event_stream.StreamPosition(last_number)
-        """Number of the last event, for resumption and for the detection of missing events."""
+        self.position = event_stream.StreamPosition(last_id)
+        """Last event, for resumption and for the detection of missing events."""
         self.relayed_events = 0
         """Events relayed to the caller."""
         self.last_event_at = float("-inf")
--- a/src/dragonflycove/gateway/sends.py
+++ b/src/dragonflycove/gateway/sends.py
@@ -171,7 +171,7 @@
             organisation=context.organisation.name if context.organisation else None,
             priority=context.priority,
             helpers=self._plan.helpers,
-            last_event_number=self._progress.position.last_number,
+            last_event_id=self._progress.position.last_id,
         )
         return requests.encode_for_server(context.request, parameters)
 
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from dragonflycove.fleet import catalog, forwarding
+from dragonflycove.fleet import catalog, event_stream, forwarding
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
 
@@ -101,6 +101,11 @@
         first_by_name.setdefault(name, value)
     prompt_tokens, output_tokens = _token_counts(first_by_name.get(_TOKEN_COUNTS))
     length_hint = _count(first_by_name.get(_LENGTH_HINT))
+    last_event_id = first_by_name.get(_LAST_EVENT_ID) or None
+    if last_event_id is not None and event_stream.read_number(last_event_id) is None:
+        logs.warning(
+            "event_id_unreadable", source="caller", value=last_event_id[: logs.MAX_VALUE_BYTES]
+        )
     deadline_ms = _number(first_by_name.get(_DEADLINE))
     api_key = first_by_name.get(_API_KEY)
     path = target.partition(b"?")[0]
@@ -116,7 +121,7 @@
         key=None if api_key is None else api_key.decode("latin-1"),
         prompt_tokens=prompt_tokens,
         output_tokens=min(output_tokens, length_hint) if length_hint else output_tokens,
-        last_event_number=_count(first_by_name.get(_LAST_EVENT_ID)),
+        last_event_id=last_event_id,
         content_hash=xxhash.xxh3_64_intdigest(target + b"\0" + body),
         shared_parts=_shared_parts(first_by_name.get(_PROMPT_PARTS, b"")),
     )
@@ -202,8 +207,8 @@
     helpers: tuple[str, ...]
     """Helper engines that share the prefill, each from `encode_helper`."""
 
-    last_event_number: int | None
-    """Number of the last event that the caller received; None if it received none."""
+    last_event_id: bytes | None
+    """Id of the last event that the caller received, as it was sent; None if it received none."""
 
 
 def encode_for_server(
@@ -218,7 +223,7 @@
     Returns:
         The request with the hop-by-hop headers removed and this system's headers added.
     """
-    headers = _forwarded_headers(request, attempt.seconds_left, attempt.last_event_number)
+    headers = _forwarded_headers(request, attempt.seconds_left, attempt.last_event_id)
     headers.append((_EXPECTED_SERVER, attempt.server.instance.server_id.encode()))
     if attempt.organisation is not None:
         headers.append((_ORGANISATION, attempt.organisation.encode()))
@@ -230,7 +235,7 @@
 
 
 def _forwarded_headers(
-    request: forwarding.CallerRequest, seconds_left: float, last_event_number: int | None
+    request: forwarding.CallerRequest, seconds_left: float, last_event_id: bytes | None
 ) -> list[tuple[bytes, bytes]]:
     """Return the caller's headers that are passed on, with deadline, position and length."""
     headers = [
@@ -239,8 +244,8 @@
         if name not in _HOP_BY_HOP_HEADERS and name not in _REPLACED_HEADERS
     ]
     headers.append((_DEADLINE, str(max(1, int(seconds_left * 1000))).encode()))
-    if last_event_number is not None:
-        headers.append((_LAST_EVENT_ID, str(last_event_number).encode()))
+    if last_event_id is not None:
+        headers.append((_LAST_EVENT_ID, last_event_id))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         headers.append((b"content-length", str(len(request.body)).encode()))
     return headers
@@ -249,7 +254,7 @@
 def encode_for_node(
     request: forwarding.CallerRequest,
     seconds_left: float,
-    last_event_number: int | None,
+    last_event_id: bytes | None,
     added_header: tuple[bytes, bytes],
 ) -> http1.Request:
     """Encode a caller's request for another node that serves it; the caller's key is left out.
@@ -257,13 +262,13 @@
     Args:
         request: The caller's request.
         seconds_left: Time that remains for the response.
-        last_event_number: Number of the last event that the caller received; None for none.
+        last_event_id: Id of the last event that the caller received; None for none.
         added_header: Header with what the node needs to know beside the request.
     """
     # A caller's header of the same name would be taken for this node's.
     headers = [
         one
-        for one in _forwarded_headers(request, seconds_left, last_event_number)
+        for one in _forwarded_headers(request, seconds_left, last_event_id)
         if one[0] != added_header[0]
     ]
     headers.append(added_header)
--- a/src/dragonflycove/telemetry/logs.py
+++ b/src/dragonflycove/telemetry/logs.py
@@ -16,6 +16,9 @@
 _DETAIL_FIELDS = ("reason", "after", "end", "state", "failure", "cause", "check")
 """Fields by whose value events are counted separately; each has only a few values."""
 
+MAX_VALUE_BYTES = 64
+"""Bytes that are logged of a value that somebody else chose."""
+
 _limits: log_limits.LogLimits | None = None
 _output: output.NonBlockingOutput | None = None
 _count_by_event: collections.Counter[tuple[str, str]] = collections.Counter()
