Read versions and starts exactly, and let no quantity keep a version out

Cause: records.py read all numbers of a record alike, through a float and with a limit of 10^15, beyond which the record was malformed. Ruled out: that the record wasn't read (there would be no such line), or came in force (requests are received under the version before).

Change: platform/numbers.py tells identifiers (versions, starts), which are read exactly, from quantities, which count as 10^15 beyond that magnitude. Related, each shown by a test: versions above 2^53 that equalled each other, also in config check; a timeout or limit of 2^63 - 1 that kept a whole version out; starts of servers; weights below 1; version 7.5 counted as 7. Gauge dragonflycove_configuration_unreadable; warnings for rounded counts.

Why it works: a version is only compared and told to other nodes, and both bear any size; the limit stays where a number reaches a timer or a forecast.

--- a/src/dragonflycove/fleet/catalog.py
+++ b/src/dragonflycove/fleet/catalog.py
@@ -93,7 +93,7 @@
     priority: int
     """Priority; 0 is the highest and is placed first."""
 
-    weights_by_service: tuple[tuple[str, int], ...]
+    weights_by_service: tuple[tuple[str, float], ...]
     """Services that the route's requests are distributed to, with their weights."""
 
     max_attempts: int
--- a/src/dragonflycove/gateway/daemon.py
+++ b/src/dragonflycove/gateway/daemon.py
@@ -348,12 +348,14 @@
     def _gauges(self) -> dict[str, float]:
         """Return the values of the gauge metrics by name."""
         now = asyncio.get_running_loop().time()
-        configuration = self._store_view.configuration
+        view = self._store_view
+        configuration = view.configuration
         return {
             "dragonflycove_operators_age_seconds": self._configuration_age(),
             "dragonflycove_servers_age_seconds": now - self._store_follower.servers.fresh_as_of,
             "dragonflycove_configuration_version": configuration.version if configuration else 0,
-            "dragonflycove_servers": self._store_view.server_count,
+            "dragonflycove_configuration_unreadable": int(view.has_unreadable_configuration),
+            "dragonflycove_servers": view.server_count,
             "dragonflycove_nodes": 1 + len(self._nodes.alive(now)),
             "dragonflycove_hub_rank": self._nodes.hub_rank(now),
             "dragonflycove_active_requests": self._callers.active,
--- a/src/dragonflycove/platform/configuration_advice.py
+++ b/src/dragonflycove/platform/configuration_advice.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from dragonflycove.configuration import faults
+from dragonflycove.platform import numbers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -16,6 +17,13 @@
 """Timeouts that nodes use if the configuration has none."""
 
 
+_ROUTE_COUNTS = ("max_attempts", "priority")
+_SERVICE_COUNTS = ("max_connections",)
+_ENGINE_COUNTS = ("slots", "kv_capacity", "stride")
+_TENANT_COUNTS = ("priority",)
+_LIMIT_COUNTS = ("max_header_bytes", "max_body_bytes")
+
+
 def find(fields: dict[str, Any]) -> list[faults.Fault]:
     """Return entries without effect and contradictions, with their places.
 
@@ -31,6 +39,16 @@
     ]
 
 
+def _rounded_counts(
+    entry: dict[str, Any], names: tuple[str, ...], path: str
+) -> Iterator[faults.Fault]:
+    """Yield counts that nodes round down or bound."""
+    for name in names:
+        value = entry.get(name)
+        if value is not None and (used := numbers.count(value)) != numbers.exact(value):
+            yield faults.Fault(faults.join(path, name), f"counts as {used}")
+
+
 def _hidden_routes(routes: list[dict[str, Any]]) -> Iterator[faults.Fault]:
     """Yield routes with the host and prefix of another one; nodes use the last of them."""
     last_by_place = {_place(route): index for index, route in enumerate(routes)}
@@ -52,9 +70,9 @@
 def _route_advice(routes: list[dict[str, Any]]) -> Iterator[faults.Fault]:
     for index, route in enumerate(routes):
         path = f"routes.{index}"
-        timeout = float(route["timeout_ms"])
-        goal = float(route.get("latency_goal_ms", timeout))
-        gap = float(route.get("gap_target_ms", 0))
+        timeout = numbers.quantity(route["timeout_ms"])
+        goal = numbers.quantity(route.get("latency_goal_ms", timeout))
+        gap = numbers.quantity(route.get("gap_target_ms", 0))
         is_stream = route["route_type"] == "streaming"
         if timeout <= 0:
             yield faults.Fault(f"{path}.timeout_ms", "every request ends at once")
@@ -64,11 +82,12 @@
         if is_stream and 0 < timeout < gap:
             reason = f"a pause of {gap:g} ms can't happen, as timeout_ms is {timeout:g}"
             yield faults.Fault(f"{path}.gap_target_ms", reason)
-        if int(float(route.get("max_attempts", 1))) < 1:
+        if numbers.count(route.get("max_attempts", 1)) < 1:
             yield faults.Fault(f"{path}.max_attempts", "no request may be sent to any server")
         for key, has_value in (("gap_target_ms", gap > 0), ("resumable", route.get("resumable"))):
             if has_value and not is_stream:
                 yield faults.Fault(f"{path}.{key}", "has no effect, as the route isn't streaming")
+        yield from _rounded_counts(route, _ROUTE_COUNTS, path)
         yield from _split_advice(route, path)
 
 
@@ -78,7 +97,7 @@
         return
     if "service" in route:
         yield faults.Fault(f"{path}.service", "has no effect, as traffic_split decides")
-    weights = [int(float(part["weight"])) for part in split]
+    weights = [numbers.quantity(part["weight"]) for part in split]
     if not any(weight > 0 for weight in weights):
         yield faults.Fault(f"{path}.traffic_split", "no service has a weight above 0")
         return
@@ -106,14 +125,18 @@
             yield faults.Fault(path, reason)
         elif name not in used:
             yield faults.Fault(path, f"no route names {name}")
-        cold_seconds = float(service.get("cold_start_s", 0))
-        cold_rate = float(service.get("cold_per_s", 0))
+        cold_seconds = numbers.quantity(service.get("cold_start_s", 0))
+        cold_rate = numbers.quantity(service.get("cold_per_s", 0))
         if cold_rate > 0 >= cold_seconds:
             yield faults.Fault(f"{path}.cold_per_s", "has no effect, as cold_start_s is 0")
         if cold_seconds > 0 >= cold_rate:
             yield faults.Fault(f"{path}.cold_per_s", "is 0, though cold_start_s isn't")
-        connections = int(float(service.get("max_connections", 100)))
-        slots = int(float((service.get("engine") or {}).get("slots", 1)))
+        yield from _rounded_counts(service, _SERVICE_COUNTS, path)
+        yield from _rounded_counts(
+            service.get("engine") or {}, _ENGINE_COUNTS, faults.join(path, "engine")
+        )
+        connections = numbers.count(service.get("max_connections", 100))
+        slots = numbers.count((service.get("engine") or {}).get("slots", 1))
         if connections < slots:
             reason = f"{connections} connections can't fill the engine's {slots} slots"
             yield faults.Fault(f"{path}.max_connections", reason)
@@ -131,6 +154,7 @@
     index_by_name: dict[str, int] = {}
     for index, tenant in enumerate(tenants):
         path = f"tenants.{index}"
+        yield from _rounded_counts(tenant, _TENANT_COUNTS, path)
         first = index_by_name.setdefault(tenant["name"].strip(), index)
         if first != index:
             yield faults.Fault(f"{path}.name", f"tenants.{first} has the same name")
@@ -153,10 +177,13 @@
         "header_timeout_ms": "every request is refused",
         "idle_timeout_ms": "no connection is kept open between requests",
     }
+    yield from _rounded_counts(limits, _LIMIT_COUNTS, "limits")
     for key, reason in reasons.items():
-        if key in limits and float(limits[key]) <= 0:
-            yield faults.Fault(f"limits.{key}", f"{reason}, as it is {float(limits[key]):g}")
-    header, idle = (float(limits.get(k, d)) for k, d in _DEFAULT_TIMEOUTS_MS.items())
+        if key in limits and numbers.quantity(limits[key]) <= 0:
+            yield faults.Fault(
+                f"limits.{key}", f"{reason}, as it is {numbers.quantity(limits[key]):g}"
+            )
+    header, idle = (numbers.quantity(limits.get(k, d)) for k, d in _DEFAULT_TIMEOUTS_MS.items())
     if 0 < idle < header:
         reason = f"an idle connection ends after {idle:g} ms, sooner than one that sends a head"
         yield faults.Fault("limits.idle_timeout_ms", f"{reason}, {header:g} ms")
--- a/src/dragonflycove/platform/configuration_changes.py
+++ b/src/dragonflycove/platform/configuration_changes.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from dragonflycove.configuration import faults
+from dragonflycove.platform import numbers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -54,7 +55,7 @@
 
 
 def _version_change(before: dict[str, Any], after: dict[str, Any]) -> Iterator[faults.Fault]:
-    old, new = (int(float(fields["version"])) for fields in (before, after))
+    old, new = (numbers.identifier(fields["version"]) for fields in (before, after))
     if new <= old:
         reason = f"version {new} isn't above {old}, which is in force; nodes don't take it"
         yield faults.Fault("version", reason)
@@ -78,9 +79,9 @@
     split = route.get("traffic_split")
     fields = {k: v for k, v in route.items() if k not in ("traffic_split", "service", "host")}
     parts = split or [{"service": route["service"], "weight": 1}]
-    total = sum(max(0.0, float(part["weight"])) for part in parts)
+    total = sum(max(0.0, numbers.quantity(part["weight"])) for part in parts)
     shares = [
-        f"{part['service']} {100.0 * max(0.0, float(part['weight'])) / total:.3g}%"
+        f"{part['service']} {100.0 * max(0.0, numbers.quantity(part['weight'])) / total:.3g}%"
         for part in parts
         if total > 0
     ]
--- a/src/dragonflycove/platform/configuration_faults.py
+++ b/src/dragonflycove/platform/configuration_faults.py
@@ -86,20 +86,22 @@
         return result.Err([faults.Fault("", f"not JSON that can be read: {error}")])
     if not isinstance(document, dict):
         return result.Err([faults.Fault("", "must be an object")])
-    found = [*_unreadable(document)]
+    found = [*_unreadable(document, content)]
     if not found:
         found = [*_contradicting_references(document)]
     return result.Err(found) if found else result.Ok(document)
 
 
-def _why_unreadable(document: dict[str, Any]) -> str | None:
-    decoded = records.decode_configuration(json.dumps(document).encode())
+def _why_unreadable(document: dict[str, Any], text: str | None = None) -> str | None:
+    """Return why nodes can't read a configuration; its text, if given, has all digits of numbers."""
+    encoded = (json.dumps(document) if text is None else text).encode()
+    decoded = records.decode_configuration(encoded)
     return decoded.err_value if isinstance(decoded, result.Err) else None
 
 
-def _unreadable(document: dict[str, Any]) -> Iterator[faults.Fault]:
+def _unreadable(document: dict[str, Any], text: str) -> Iterator[faults.Fault]:
     """Yield what can't be read, as near to its place as can be told."""
-    why = _why_unreadable(document)
+    why = _why_unreadable(document, text)
     if why is None:
         return
     count = 0
--- a/src/dragonflycove/platform/records.py
+++ b/src/dragonflycove/platform/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import decimal
 import math
 import re
 from typing import Any
@@ -10,6 +10,7 @@
 import result
 
 from dragonflycove.fleet import catalog
+from dragonflycove.platform import numbers
 
 OPERATOR_TOPIC = "keyed.op"
 """Topic of the operators' records."""
@@ -23,9 +24,6 @@
 EVACUATION_PREFIX = "evacuate/"
 """Prefix of the keys that evacuate an availability zone; the zone's name follows."""
 
-MAX_NUMBER = 1e15
-"""Maximum of a number in a record, Unix milliseconds included; a greater one is malformed."""
-
 _MS = 0.001
 """One millisecond, in seconds."""
 
@@ -58,7 +56,7 @@
         The configuration, or why it is invalid.
     """
     try:
-        return result.Ok(_configuration(json.loads(value)))
+        return result.Ok(_configuration(numbers.load_json(value)))
     except _MALFORMED as error:
         return result.Err(f"configuration cannot be read: {error!r}")
 
@@ -76,31 +74,33 @@
         The server, or why the record is invalid.
     """
     try:
-        fields = json.loads(value)
+        fields = numbers.load_json(value)
         return result.Ok(_server(server_id, fields))
     except _MALFORMED as error:
         return result.Err(f"invalid server record: {error!r}")
 
 
 def _configuration(fields: dict[str, Any]) -> catalog.Configuration:
+    version = numbers.identifier(fields["version"])
     routes = [_route(entry) for entry in fields["routes"]]
     organisation_by_key = {}
     tenants = fields.get("tenants") or []
     for tenant in tenants:
         priority = tenant.get("priority")
         organisation = catalog.Organisation(
-            _header_value(tenant["name"].strip()), None if priority is None else _integer(priority)
+            _header_value(tenant["name"].strip()),
+            None if priority is None else numbers.count(priority),
         )
         for key in tenant.get("api_keys") or ():
             organisation_by_key[key] = organisation
     services = [_service(entry) for entry in fields["services"]]
     return catalog.Configuration(
-        version=_integer(fields["version"]),
+        version=version,
         route_by_host_prefix={(route.host, route.path_prefix): route for route in routes},
         service_by_name={service.name: service for service in services},
         organisation_by_key=organisation_by_key,
         needs_keys="tenants" in fields,
-        limits=_limits(fields.get("limits") or {}, _integer(fields["version"])),
+        limits=_limits(fields.get("limits") or {}, version),
     )
 
 
@@ -113,21 +113,24 @@
     fields = _stated(entry)
     split = fields.get("traffic_split")
     weights = (
-        tuple((_text(part["service"]), max(0, _integer(part["weight"]))) for part in split)
+        tuple(
+            (_text(part["service"]), max(0.0, numbers.quantity(part["weight"]))) for part in split
+        )
         if split
-        else ((_text(fields["service"]), 1),)
+        else ((_text(fields["service"]), 1.0),)
     )
     return catalog.Route(
         name=_text(fields["name"]),
         host=fields["host"].lower(),
         path_prefix=_text(fields["path_prefix"]),
         kind=catalog.CallKind(fields["route_type"]),
-        timeout_seconds=_number(fields["timeout_ms"]) * _MS,
-        latency_target_seconds=_number(fields.get("latency_goal_ms", fields["timeout_ms"])) * _MS,
-        gap_target_seconds=_number(fields.get("gap_target_ms", 0)) * _MS,
-        priority=_integer(fields.get("priority", 5)),
+        timeout_seconds=numbers.quantity(fields["timeout_ms"]) * _MS,
+        latency_target_seconds=numbers.quantity(fields.get("latency_goal_ms", fields["timeout_ms"]))
+        * _MS,
+        gap_target_seconds=numbers.quantity(fields.get("gap_target_ms", 0)) * _MS,
+        priority=numbers.count(fields.get("priority", 5)),
         weights_by_service=weights,
-        max_attempts=_integer(fields.get("max_attempts", 1)),
+        max_attempts=numbers.count(fields.get("max_attempts", 1)),
         is_public=bool(fields.get("public", False)),
         is_resumable=bool(fields.get("resumable", False)),
     )
@@ -139,9 +142,9 @@
     return catalog.Service(
         name=_text(fields["name"]),
         health_path=fields.get("health_path", "/healthz"),
-        max_connections=_integer(fields.get("max_connections", 100)),
-        cold_start_seconds=_number(fields.get("cold_start_s", 0)),
-        cold_requests_per_second=_number(fields.get("cold_per_s", 0)),
+        max_connections=numbers.count(fields.get("max_connections", 100)),
+        cold_start_seconds=numbers.quantity(fields.get("cold_start_s", 0)),
+        cold_requests_per_second=numbers.quantity(fields.get("cold_per_s", 0)),
         engine=_engine(engine) if engine else None,
     )
 
@@ -149,17 +152,19 @@
 def _engine(entry: dict[str, Any]) -> catalog.EngineSpec:
     fields = _stated(entry)
     return catalog.EngineSpec(
-        slots=_integer(fields["slots"]),
-        kv_cache_tokens=_integer(fields["kv_capacity"]),
-        step_seconds=_number(fields["step_ms"]) * _MS,
-        step_seconds_per_sequence=_number(fields.get("per_seq_ms", 0)) * _MS,
+        slots=numbers.count(fields["slots"]),
+        kv_cache_tokens=numbers.count(fields["kv_capacity"]),
+        step_seconds=numbers.quantity(fields["step_ms"]) * _MS,
+        step_seconds_per_sequence=numbers.quantity(fields.get("per_seq_ms", 0)) * _MS,
         # `context_per_k` is in milliseconds per thousand tokens.
-        step_seconds_per_context_token=_number(fields.get("context_per_k", 0)) * _MS / 1000,
+        step_seconds_per_context_token=numbers.quantity(fields.get("context_per_k", 0))
+        * _MS
+        / 1000,
         # A rate of 0 gives nothing to predict prefill times by.
-        prefill_tokens_per_second=_number(fields["read_per_s"]) or math.inf,
+        prefill_tokens_per_second=numbers.quantity(fields["read_per_s"]) or math.inf,
         # `pairs_per_m` is in milliseconds per million pairs.
-        attention_seconds_per_token_pair=_number(fields.get("pairs_per_m", 0)) * _MS / 1e6,
-        steps_per_pass=_integer(fields.get("stride", 1)),
+        attention_seconds_per_token_pair=numbers.quantity(fields.get("pairs_per_m", 0)) * _MS / 1e6,
+        steps_per_pass=numbers.count(fields.get("stride", 1)),
     )
 
 
@@ -167,13 +172,14 @@
     fields = _stated(entry)
     default = catalog.CallerLimits()
     return catalog.CallerLimits(
-        max_header_bytes=_integer(fields.get("max_header_bytes", default.max_header_bytes)),
-        max_body_bytes=_integer(fields.get("max_body_bytes", default.max_body_bytes)),
-        header_timeout_seconds=_number(
+        max_header_bytes=numbers.count(fields.get("max_header_bytes", default.max_header_bytes)),
+        max_body_bytes=numbers.count(fields.get("max_body_bytes", default.max_body_bytes)),
+        header_timeout_seconds=numbers.quantity(
             fields.get("header_timeout_ms", default.header_timeout_seconds / _MS)
         )
         * _MS,
-        idle_seconds=_number(fields.get("idle_timeout_ms", default.idle_seconds / _MS)) * _MS,
+        idle_seconds=numbers.quantity(fields.get("idle_timeout_ms", default.idle_seconds / _MS))
+        * _MS,
         version=version,
     )
 
@@ -185,29 +191,18 @@
     if not all(_is_number(value) for value in (born, cold_ms, slots)):
         raise TypeError("born, cold_remaining_ms or slots is not a number")
     return catalog.BackendServer(
-        instance=catalog.Instance(_header_value(server_id), _integer(born)),
+        instance=catalog.Instance(_header_value(server_id), numbers.identifier(born)),
         service=_text(fields["service"]),
         address=catalog.parse_address(fields["address"]),
         zone=_text(fields["zone"]),
-        slots=_integer(slots),
+        slots=numbers.count(slots),
         state=catalog.ServerState(fields["state"]),
-        cold_seconds=_number(cold_ms) * _MS,
+        cold_seconds=numbers.quantity(cold_ms) * _MS,
     )
 
 
 def _is_number(value: object) -> bool:
-    return isinstance(value, (int, float)) and not isinstance(value, bool)
-
-
-def _number(value: Any) -> float:
-    number = float(value)
-    if not abs(number) <= MAX_NUMBER:
-        raise ValueError(f"number out of range: {number}")
-    return number
-
-
-def _integer(value: Any) -> int:
-    return int(_number(value))
+    return isinstance(value, (int, float, decimal.Decimal)) and not isinstance(value, bool)
 
 
 def _text(value: Any) -> str:
--- a/src/dragonflycove/telemetry/fleet_metrics.py
+++ b/src/dragonflycove/telemetry/fleet_metrics.py
@@ -38,6 +38,7 @@
     "dragonflycove_operators_age_seconds": "Age of the belief of the operators' records",
     "dragonflycove_servers_age_seconds": "Age of the belief of the servers' records",
     "dragonflycove_configuration_version": "Version of the configuration in force",
+    "dragonflycove_configuration_unreadable": "1 while a newer version can't be read, else 0",
     "dragonflycove_servers": "Backend servers that are registered",
     "dragonflycove_nodes": "Nodes that run, this one included",
     "dragonflycove_hub_rank": "Rank of this node among the hubs; -1 if it is none",
--- a/tests/platform/test_configuration_check.py
+++ b/tests/platform/test_configuration_check.py
@@ -183,6 +183,13 @@
         ),
         ({"limits": {"idle_timeout_ms": 1_000}}, "limits.idle_timeout_ms"),
         ({"limits": {"max_header_bytes": 0}}, "limits.max_header_bytes"),
+        ({"limits": {"max_body_bytes": 2**63 - 1}}, "limits.max_body_bytes"),
+        ({"routes": [{**ROUTE, "max_attempts": 1.5}]}, "routes.0.max_attempts"),
+        ({"services": [{"name": "s", "max_connections": 7.5}]}, "services.0.max_connections"),
+        (
+            {"tenants": [{"name": "t", "api_keys": ["k"], "priority": 0.5}]},
+            "tenants.0.priority",
+        ),
     ],
 )
 def test_entries_without_effect_and_contradictions_are_told(
@@ -193,6 +200,14 @@
     assert place in [one.path for one in configuration_advice.find(document)]
 
 
+@pytest.mark.parametrize("version", [2**53 + 1, 1_796_669_209_489_878_123, 10**40])
+def test_a_version_is_above_one_that_differs_in_the_last_digit(version: int) -> None:
+    """Rounded to a float, both were equal, and operators were told that nodes don't take it."""
+    before, after = ({**VALID, "version": one} for one in (version - 1, version))
+    assert configuration_changes.find(before, after) == []
+    assert [one.path for one in configuration_changes.find(after, before)] == ["version"]
+
+
 def test_changes_are_told_in_words_without_whole_keys() -> None:
     after = {
         **VALID,
