Save crashes of servers whose names are too long for a key

Cause: the key of a saved crash holds the server's id and start, and the store keeps a key's length in one byte. Change: such a key holds a hash instead, and the value names the server. Other keys and values are as before. Nodes of earlier builds skip the new form with crash_record_unreadable.

--- a/src/dragonflycove/platform/crash_records.py
+++ b/src/dragonflycove/platform/crash_records.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import cbor2
+import xxhash
 
 from dragonflycove.fleet import catalog
 from dragonflycove.platform import store
@@ -19,6 +20,8 @@
 TOPIC = "keyed.crashes"
 """Topic with one record for each fingerprint and start of a server."""
 
+MAX_KEY_BYTES = 255
+"""Maximum length of a key, whose length the store keeps in one byte."""
 
 _MALFORMED = (ValueError, TypeError, OverflowError, EOFError, cbor2.CBORDecodeError)
 """Exceptions by which decoding a malformed record can end."""
@@ -63,7 +66,7 @@
             Offset of the first record, or why the crashes are not known to be stored.
         """
         return await self._client.append_all(
-            TOPIC, [(_key(one), cbor2.dumps(one.unix_seconds)) for one in crashes]
+            TOPIC, [(_key(one), cbor2.dumps(_value(one))) for one in crashes]
         )
 
     async def delete(self, crashes: Iterable[SavedCrash]) -> result.Result[int, store.Failure]:
@@ -89,7 +92,31 @@
 
 def _key(crash: SavedCrash) -> str:
     instance = crash.instance
-    return f"{crash.fingerprint:016x}/{instance.started_at_ms}/{instance.server_id}"
+    full = f"{crash.fingerprint:016x}/{instance.started_at_ms}/{instance.server_id}"
+    if len(full.encode()) <= MAX_KEY_BYTES:
+        return full
+    return f"{crash.fingerprint:016x}/{xxhash.xxh3_128_hexdigest(full.encode())}"
+
+
+def _value(crash: SavedCrash) -> float | tuple[float, int, str]:
+    """Return the time, with the server if the key is too short to name it."""
+    if _key(crash).count("/") > 1:
+        return crash.unix_seconds
+    return crash.unix_seconds, crash.instance.started_at_ms, crash.instance.server_id
+
+
+def _decode(record: store.Record, value: bytes) -> SavedCrash:
+    content = cbor2.loads(value)
+    if record.key.count("/") > 1:
+        fingerprint, started_at_ms, server_id = record.key.split("/", 2)
+        unix_seconds = content
+    else:
+        fingerprint = record.key.partition("/")[0]
+        unix_seconds, started_at_ms, server_id = content
+    if not isinstance(server_id, str) or not math.isfinite(float(unix_seconds)):
+        raise ValueError(f"no server or no time of a crash: {content}")
+    instance = catalog.Instance(server_id, int(started_at_ms))
+    return SavedCrash(int(fingerprint, 16), instance, float(unix_seconds))
 
 
 def _decode_all(listed: tuple[store.Record, ...]) -> list[SavedCrash]:
@@ -98,12 +125,7 @@
         if record.value is None:
             continue
         try:
-            fingerprint, started_at_ms, server_id = record.key.split("/", 2)
-            instance = catalog.Instance(server_id, int(started_at_ms))
-            unix_seconds = float(cbor2.loads(record.value))
-            if not math.isfinite(unix_seconds):
-                raise ValueError(f"time of a crash: {unix_seconds}")
-            crashes.append(SavedCrash(int(fingerprint, 16), instance, unix_seconds))
+            crashes.append(_decode(record, record.value))
         except _MALFORMED as error:
             logs.warning("crash_record_unreadable", key=record.key, why=repr(error))
     return crashes
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -126,6 +126,31 @@
             catalog.parse_address(text)
 
 
+@pytest.mark.parametrize(
+    "instance",
+    [
+        catalog.Instance("s" * 223, 1_796_669_209_489),
+        catalog.Instance("s" * 255, 1_796_669_209_489),
+        catalog.Instance("\u3042" * 85, 1),
+        catalog.Instance("a/b/c", 10**400),
+    ],
+    ids=["id_and_start", "longest_id", "utf_8", "long_start"],
+)
+async def test_a_crash_of_a_server_with_a_long_name_is_saved(instance: catalog.Instance) -> None:
+    """Its key was longer than the store's, which ended the task that saves all crashes."""
+    saved = [
+        crash_records.SavedCrash(7, instance, 1e9),
+        crash_records.SavedCrash(8, instance, 2e9),
+        crash_records.SavedCrash(7, catalog.Instance("s1", 1), 1e9),
+    ]
+    async with StoreAndClient() as fixture:
+        recorded = crash_records.CrashRecords(fixture.address)
+        assert isinstance(await recorded.save(saved), result.Ok)
+        assert sorted((await recorded.read()).unwrap()) == sorted(saved)
+        await recorded.delete(saved[:1])
+        assert sorted((await recorded.read()).unwrap()) == sorted(saved[1:])
+
+
 @pytest.mark.parametrize(
     "value",
     [
@@ -146,7 +171,7 @@
     async with StoreAndClient() as fixture:
         recorded = crash_records.CrashRecords(fixture.address)
         await recorded.save([saved])
-        for key in ("00000000000000ff/1/s2", "00000000000000ff/x/s2", "zz/1/s2", "0f", ""):
+        for key in ("00000000000000ff/1/s2", "00000000000000ff/x/s2", "zz/1/s2", "0f", "0f/a", ""):
             fixture.store.append(crash_records.TOPIC, platform_store.Record(key, value))
         assert (await recorded.read()).unwrap() == [saved]
 
