Read numbers of headers, reports and settings of any size

What callers would have seen (none has reported it): a prompt of 10^12 tokens and more counted as one without tokens and was sent to servers; a deadline beyond a float was replaced by 10 s.

Change: platform/header_numbers.py and engine_orders.py and settings.py read through platform/numbers.py.

Why it works: a value beyond the limit keeps its meaning, "more than anything here", instead of losing it.

--- a/src/dragonflycove/platform/engine_orders.py
+++ b/src/dragonflycove/platform/engine_orders.py
@@ -5,6 +5,7 @@
 import json
 from typing import TYPE_CHECKING, NamedTuple
 
+from dragonflycove.platform import numbers
 from dragonflycove.transport import http1
 
 if TYPE_CHECKING:
@@ -98,14 +99,14 @@
         The report; None if the body is malformed.
     """
     try:
-        fields = json.loads(body)
+        fields = numbers.load_json(body)
         return LoadReport(
-            waiting=int(fields["waiting"]),
-            running=int(fields["running"]),
-            used_kv_cache_tokens=int(fields["kv_used"]),
-            slowdown=float(fields.get("pace", 1.0)),
+            waiting=numbers.count(fields["waiting"]),
+            running=numbers.count(fields["running"]),
+            used_kv_cache_tokens=numbers.count(fields["kv_used"]),
+            slowdown=numbers.quantity(fields.get("pace", 1.0)),
             reservation_ids=tuple(str(entry["id"]) for entry in fields.get("tickets") or ()),
-            started_at_ms=int(fields.get("born") or 0),
+            started_at_ms=numbers.identifier(fields.get("born") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError):
         return None
--- a/src/dragonflycove/platform/requests.py
+++ b/src/dragonflycove/platform/requests.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import math
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
 from dragonflycove.fleet import catalog, event_stream, forwarding
+from dragonflycove.platform import header_numbers
 from dragonflycove.telemetry import logs
 from dragonflycove.transport import http1
 
@@ -35,12 +35,9 @@
 _RETRY_AFTER = b"retry-after"
 _LEAVING = b"server-leaving"
 
-_DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?|\.\d{1,12}")
+_DECIMAL = re.compile(rb"\d+(\.\d*)?|\.\d+")
 """A decimal number without sign or exponent."""
 
-_MAX_COUNT = 10**12 - 1
-"""Maximum of a count in a header; greater ones don't fit the messages between nodes."""
-
 _HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -77,7 +74,7 @@
 
 
 MAX_SHARED_PARTS = 64
-"""Parts of one prompt that are told apart; those after them are ignored."""
+"""Parts of one prompt that are told apart when it crashes servers; the others are only passed on."""
 
 
 def decode_request(
@@ -92,21 +89,21 @@
         body: The complete body; empty if there is no body.
 
     Returns:
-        The request; a numeric header whose value is not a finite number, or a count out of range,
-        counts as missing.
+        The request; a numeric header whose value is no finite number, or a negative count, counts
+        as missing. Greater ones than `header_numbers` reads count as its limits.
     """
     listed = tuple(headers)
     first_by_name: dict[bytes, bytes] = {}
     for name, value in listed:
         first_by_name.setdefault(name, value)
-    prompt_tokens, output_tokens = _token_counts(first_by_name.get(_TOKEN_COUNTS))
-    length_hint = _count(first_by_name.get(_LENGTH_HINT))
+    prompt_tokens, output_tokens = header_numbers.read_token_counts(first_by_name, _TOKEN_COUNTS)
+    length_hint = header_numbers.read_tokens(first_by_name, _LENGTH_HINT)
     last_event_id = first_by_name.get(_LAST_EVENT_ID) or None
     if last_event_id is not None and event_stream.read_number(last_event_id) is None:
         logs.warning(
             "event_id_unreadable", source="caller", value=last_event_id[: logs.MAX_VALUE_BYTES]
         )
-    deadline_ms = _number(first_by_name.get(_DEADLINE))
+    deadline_ms = header_numbers.read_number(first_by_name, _DEADLINE)
     api_key = first_by_name.get(_API_KEY)
     path = target.partition(b"?")[0]
     return forwarding.CallerRequest(
@@ -159,34 +156,10 @@
 def _shared_parts(value: bytes) -> tuple[str, ...]:
     """Return the ids of a prompt's parts without the last, which belongs to the request alone."""
     ids = [part.partition(b":")[0].strip().lower() for part in value.split(b",")[:-1]]
-    return tuple(dict.fromkeys(one.decode("latin-1") for one in ids if one))[:MAX_SHARED_PARTS]
-
-
-def _number(value: bytes | None) -> float | None:
-    if value is None:
-        return None
-    try:
-        number = float(value)
-    except ValueError:
-        return None
-    return number if math.isfinite(number) else None
-
-
-def _count(value: bytes | None) -> int | None:
-    number = _number(value)
-    return int(number) if number is not None and 0 <= number <= _MAX_COUNT else None
-
-
-def _token_counts(value: bytes | None) -> tuple[int, int]:
-    """Return the prompt tokens and the maximum output tokens; 0, 0 if missing or malformed."""
-    if value is None:
-        return 0, 0
-    try:
-        prompt, _, output = value.partition(b",")
-        counts = int(prompt), int(output or 0)
-    except ValueError:
-        return 0, 0
-    return counts if all(0 <= one <= _MAX_COUNT for one in counts) else (0, 0)
+    distinct = tuple(dict.fromkeys(one.decode("latin-1") for one in ids if one))
+    if len(distinct) > MAX_SHARED_PARTS:
+        logs.event("prompt_parts_ignored", parts=len(distinct) - MAX_SHARED_PARTS)
+    return distinct[:MAX_SHARED_PARTS]
 
 
 class AttemptParameters(NamedTuple):
@@ -325,9 +298,9 @@
     if value is None:
         return None
     if not _DECIMAL.fullmatch(value.strip()):
-        logs.warning("retry_after_unreadable", value=value)
+        logs.warning("retry_after_unreadable", value=value[: logs.MAX_VALUE_BYTES])
         return None
-    return float(value)
+    return header_numbers.decode(value)
 
 
 def _faulty_address(value: bytes | None) -> catalog.Address | None:
@@ -337,7 +310,7 @@
     try:
         return catalog.parse_address(value.decode("latin-1").strip())
     except ValueError:
-        logs.warning("faulty_address_unreadable", value=value)
+        logs.warning("faulty_address_unreadable", value=value[: logs.MAX_VALUE_BYTES])
         return None
 
 
@@ -346,9 +319,9 @@
     if value is None:
         return forwarding.NO_RATE_LIMIT
     if not _DECIMAL.fullmatch(value.strip()):
-        logs.warning("rate_limit_unreadable", value=value)
+        logs.warning("rate_limit_unreadable", value=value[: logs.MAX_VALUE_BYTES])
         return forwarding.UNREADABLE_RATE_LIMIT
-    return forwarding.RateLimit(float(value))
+    return forwarding.RateLimit(header_numbers.decode(value))
 
 
 def _keep_alive_seconds(value: bytes) -> float | None:
@@ -356,7 +329,10 @@
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
         if name.lower() == b"timeout":
-            return _number(seconds)
+            idle_seconds = header_numbers.decode(seconds)
+            if idle_seconds is None:
+                header_numbers.log_unreadable(b"keep-alive", value)
+            return idle_seconds
     return None
 
 
--- a/src/dragonflycove/platform/settings.py
+++ b/src/dragonflycove/platform/settings.py
@@ -9,6 +9,7 @@
 import yaml
 
 from dragonflycove.fleet import catalog, host_settings, load_parts, roster
+from dragonflycove.platform import numbers
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -62,7 +63,7 @@
         return result.Ok(_settings(fields, choices))
     except yaml.YAMLError as error:
         return result.Err(f"invalid YAML: {error}")
-    except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, IndexError, AttributeError, OverflowError) as error:
         return result.Err(f"missing or invalid field: {error!r}")
 
 
@@ -83,13 +84,14 @@
         relay_address=roster.relay_address(peer_address),
         # All nodes use the same port for peers, so only the IP addresses of the seeds are kept.
         seed_ips=tuple(str(seed).rpartition(":")[0] for seed in fields.get("seed_nodes") or ()),
-        cores=float(limits.get("cpu_share", 0.5)) * float(limits.get("cpu_cores", 1)),
-        memory_bytes=int(float(limits.get("memory_mb", 256)) * 1_000_000),
-        max_descriptors=int(limits.get("max_fds", 4_096)),
-        heartbeat_seconds=float(fields.get("heartbeat_ms", 1000)) / 1000,
+        cores=numbers.quantity(limits.get("cpu_share", 0.5))
+        * numbers.quantity(limits.get("cpu_cores", 1)),
+        memory_bytes=numbers.count(1_000_000 * numbers.quantity(limits.get("memory_mb", 256))),
+        max_descriptors=numbers.count(limits.get("max_fds", 4_096)),
+        heartbeat_seconds=numbers.quantity(fields.get("heartbeat_ms", 1000)) / 1000,
         store=_store(fields["platform"]),
         bounds=_bounds(fields.get("bounds") or {}),
-        link_bytes_per_second=float(limits.get("link_mbps", 0)) * 1_000_000 / 8,
+        link_bytes_per_second=numbers.quantity(limits.get("link_mbps", 0)) * 1_000_000 / 8,
         load_parts=load_parts.LoadParts.from_config(fields.get("contracts") or (), choices),
     )
 
@@ -101,25 +103,25 @@
 def _store(fields: dict[str, Any]) -> host_settings.StoreLimits:
     return host_settings.StoreLimits(
         address=catalog.parse_address(fields["address"]),
-        writes_per_second=float(fields.get("writes_per_s", 100)),
-        reads_per_second=float(fields.get("reads_per_s", 500)),
+        writes_per_second=numbers.quantity(fields.get("writes_per_s", 100)),
+        reads_per_second=numbers.quantity(fields.get("reads_per_s", 500)),
     )
 
 
 def _bounds(fields: dict[str, Any]) -> host_settings.Bounds:
     def seconds(name: str, default_ms: float) -> float:
-        return float(fields.get(name, default_ms)) / 1000
+        return numbers.quantity(fields.get(name, default_ms)) / 1000
 
     return host_settings.Bounds(
         drain_seconds=seconds("drain_ms", 2000),
-        grace_seconds=float(fields.get("grace_s", 8)),
+        grace_seconds=numbers.quantity(fields.get("grace_s", 8)),
         contact_seconds=seconds("contact_ms", 3000),
-        retry_ratio=float(fields.get("retry_budget_ratio", 0.1)),
-        retry_window_seconds=float(fields.get("retry_window_s", 10)),
-        retry_allowance=float(fields.get("retry_allowance", 10)),
-        cold_overage=float(fields.get("cold_overage", 1.0)),
-        cold_tolerance=float(fields.get("cold_tolerance", 0)),
-        directory_ttl_seconds=float(fields.get("ttl_max_s", 2)),
+        retry_ratio=numbers.quantity(fields.get("retry_budget_ratio", 0.1)),
+        retry_window_seconds=numbers.quantity(fields.get("retry_window_s", 10)),
+        retry_allowance=numbers.quantity(fields.get("retry_allowance", 10)),
+        cold_overage=numbers.quantity(fields.get("cold_overage", 1.0)),
+        cold_tolerance=numbers.quantity(fields.get("cold_tolerance", 0)),
+        directory_ttl_seconds=numbers.quantity(fields.get("ttl_max_s", 2)),
         max_reservation_seconds=seconds("hold_max_ms", 10000),
         stall_seconds=seconds("stall_ms", 1500),
         config_apply_seconds=seconds("config_apply_ms", 2000),
--- a/src/dragonflycove/telemetry/logs.py
+++ b/src/dragonflycove/telemetry/logs.py
@@ -13,7 +13,7 @@
 
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSS} level={level} {message}"
 
-_DETAIL_FIELDS = ("reason", "after", "end", "state", "failure", "cause", "check")
+_DETAIL_FIELDS = ("reason", "after", "end", "state", "failure", "cause", "check", "header")
 """Fields by whose value events are counted separately; each has only a few values."""
 
 MAX_VALUE_BYTES = 64
