Read the id of an event without the spaces around it

An id with a space behind it had counted as a number before, and no longer did; a caller's header loses the space on its way, so that the two could not be compared. Change: such spaces are dropped from what is compared and handed on; the event itself is passed on as it came. A limit of numbers.py is computed once; names of counts in configuration_advice.py have docstrings. Measured: 12 cases of a new test hold, with an id between spaces and ids of 4,300 and 4,301 digits among them.

--- a/src/dragonflycove/fleet/event_stream.py
+++ b/src/dragonflycove/fleet/event_stream.py
@@ -95,7 +95,8 @@
         for match in _EVENT_END.finditer(buffer, searched):
             raw = buffer[start : match.end()]
             ids = _ID_LINE.findall(raw)
-            events.append(Event((ids[-1] or None) if ids else None, raw))
+            # Spaces around the id would not survive its way through a header.
+            events.append(Event((ids[-1].strip() or None) if ids else None, raw))
             start = match.end()
         self._pending = buffer[start:]
         return events
--- a/src/dragonflycove/platform/configuration_advice.py
+++ b/src/dragonflycove/platform/configuration_advice.py
@@ -18,10 +18,19 @@
 
 
 _ROUTE_COUNTS = ("max_attempts", "priority")
+"""Fields of routes that nodes read as whole numbers."""
+
 _SERVICE_COUNTS = ("max_connections",)
+"""The same of services."""
+
 _ENGINE_COUNTS = ("slots", "kv_capacity", "stride")
+"""The same of engines."""
+
 _TENANT_COUNTS = ("priority",)
+"""The same of tenants."""
+
 _LIMIT_COUNTS = ("max_header_bytes", "max_body_bytes")
+"""The same of the limits on callers."""
 
 
 def find(fields: dict[str, Any]) -> list[faults.Fault]:
--- a/src/dragonflycove/platform/numbers.py
+++ b/src/dragonflycove/platform/numbers.py
@@ -16,6 +16,9 @@
 MAX_IDENTIFIER_DIGITS = 1_000
 """Maximum number of digits of an identifier, which other nodes are told in a header."""
 
+_IDENTIFIER_LIMIT = 10**MAX_IDENTIFIER_DIGITS
+"""The first whole number that is too long."""
+
 
 def load_json(text: bytes | str) -> Any:
     """Parse JSON without rounding its numbers.
@@ -71,7 +74,7 @@
         # The exponent of a short text may stand for more digits than there is memory for.
         if number.adjusted() < MAX_IDENTIFIER_DIGITS and number == number.to_integral_value():
             return int(number)
-    elif abs(number) < 10**MAX_IDENTIFIER_DIGITS:
+    elif abs(number) < _IDENTIFIER_LIMIT:
         return number
     raise ValueError(f"no whole number of at most {MAX_IDENTIFIER_DIGITS} digits")
 
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -96,6 +96,31 @@
     assert not splitter.has_partial_event
 
 
+@pytest.mark.parametrize(
+    ("raw", "event_id", "number"),
+    [
+        (b"id: 7\ndata: x\n\n", b"7", 7),
+        (b"data: x\r\nid:7\r\n\r\n", b"7", 7),
+        (b"id:  7 \ndata: x\n\n", b"7", 7),
+        (b"id: 007\n\n", b"007", 7),
+        (b"id: 6\nid: 7\n\n", b"7", 7),
+        (b"id: 1.5\n\n", b"1.5", None),
+        (b"id: 7b\n\n", b"7b", None),
+        (b"id: " + b"9" * 4_300 + b"\n\n", b"9" * 4_300, 10**4_300 - 1),
+        (b"id: " + b"9" * 4_301 + b"\n\n", b"9" * 4_301, None),
+        (b"id:\ndata: x\n\n", None, None),
+        (b"data: id: 7\n\n", None, None),
+        (b"idle: 7\n\n", None, None),
+    ],
+)
+def test_the_id_of_an_event_is_read_whole(
+    raw: bytes, event_id: bytes | None, number: int | None
+) -> None:
+    """The digits before a point or a letter counted as the number of the event."""
+    (event,) = event_stream.EventSplitter().feed(raw)
+    assert (event.event_id, event.number, event.raw) == (event_id, number, raw)
+
+
 def test_an_incomplete_event_is_not_returned() -> None:
     splitter = event_stream.EventSplitter()
     assert splitter.feed(b"id: 1\ndata: x") == []
