Take null in an optional field as not given in config check

Cause: nodes read such a configuration; the advice on it computed with the value and ended with TypeError, so that an operator got a stack trace in place of the check. Change: the advice drops fields that are null, also of engines. No source that nodes run has changed.

--- a/src/dragonflycove/platform/configuration_advice.py
+++ b/src/dragonflycove/platform/configuration_advice.py
@@ -39,22 +39,41 @@
     Args:
         fields: Fields of a configuration without faults.
     """
+    fields = _without_nulls(fields)
     return [
         *_hidden_routes(fields["routes"]),
         *_route_advice(fields["routes"]),
         *_service_advice(fields),
         *_tenant_advice(fields),
-        *_limit_advice(fields.get("limits") or {}),
+        *_limit_advice(fields["limits"]),
     ]
 
 
+def _without_nulls(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields without those of entries that are null, which nodes take as not given."""
+    stated = dict(fields)
+    for section in ("routes", "services", "tenants"):
+        if fields.get(section):
+            stated[section] = [_stated(entry) for entry in fields[section]]
+    stated["limits"] = _stated(fields.get("limits") or {})
+    return stated
+
+
+def _stated(entry: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of an entry that have a value, those of objects in it included."""
+    return {
+        name: _stated(value) if isinstance(value, dict) else value
+        for name, value in entry.items()
+        if value is not None
+    }
+
+
 def _rounded_counts(
     entry: dict[str, Any], names: tuple[str, ...], path: str
 ) -> Iterator[faults.Fault]:
     """Yield counts that nodes round down or bound."""
     for name in names:
-        value = entry.get(name)
-        if value is not None and (used := numbers.count(value)) != numbers.exact(value):
+        if name in entry and (used := numbers.count(entry[name])) != numbers.exact(entry[name]):
             yield faults.Fault(faults.join(path, name), f"counts as {used}")
 
 
--- a/tests/platform/test_configuration_check.py
+++ b/tests/platform/test_configuration_check.py
@@ -148,6 +148,28 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("section", "name"),
+    [
+        *(("routes", name) for name in ("latency_goal_ms", "gap_target_ms", "max_attempts")),
+        *(("routes", name) for name in ("priority", "traffic_split", "public", "resumable")),
+        *(("services", name) for name in ("max_connections", "cold_start_s", "cold_per_s")),
+        ("services", "engine"),
+        *(("tenants", name) for name in ("priority",)),
+        *(("limits", name) for name in ("max_header_bytes", "idle_timeout_ms")),
+    ],
+)
+def test_null_in_an_optional_field_gets_the_advice_of_a_missing_one(section: str, name: str) -> None:
+    """The check ended with an exception, though nodes read such a configuration."""
+    document = copy.deepcopy({**VALID, "limits": {}})
+    target = document[section] if section == "limits" else document[section][0]
+    target.pop(name, None)
+    without = configuration_advice.find(document)
+    target[name] = None
+    assert configuration_faults.find(json.dumps(document)) == result.Ok(document)
+    assert configuration_advice.find(document) == without
+
+
 def test_a_configuration_without_contradictions_gets_no_advice() -> None:
     assert configuration_advice.find(VALID) == []
 
