Test that a run which begins anew repeats no event to its caller

Change: servers that begin anew whatever the id, direct and through another node, with first ids on both sides of each limit. Three docstrings say "documented limit".

--- a/tests/gateway/test_configuration_numbers.py
+++ b/tests/gateway/test_configuration_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers that no page bounds, in operators' and servers' records, over real nodes."""
+"""Numbers without a documented limit in operators' and servers' records, over real nodes."""
 
 from __future__ import annotations
 
--- a/tests/gateway/test_event_ids.py
+++ b/tests/gateway/test_event_ids.py
@@ -1,4 +1,4 @@
-"""Ids of events that no page bounds: streams whose ids are times, or have any number of digits."""
+"""Ids of events without a documented limit: times, numbers of any size, and other texts."""
 
 from __future__ import annotations
 
@@ -73,6 +73,22 @@
         assert (response.status, response.body, response.is_complete) == (200, rest, True)
 
 
+@pytest.mark.parametrize("is_relayed", [False, True])
+@pytest.mark.parametrize("first_number", FIRST_NUMBERS)
+async def test_events_of_a_run_that_begins_anew_are_not_repeated(
+    first_number: int, is_relayed: bool
+) -> None:
+    """A server, or a node of an earlier build on the way to it, may drop the caller's position."""
+    async with deployment.deployed(nodes=2) as system:
+        _respond_always(system, _events(range(first_number, first_number + 5)))
+        if is_relayed:
+            system.cut_from_servers(0, deployment.CutMode.REFUSED)
+        last_id = first_number + 2
+        response = await system.call("/ask/x", headers={"Last-Event-Id": str(last_id)})
+        rest = _events(range(last_id + 1, first_number + 5))
+        assert (response.status, response.body, response.is_complete) == (200, rest, True)
+
+
 @pytest.mark.parametrize(
     "ids", [("1.2", "1.7", "2.1"), ("a1", "a2"), ("01J9", "01JA"), ("7", "7b"), ("9" * 5_000,)]
 )
--- a/tests/gateway/test_numbers_in_headers.py
+++ b/tests/gateway/test_numbers_in_headers.py
@@ -1,4 +1,4 @@
-"""Numbers in headers that no page bounds, from callers and servers, over real nodes."""
+"""Numbers without a documented limit in headers of callers and servers, over real nodes."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_configuration_check.py
+++ b/tests/platform/test_configuration_check.py
@@ -159,7 +159,9 @@
         *(("limits", name) for name in ("max_header_bytes", "idle_timeout_ms")),
     ],
 )
-def test_null_in_an_optional_field_gets_the_advice_of_a_missing_one(section: str, name: str) -> None:
+def test_null_in_an_optional_field_gets_the_advice_of_a_missing_one(
+    section: str, name: str
+) -> None:
     """The check ended with an exception, though nodes read such a configuration."""
     document = copy.deepcopy({**VALID, "limits": {}})
     target = document[section] if section == "limits" else document[section][0]
